--- a/balancer.go
+++ b/balancer.go
@@ -93,7 +93,8 @@
 	}
 	classes, tenants, first := len(cfg.Classes), len(cfg.Tenants), [2]float64{1, 1}
 	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
-		median: 1, medians: first, byID: map[BackendID]*target{}, requests: map[RequestID]*request{},
+		median: 1, medians: first, byID: map[BackendID]*target{},
+		detached: map[BackendID]time.Duration{}, requests: map[RequestID]*request{},
 		classes: make([]line, classes), tails: make([]tail, classes), all: make([]tally, 1),
 		byClass: make([]tally, classes), byTenant: make([]tally, tenants), traffic: make([]decaying, tenants)}
 	b.interval = max(suspectProbe*cfg.Caps.ConnectTimeout, 20*cfg.Tick, 100*time.Millisecond)
@@ -149,6 +150,55 @@
 	}
 }
 
+// Detach takes a backend out by an operator's order: it gets nothing new, neither requests nor probes,
+// whatever the list says of it or whether the list knows it now. What is out there runs on.
+func (b *Balancer) Detach(now time.Duration, id BackendID) {
+	b.now = now
+	if _, out := b.detached[id]; out {
+		return
+	}
+	b.detached[id] = now
+	if t := b.byID[id]; t != nil {
+		t.detached = true
+		b.listReady()
+		b.reach()
+		b.host.Release(id)
+	}
+}
+
+// Attach ends that. Danger: it may have been restarted meanwhile, and the list may not say so yet.
+func (b *Balancer) Attach(now time.Duration, id BackendID) {
+	b.now = now
+	since, out := b.detached[id]
+	if !out {
+		return
+	}
+	delete(b.detached, id)
+	if t := b.byID[id]; t != nil {
+		t.detached, t.nextProbe = false, now
+		if t.Started <= since {
+			b.starts(t, now)
+		}
+		b.listReady()
+		b.reach()
+		b.dispatch()
+	}
+}
+
+// Census counts the backends in the list, and those of them that are avoided by order or for their health.
+func (b *Balancer) Census() (known, excluded int) {
+	for _, t := range b.targets {
+		if t.State == Gone {
+			continue
+		}
+		known++
+		if t.detached || t.State == Ready && !t.healthy {
+			excluded++
+		}
+	}
+	return known, excluded
+}
+
 // forgetGone drops the targets that left the list, once nothing is out at them.
 func (b *Balancer) forgetGone() {
 	b.targets = slices.DeleteFunc(b.targets, func(t *target) bool {
@@ -343,9 +393,10 @@
 	return t.tokens >= max(work, b.meanWork) || len(t.out) == 0 && t.tokens >= 0 && work <= 2*b.meanWork
 }
 
-// mayReceive guards drains: only backends listed ready get anything new.
+// mayReceive guards drains and operators' orders: only backends listed ready and not taken out get anything
+// new.
 func (b *Balancer) mayReceive(t *target, work float64) bool {
-	return t.State == Ready && b.coldAllows(t, work)
+	return t.State == Ready && !t.detached && b.coldAllows(t, work)
 }
 
 // room tells whether a backend may have one more out. A limit below one spaces attempts out.
--- a/cmd/opalcroft/main.go
+++ b/cmd/opalcroft/main.go
@@ -44,7 +44,7 @@
 	p := proxy.New(cfg, log)
 	ended := make(chan struct{})
 	defer close(ended)
-	go reload(p, hup, ended, log)
+	go reload(p, hup, ended)
 	if err := p.Run(ctx); err != nil {
 		return err
 	}
@@ -54,7 +54,7 @@
 
 // reload reads the configuration anew at each SIGHUP, for as long as the program runs. A bad one changes
 // nothing.
-func reload(p *proxy.Proxy, hup <-chan os.Signal, ended <-chan struct{}, log *slog.Logger) {
+func reload(p *proxy.Proxy, hup <-chan os.Signal, ended <-chan struct{}) {
 	for {
 		select {
 		case <-hup:
@@ -63,7 +63,7 @@
 		}
 		cfg, err := proxy.ReloadConfig(os.Getenv)
 		if err != nil {
-			log.Error("the old configuration stays", "err", err)
+			p.ReloadFailed(err)
 			continue
 		}
 		p.Reload(cfg)
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,203 @@
+// Package console serves the operators' second address: each connection carries one line, a call, and gets an
+// answer whose first line starts with 200 or 400.
+//
+// A caller waits a second and no more. So each has a goroutine of its own, nothing here waits for the proxy's
+// loop, and callers that say nothing cost a place at most until somebody needs it.
+package console
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Proxy is what the console's calls act on. No method may block for long.
+type Proxy interface {
+	Serving() bool           // it takes clients
+	Figures() json.Marshaler // what INFO shows
+	Detach(id string) error  // takes a backend out
+	Attach(id string) error  // ends that
+	LameDuck()               // sends clients away
+	Rejoin()                 // ends that
+}
+
+const (
+	mostCallers  = 16              // at a time; one more takes the place of the one that has been silent for longest
+	lineBytes    = 512             // the longest call
+	callTimeout  = 5 * time.Second // for a line to arrive
+	writeTimeout = time.Second     // for an answer to leave
+	acceptRest   = 20 * time.Millisecond
+)
+
+// Server answers calls.
+type Server struct {
+	proxy Proxy
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	callers []net.Conn // those whose line is not there yet, the oldest first
+	running sync.WaitGroup
+}
+
+// New makes a console for a proxy.
+func New(p Proxy, log *slog.Logger) *Server { return &Server{proxy: p, log: log} }
+
+// Serve answers calls until ctx ends or the listener is closed, and then waits for those under way.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	defer s.running.Wait()
+	defer s.closeSilent()
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		c, err := listener.Accept()
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("console: %w", err)
+		default: // most often no descriptor is left: it passes
+			s.log.Warn("the console could not take a call", "err", err)
+			select {
+			case <-time.After(acceptRest):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		s.enter(c)
+		s.running.Go(func() { s.call(c) })
+	}
+}
+
+// enter makes place for a caller.
+func (s *Server) enter(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.callers) >= mostCallers {
+		s.callers[0].Close() // its goroutine takes it off
+		s.callers = s.callers[1:]
+	}
+	s.callers = append(s.callers, c)
+}
+
+func (s *Server) leave(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, o := range s.callers {
+		if o == c {
+			s.callers = append(s.callers[:i:i], s.callers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Server) closeSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.callers {
+		c.Close()
+	}
+}
+
+func (s *Server) call(c net.Conn) {
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(callTimeout))
+	line, err := readLine(c)
+	s.leave(c)
+	var text []byte
+	if err != nil {
+		text = no(err)
+	} else {
+		text = s.answer(line)
+	}
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.Write(text); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.log.Warn("a console answer did not get through", "err", err)
+	}
+}
+
+// readLine reads a line, which may come in pieces and end with the caller's sending instead of a line feed.
+func readLine(r io.Reader) (string, error) {
+	in := bufio.NewReaderSize(io.LimitReader(r, lineBytes+1), lineBytes+1)
+	line, err := in.ReadString('\n')
+	switch {
+	case len(line) > lineBytes:
+		return "", fmt.Errorf("the line is longer than %d bytes", lineBytes)
+	case err != nil && (err != io.EOF || strings.TrimSpace(line) == ""):
+		return "", errors.New("no line came")
+	}
+	return line, nil
+}
+
+func yes(text string) []byte { return []byte("200 " + text + "\n") }
+
+func no(err error) []byte {
+	return fmt.Appendf(nil, "400 %s\n", strings.ReplaceAll(err.Error(), "\n", " "))
+}
+
+// answer carries a call out.
+func (s *Server) answer(line string) []byte {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return no(errors.New("the line is empty"))
+	}
+	call, args := words[0], words[1:]
+	want := 0
+	if call == "DETACH" || call == "ATTACH" {
+		want = 1
+	}
+	switch call {
+	case "PING", "INFO", "DETACH", "ATTACH", "LAMEDUCK", "REJOIN":
+		if len(args) != want {
+			return no(fmt.Errorf("%s takes %d words, not %d", call, want, len(args)))
+		}
+	default:
+		return no(fmt.Errorf("unknown call %.32q: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK and REJOIN are known", call))
+	}
+	switch call {
+	case "PING":
+		if !s.proxy.Serving() {
+			return no(errors.New("not serving yet"))
+		}
+		return yes("serving")
+	case "INFO":
+		return s.info()
+	case "DETACH":
+		return s.order(call, args[0], s.proxy.Detach)
+	case "ATTACH":
+		return s.order(call, args[0], s.proxy.Attach)
+	case "LAMEDUCK":
+		s.proxy.LameDuck()
+		s.log.Info("lame duck by the console")
+		return yes("draining")
+	default: // REJOIN
+		s.proxy.Rejoin()
+		s.log.Info("back to work by the console")
+		return yes("back")
+	}
+}
+
+func (s *Server) info() []byte {
+	text, err := json.Marshal(s.proxy.Figures())
+	if err != nil {
+		return no(err)
+	}
+	return bytes.Join([][]byte{[]byte("200 "), text, []byte("\nEOF\n")}, nil)
+}
+
+func (s *Server) order(call, id string, f func(string) error) []byte {
+	if err := f(id); err != nil {
+		return no(err)
+	}
+	s.log.Info("an order by the console", "call", call, "backend", id)
+	return yes(id)
+}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,149 @@
+package console
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+type stub struct {
+	mu      sync.Mutex
+	serving bool
+	calls   []string
+}
+
+type raw string
+
+func (r raw) MarshalJSON() ([]byte, error) { return []byte(r), nil }
+
+func (s *stub) note(call string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, call)
+}
+func (s *stub) Serving() bool           { return s.serving }
+func (s *stub) Figures() json.Marshaler { return raw(`{"in_flight":3}`) }
+func (s *stub) LameDuck()               { s.note("lameduck") }
+func (s *stub) Rejoin()                 { s.note("rejoin") }
+func (s *stub) Detach(id string) error {
+	if id != "s-1" {
+		return errors.New("no backend of that id was ever listed")
+	}
+	s.note("detach " + id)
+	return nil
+}
+func (s *stub) Attach(id string) error { s.note("attach " + id); return nil }
+
+func start(t *testing.T, p Proxy) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	s := New(p, slog.New(slog.DiscardHandler))
+	go func() { done <- s.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Errorf("Serve: %v", err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func call(t *testing.T, addr string, pieces ...string) string {
+	t.Helper()
+	c := dial(t, addr)
+	for _, p := range pieces {
+		if _, err := io.WriteString(c, p); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.(*net.TCPConn).CloseWrite()
+	text, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestCalls(t *testing.T) {
+	p := &stub{serving: true}
+	addr := start(t, p)
+	for _, c := range []struct {
+		name, want string
+		pieces     []string
+	}{
+		{"ping", "200 serving\n", []string{"PING\n"}},
+		{"carriage return", "200 serving\n", []string{"PING\r\n"}},
+		{"in pieces", "200 serving\n", []string{"P", "IN", "G\n"}},
+		{"no line feed", "200 serving\n", []string{"PING"}},
+		{"info", "200 {\"in_flight\":3}\nEOF\n", []string{"INFO\n"}},
+		{"out", "200 s-1\n", []string{"DETACH s-1\n"}},
+		{"out, never listed", "400 no backend of that id was ever listed\n", []string{"DETACH s-2\n"}},
+		{"out, no id", "400 DETACH takes 1 words, not 0\n", []string{"DETACH\n"}},
+		{"out, two ids", "400 DETACH takes 1 words, not 2\n", []string{"DETACH s-1 s-2\n"}},
+		{"back", "200 s-1\n", []string{"ATTACH s-1\n"}},
+		{"lame duck", "200 draining\n", []string{"LAMEDUCK\n"}},
+		{"rejoin", "200 back\n", []string{"REJOIN\n"}},
+		{"rejoin with words", "400 REJOIN takes 0 words, not 1\n", []string{"REJOIN now\n"}},
+		{"empty", "400 the line is empty\n", []string{"\n"}},
+		{"nothing", "400 no line came\n", nil},
+		{"too long", "400 the line is longer than 512 bytes\n", []string{"DETACH " + strings.Repeat("x", lineBytes-6)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := call(t, addr, c.pieces...); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+	if got := call(t, addr, "STOP\n"); !strings.HasPrefix(got, "400 unknown call") {
+		t.Errorf("unknown call: %q", got)
+	}
+	want := "detach s-1,attach s-1,lameduck,rejoin"
+	if got := strings.Join(p.calls, ","); got != want {
+		t.Errorf("carried out %q, want %q", got, want)
+	}
+}
+
+func TestNotServingYet(t *testing.T) {
+	if got := call(t, start(t, &stub{}), "PING\n"); got != "400 not serving yet\n" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Callers that say nothing fill all places; those that come after them are answered all the same, and the
+// oldest of the silent ones has to go.
+func TestSilentCallersKeepNobodyWaiting(t *testing.T) {
+	addr := start(t, &stub{serving: true})
+	first := dial(t, addr)
+	for range 3 * mostCallers {
+		dial(t, addr)
+	}
+	if got := call(t, addr, "PING\n"); got != "200 serving\n" {
+		t.Fatalf("got %q", got)
+	}
+	if _, err := io.ReadAll(first); errors.Is(err, context.DeadlineExceeded) {
+		t.Error("the oldest silent caller still has its place")
+	}
+}
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,35 @@
+package figures
+
+import (
+	"encoding/json"
+	"sync"
+	"testing"
+)
+
+func TestCountsFromManyGoroutines(t *testing.T) {
+	f := New([]string{"ride", "payout"})
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 100 {
+				f.Ended(0, Served)
+				f.Ended(1, Failed)
+				f.Attempts.Add(1)
+				f.Ended(2, Served) // no such class: not counted
+				f.Ended(-1, Refused)
+			}
+		})
+	}
+	all.Wait()
+	f.InFlight.Store(14)
+	f.BackendsKnown.Store(9)
+	text, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"served":{"payout":0,"ride":800},"refused":{"payout":0,"ride":0},"failed":{"payout":800,"ride":0},` +
+		`"attempts":800,"in_flight":14,"backends_known":9,"backends_excluded":0,"reloads_ok":0,"reloads_failed":0}`
+	if string(text) != want {
+		t.Errorf("got  %s\nwant %s", text, want)
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mulleinferry"
@@ -46,6 +47,8 @@
 	limit   time.Duration // how long a connection may have been idle to be taken, as of limitAt
 	limitAt time.Time
 	soon    time.Duration
+
+	attempts *atomic.Int64 // counts the requests written whole
 }
 
 // backend is one backend's address and idle connections. The pool's lock guards it.
@@ -58,7 +61,7 @@
 
 func newPool(most int, connectTimeout, connIdle time.Duration) *pool {
 	return &pool{dialer: new(net.Dialer).DialContext, connectTimeout: connectTimeout, idleFor: connIdle / idlePart,
-		most: most, backends: map[mulleinferry.BackendID]*backend{}, limit: connIdle / idlePart, soon: soon}
+		most: most, backends: map[mulleinferry.BackendID]*backend{}, limit: connIdle / idlePart, soon: soon, attempts: new(atomic.Int64)}
 }
 
 // update takes in a list. A backend that drains or is gone, or has another address, loses its idle
@@ -297,6 +300,7 @@
 	url          url.URL
 	header       http.Header
 	body         []byte
+	probe        bool
 }
 
 // request is the message for one attempt, on a connection to addr.
@@ -341,6 +345,9 @@
 	stop := context.AfterFunc(ctx, c.interrupt)
 	req := m.request(c.RemoteAddr().String())
 	written, whole, err := c.write(req)
+	if whole && !m.probe {
+		p.attempts.Add(1)
+	}
 	if err == nil {
 		var resp *http.Response
 		if resp, body, err = c.readAnswer(req); err == nil {
@@ -386,6 +393,6 @@
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	result, _ := p.exchange(ctx, b, &message{method: http.MethodGet, url: url.URL{Path: "/ping"},
-		header: http.Header{"User-Agent": nil}})
+		header: http.Header{"User-Agent": nil}, probe: true})
 	return result
 }
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -8,15 +8,20 @@
 	"time"
 )
 
-// evictTries bounds the search for a place, whose cost grows with the connections.
-const evictTries = 4
+const (
+	evictTries = 4                     // bounds the search for a place, whose cost grows with the connections
+	closeRest  = 5 * time.Millisecond  // a connection that is to be closed was silent for so long,
+	freshRest  = time.Second           // or for so long if nothing ever came on it
+	duckLook   = 20 * time.Millisecond // how often a lame duck looks for idle connections
+)
 
 // clientConns keeps track of the clients' connections, within a limit on their number.
 type clientConns struct {
 	mu       sync.Mutex
 	all      map[*clientConn]bool
 	most     int
-	draining bool
+	draining bool      // the process ends
+	duckFrom time.Time // lame duck since then; zero if it is none
 }
 
 func newClientConns(most int) *clientConns {
@@ -64,11 +69,13 @@
 	return err
 }
 
-// closeWaiting closes the connection if no byte of a next request has been read.
-func (c *clientConn) closeWaiting() {
+// closeWaiting closes the connection if it is between requests and nothing stands to be read on it. One on which
+// nothing has come yet is given more time: its first request is most likely on its way.
+func (c *clientConn) closeWaiting(now time.Time) {
 	c.mu.Lock()
-	c.closed = c.waiting || c.fresh
-	closed := c.closed
+	waits := c.waiting && now.Sub(c.since) >= closeRest || c.fresh && now.Sub(c.since) >= freshRest
+	closed := waits && !c.closed && silent(c.Conn)
+	c.closed = c.closed || closed
 	c.mu.Unlock()
 	if closed {
 		c.Close()
@@ -153,7 +160,7 @@
 }
 
 // closeIdle closes the connections that wait for a request, and tells how many remain.
-func (s *clientConns) closeIdle() int {
+func (s *clientConns) closeIdle(now time.Time) int {
 	s.mu.Lock()
 	all := make([]*clientConn, 0, len(s.all))
 	for c := range s.all {
@@ -161,7 +168,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range all {
-		c.closeWaiting()
+		c.closeWaiting(now)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -174,10 +181,43 @@
 	s.mu.Unlock()
 }
 
+// isDraining tells whether clients are sent away, for good or for a time.
 func (s *clientConns) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.draining || !s.duckFrom.IsZero()
+}
+
+// setLameDuck has clients sent away, or taken again. Unlike a drain it goes on taking connections: the front
+// asks after the proxy's health on new ones, and the way back must be open.
+func (s *clientConns) setLameDuck(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !on:
+		s.duckFrom = time.Time{}
+	case s.duckFrom.IsZero():
+		s.duckFrom = time.Now()
+	}
+}
+
+// runLameDuck closes idle connections while the proxy is a lame duck, once those that were on their way are there.
+func (s *clientConns) runLameDuck(ctx context.Context) {
+	tick := time.NewTicker(duckLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		s.mu.Lock()
+		due := !s.duckFrom.IsZero() && time.Since(s.duckFrom) >= acceptOn
+		s.mu.Unlock()
+		if due {
+			s.closeIdle(time.Now())
+		}
+	}
 }
 
 // clientListener takes no more connections than there are sockets for. It never waits for a place: silent
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -17,6 +17,10 @@
 type Config struct {
 	Name, Listen, Discovery string
 
+	Console      string // the second address; none if empty
+	PassedSocket string // the descriptor of the clients' listening socket; none if empty
+	StateDir     string // what outlives this process is kept there; nothing is if empty
+
 	Seed     uint64
 	Cores    float64
 	MemoryMB int
@@ -32,6 +36,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Console   string `json:"console"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -88,11 +93,12 @@
 		return Config{}, err
 	}
 	for name, field := range map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen,
-		"BALANCER_DISCOVERY": &c.Discovery} {
+		"BALANCER_DISCOVERY": &c.Discovery, "BALANCER_CONSOLE": &c.Console} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
+	c.PassedSocket, c.StateDir = getenv("BALANCER_PASSED_SOCKET"), getenv("TMPDIR")
 	if c.Listen == "" || c.Discovery == "" {
 		return Config{}, fmt.Errorf("configuration %s: listen and discovery must be given", path)
 	}
@@ -104,7 +110,7 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, Cores: f.Limits.Cores,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
 	if c.Cores <= 0 || c.MemoryMB < leastMemoryMB || c.Sockets < leastSockets {
 		return Config{}, fmt.Errorf("limits: cores %v, memory_mb %d and sockets %d must be above 0, %d and %d or more",
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mulleinferry/internal/figures"
 )
 
 const (
@@ -30,8 +32,9 @@
 	inHandPart    = 1.0 / 8 // of the memory, for the bodies of all requests in hand
 	headerBytes   = 16 << 10
 
-	acceptOn  = 600 * time.Millisecond  // after SIGTERM: connections come for up to 400 ms more
-	drainMost = 3650 * time.Millisecond // after SIGTERM: past the last deadline (3 s), before SIGKILL (3.7 s)
+	acceptOn  = 600 * time.Millisecond // after SIGTERM: connections come for up to 400 ms more
+	lastCall  = 3 * time.Second        // after SIGTERM: the longest deadline that is waited for,
+	drainRoom = 650 * time.Millisecond // and past it, before SIGKILL (700 ms)
 	drainLook = 10 * time.Millisecond
 )
 
@@ -52,9 +55,9 @@
 	bodyTimeout, writeTimeout time.Duration
 }
 
-func newFrontend(l *loop, log *slog.Logger, mostConns int) *frontend {
+func newFrontend(l *loop, log *slog.Logger, conns *clientConns) *frontend {
 	f := &frontend{loop: l, log: log, classes: map[string]int{}, tenants: map[string]int{},
-		conns: newClientConns(mostConns), open: map[string]bool{}, mostBytes: int64(inHandPart * float64(l.cfg.MemoryMB) * (1 << 20)),
+		conns: conns, open: map[string]bool{}, mostBytes: int64(inHandPart * float64(l.cfg.MemoryMB) * (1 << 20)),
 		bodyTimeout: bodyTimeout, writeTimeout: writeTimeout}
 	for i, c := range l.cfg.Module.Classes {
 		f.classes[c.Name] = i
@@ -80,13 +83,21 @@
 }
 
 // drain ends the service in order: answers close their connections from now on; new ones are taken for a
-// while yet; then the idle ones are closed, and it waits for what was taken.
-func (f *frontend) drain(listener net.Listener) {
+// while yet, unless a later process takes them from the same socket; then the idle ones are closed, and it waits
+// for what was taken.
+func (f *frontend) drain(listener net.Listener, succeeded bool) {
 	f.conns.setDraining()
 	began := time.Now()
+	most := drainRoom
+	for _, c := range f.loop.cfg.Module.Classes {
+		most = max(most, min(c.GiveUp, lastCall)+drainRoom)
+	}
+	if succeeded {
+		listener.Close()
+	}
 	time.Sleep(acceptOn)
 	listener.Close()
-	for f.conns.closeIdle() > 0 && time.Since(began) < drainMost {
+	for f.conns.closeIdle(time.Now()) > 0 && time.Since(began) < most {
 		time.Sleep(drainLook)
 	}
 	f.server.Close()
@@ -127,9 +138,12 @@
 		return
 	}
 	deadlines.SetReadDeadline(time.Time{})
+	f.loop.figures.InFlight.Add(1)
+	defer f.loop.figures.InFlight.Add(-1)
 	f.loop.post(func() { f.loop.take(req) })
 	select {
 	case a := <-req.answer:
+		f.loop.figures.Ended(req.class, outcomeOf(a.status))
 		f.closing(w)
 		deadlines.SetWriteDeadline(time.Now().Add(f.writeTimeout))
 		write(w, a)
@@ -147,6 +161,17 @@
 	return draining
 }
 
+// outcomeOf is what an answer of that status counts as.
+func outcomeOf(status int) figures.Outcome {
+	switch status {
+	case http.StatusOK:
+		return figures.Served
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return figures.Refused
+	}
+	return figures.Failed
+}
+
 // rejection says why a request is not taken.
 type rejection struct {
 	status int
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"mulleinferry"
+	"mulleinferry/internal/figures"
+	"mulleinferry/internal/handover"
 )
 
 const (
@@ -20,6 +22,8 @@
 	backstop = 5 * time.Millisecond
 	// How soon a timer whose event failed comes again at the earliest.
 	timerAgain = 100 * time.Millisecond
+	// How often the figures on the list are brought up to date.
+	censusEvery = 100 * time.Millisecond
 )
 
 // answer is a request's one final answer.
@@ -62,6 +66,10 @@
 	module    *mulleinferry.Balancer
 	pool      *pool
 	discovery *discovery
+	figures   *figures.Figures
+	store     *handover.Store
+	roster    *roster
+	out       map[string]bool // backends that the module was told are out by hand
 
 	events  chan func()
 	done    chan struct{}
@@ -85,7 +93,7 @@
 func newLoop(cfg *Config, log *slog.Logger, p *pool, d *discovery) (*loop, error) {
 	l := &loop{cfg: cfg, clock: newClock(), log: log, pool: p, discovery: d, events: make(chan func(), eventBuffer),
 		done: make(chan struct{}), listKnown: true, set: map[uint64]int{}, requests: map[mulleinferry.RequestID]*request{}, stopWatch: func() {},
-		zones: numbers(cfg.Zones), kinds: numbers(cfg.Kinds)}
+		zones: numbers(cfg.Zones), kinds: numbers(cfg.Kinds), figures: figures.New(nil), store: handover.Open("", ""), roster: newRoster()}
 	var err error
 	l.module, err = mulleinferry.New(cfg.Module, cfg.Seed, host{l})
 	return l, err
@@ -107,17 +115,26 @@
 	defer wake.Stop()
 	l.handle(func() {
 		l.module.Start(l.clock.now())
+		l.obey() // before the list, so that nothing is sent to a backend that is out
 		l.list(l.cfg.Known, mulleinferry.ListCached)
 		if !l.cfg.Module.OnRequest { // the module takes pushed lists as they come and asks for none
 			host{l}.Watch(true)
 		}
+		l.watchCensus()
 	})
 	for ctx.Err() == nil {
 		l.fire()
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].at - l.clock.now())
 		}
+		select { // orders go before all else
+		case <-l.roster.wake:
+			l.handle(l.obey)
+		default:
+		}
 		select {
+		case <-l.roster.wake:
+			l.handle(l.obey)
 		case event := <-l.events:
 			l.handle(event)
 		case <-wake.C:
@@ -304,6 +321,7 @@
 		list.Full = true
 	}
 	l.pool.update(list)
+	l.roster.add(list)
 	m := mulleinferry.Membership{Kind: kind, Version: list.Version}
 	for _, e := range list.Members {
 		l.log.Info("listed", "backend", backendID(e.ID), "name", e.ID, "addr", e.Addr, "state", stateNames[e.State])
--- /dev/null
+++ b/internal/proxy/operator.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+)
+
+// mostNames bounds the names that a roster remembers; of those that it forgets the oldest go first.
+const mostNames = 8192
+
+// roster knows the names of all backends that were ever listed: only these can be taken out by hand. It is for
+// any goroutine, so that whoever asks need not wait for the loop.
+type roster struct {
+	mu    sync.Mutex
+	names map[string]bool
+	order []string
+	wake  chan struct{} // holds one: there are orders that the loop has not seen
+}
+
+func newRoster() *roster { return &roster{names: map[string]bool{}, wake: make(chan struct{}, 1)} }
+
+func (r *roster) add(list List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range list.Members {
+		if r.names[m.ID] {
+			continue
+		}
+		if len(r.order) >= mostNames {
+			delete(r.names, r.order[0])
+			r.order = r.order[1:]
+		}
+		r.names[m.ID] = true
+		r.order = append(r.order, m.ID)
+	}
+}
+
+func (r *roster) listed(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.names[id]
+}
+
+func (r *roster) wakeLoop() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// operator is the proxy as the console's calls see it. None of them waits for the loop.
+type operator struct{ *Proxy }
+
+func (o operator) Serving() bool           { return o.ready.Load() }
+func (o operator) Figures() json.Marshaler { return o.figures }
+func (o operator) LameDuck()               { o.conns.setLameDuck(true) }
+func (o operator) Rejoin()                 { o.conns.setLameDuck(false) }
+func (o operator) Detach(id string) error  { return o.order(id, true) }
+func (o operator) Attach(id string) error  { return o.order(id, false) }
+
+// order writes down that a backend is out by hand, or no more, and has the loop look.
+func (o operator) order(id string, out bool) error {
+	known := o.roster.listed(id)
+	for _, name := range o.store.Out() { // by the process before, which may have known it alone
+		known = known || name == id
+	}
+	if !known {
+		return fmt.Errorf("no backend %.64q was ever listed", id)
+	}
+	if err := o.store.Change(id, out); err != nil { // it holds here all the same
+		o.log.Error("an order that the next process will not know", "backend", id, "err", err)
+	}
+	o.roster.wakeLoop()
+	return nil
+}
+
+// obey brings the module to the orders as they are written down.
+func (l *loop) obey() {
+	now := l.clock.now()
+	out := map[string]bool{}
+	for _, name := range l.store.Out() {
+		out[name] = true
+		if !l.out[name] {
+			l.module.Detach(now, backendID(name))
+		}
+	}
+	for name := range l.out {
+		if !out[name] {
+			l.module.Attach(now, backendID(name))
+		}
+	}
+	l.out = out
+	l.census()
+}
+
+// census publishes what the module says of the list.
+func (l *loop) census() {
+	known, excluded := l.module.Census()
+	l.figures.BackendsKnown.Store(int64(known))
+	l.figures.BackendsExcluded.Store(int64(excluded))
+}
+
+// watchCensus publishes it now and then: health changes without a word.
+func (l *loop) watchCensus() {
+	l.census()
+	l.at(l.clock.now()+censusEvery, l.watchCensus)
+}
--- /dev/null
+++ b/operator_test.go
@@ -0,0 +1,99 @@
+package mulleinferry
+
+import (
+	"testing"
+	"time"
+)
+
+// A backend taken out by hand gets neither requests nor probes until it is put back, whatever the list says.
+func TestNothingNewGoesToADetachedBackend(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lists func(b *Balancer)
+	}{
+		{"list unchanged", func(b *Balancer) {}},
+		{"listed anew", func(b *Balancer) { b.Membership(second, Membership{Kind: ListFull, Backends: list(2)}) }},
+		{"gone and back", func(b *Balancer) {
+			b.Membership(second, Membership{Kind: ListFull, Backends: list(2)[1:]})
+			b.Membership(second, Membership{Kind: ListFull, Backends: list(2)})
+		}},
+		{"restarted", func(b *Balancer) {
+			e := list(2)[0]
+			e.Started = second
+			b.Membership(second, Membership{Kind: ListDelta, Backends: []Backend{e}})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out := list(2)[0].ID
+			b, h := newBalancer(t, testConfig(), 2)
+			b.Detach(second, out)
+			if got := h.take("release"); len(got) != 1 || got[0].to != out {
+				t.Errorf("idle connections given back: %v", got)
+			}
+			c.lists(b)
+			if known, excluded := b.Census(); known != 2 || excluded != 1 {
+				t.Errorf("%d known, %d excluded", known, excluded)
+			}
+			sent := func(from RequestID) (there int) {
+				now := second
+				for id := from; id < from+40; id++ {
+					now += 20 * milli
+					b.Request(now, Request{ID: id, Class: safe, Deadline: now + second})
+					b.Timer(now, timerSweep<<56)
+					for _, a := range h.take("send", "probe") {
+						if a.to == out {
+							there++
+						}
+						if a.verb == "send" {
+							b.Outcome(now+milli, Outcome{ID: a.id, Backend: a.to, Result: OK, Took: milli, Final: true})
+						} else {
+							b.Probed(now+milli, ProbeResult{Backend: a.to, Result: OK, Took: milli})
+						}
+					}
+					now += milli
+				}
+				return there
+			}
+			if n := sent(1); n > 0 {
+				t.Errorf("%d requests and probes for the backend that is out", n)
+			}
+			b.Attach(3*second, out)
+			if _, cold := b.cold(b.byID[out]); !cold {
+				t.Error("it may have been restarted, and is taken for warm")
+			}
+			b.now = 3 * second
+			there := 0
+			for id := RequestID(100); id < 200 && there == 0; id++ {
+				now := 3*second + (time.Duration(id)-100)*20*milli
+				b.Timer(now, timerSweep<<56)
+				b.Request(now, Request{ID: id, Class: safe, Deadline: now + second})
+				for _, a := range h.take("send") {
+					if a.to == out {
+						there++
+					}
+					b.Outcome(now+milli, Outcome{ID: a.id, Backend: a.to, Result: OK, Took: milli, Final: true})
+				}
+			}
+			if there == 0 {
+				t.Error("put back, it gets nothing")
+			}
+		})
+	}
+}
+
+// An order may come before the list, and twice; one call ends it.
+func TestDetachBeforeTheListAndTwice(t *testing.T) {
+	out := list(1)[0].ID
+	b, _ := newBalancer(t, testConfig(), 0)
+	b.Detach(second, out)
+	b.Detach(second, out)
+	b.Membership(second, Membership{Kind: ListFull, Backends: list(3)})
+	if len(b.ready) != 2 {
+		t.Errorf("%d ready, want 2", len(b.ready))
+	}
+	b.Attach(2*second, out)
+	b.Attach(2*second, out)
+	if len(b.ready) != 3 {
+		t.Errorf("put back: %d ready, want 3", len(b.ready))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -27,6 +27,7 @@
 	targets                []*target     // one that left stays while something is out
 	listed, ready          []*target     // those listed ready, in this proxy's order; those of them in use
 	byID                   map[BackendID]*target
+	detached               map[BackendID]time.Duration // taken out by order, and since when
 	requests               map[RequestID]*request
 	classes                []line     // delay over cost hint
 	tails                  []tail     // of the delay of a request of mean cost, ms
@@ -55,6 +56,7 @@
 type target struct {
 	Backend
 	healthy, probing     bool
+	detached             bool   // taken out by order
 	order                uint64 // where it stands among those this proxy may use
 	away                 int    // 0 in the own zone, else 1
 	fails, passes        int    // probes in a row
@@ -138,6 +140,7 @@
 // newTarget enters a backend that the list names for the first time.
 func (b *Balancer) newTarget(e Backend) *target {
 	t := &target{Backend: e, lost: make([]decaying, len(b.cfg.Classes)), healthy: true, tokensAt: b.now, order: mix(uint64(b.cfg.Rank)+1, e.ID)}
+	_, t.detached = b.detached[e.ID]
 	if e.Zone != b.cfg.Zone {
 		t.away = 1
 	}
@@ -282,12 +285,12 @@
 	return 1
 }
 
-// listReady brings those listed ready into this proxy's order, each with its size over the mean.
+// listReady brings those listed ready and not taken out into this proxy's order, each with its size over the mean.
 func (b *Balancer) listReady() {
 	b.listed = b.listed[:0]
 	sizes := 0.0
 	for _, t := range b.targets {
-		if t.State == Ready {
+		if t.State == Ready && !t.detached {
 			b.listed = append(b.listed, t)
 			sizes += t.Weight
 		}
