--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -1,5 +1,5 @@
-// Package console serves the operators' second address: each connection carries one line, a call, and gets an
-// answer whose first line starts with 200 or 400.
+// Package console serves the operators' second address: each connection carries one line, a call. The answer is a
+// line that starts with 200 or 400; to INFO it is the figures, one JSON object on a line, and then a line EOF.
 //
 // A caller waits a second and no more. So each has a goroutine of its own, nothing here waits for the proxy's
 // loop, and callers that say nothing cost a place at most until somebody needs it.
@@ -158,7 +158,7 @@
 	switch call {
 	case "PING", "INFO", "DETACH", "ATTACH", "LAMEDUCK", "REJOIN":
 		if len(args) != want {
-			return no(fmt.Errorf("%s takes %d words, not %d", call, want, len(args)))
+			return no(fmt.Errorf("%s: %d words behind the call, want %d", call, len(args), want))
 		}
 	default:
 		return no(fmt.Errorf("unknown call %.32q: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK and REJOIN are known", call))
@@ -191,7 +191,7 @@
 	if err != nil {
 		return no(err)
 	}
-	return bytes.Join([][]byte{[]byte("200 "), text, []byte("\nEOF\n")}, nil)
+	return bytes.Join([][]byte{text, []byte("\nEOF\n")}, nil)
 }
 
 func (s *Server) order(call, id string, f func(string) error) []byte {
