--- a/api.go
+++ b/api.go
@@ -146,6 +146,7 @@
 	Cost     time.Duration // expected work; 0 is unknown
 	Deadline time.Duration // the clock time at which the client leaves
 	Repeat   bool          // the client has marked it as a repeat
+	Streamed bool          // its body passes through while it is sent: no second copy, and its time counts from Whole
 }
 
 // State is what the list says of a backend.
@@ -211,6 +212,7 @@
 	Result  Result
 	Took    time.Duration
 	Final   bool // the request is over; not set: a final answer is still owed
+	Spent   bool // the body has passed by: there can be no further attempt
 	Load    []float32
 }
 
@@ -222,7 +224,7 @@
 	Load    []float32
 }
 
-// FirstByte says that a streamed answer has begun.
+// FirstByte says that a streamed answer has begun: one of a streamed class, or a long one.
 type FirstByte struct {
 	ID      RequestID
 	Attempt int
--- a/balancer.go
+++ b/balancer.go
@@ -768,7 +768,7 @@
 	if r.ended || r.streaming || len(r.attempts) >= b.cfg.Caps.MaxAttempts || b.now >= r.Deadline {
 		return false
 	}
-	if r.out > 0 && !b.cfg.Caps.SecondCopies {
+	if r.out > 0 && (!b.cfg.Caps.SecondCopies || r.Streamed) {
 		return false
 	}
 	first := time.Duration(-1)
@@ -821,10 +821,17 @@
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	b.now = now
 	r := b.requests[o.ID]
-	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].done {
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) {
 		return
 	}
 	a := r.attempts[o.Attempt]
+	if a == r.stream { // it was off all books from its first byte on
+		b.finish(r, a)
+		return
+	}
+	if a.done {
+		return
+	}
 	b.land(a, o)
 	r.ended = r.ended || o.Final
 	defer b.dispatch()
@@ -844,7 +851,7 @@
 	case o.Result == Reset || o.Result == Error:
 		price = brokenPrice
 	}
-	if b.now >= b.lastUseful(r)-b.cfg.Tick || b.retries < price {
+	if o.Spent || b.now >= b.lastUseful(r)-b.cfg.Tick || b.retries < price {
 		b.end(r, b.interval)
 		return
 	}
@@ -892,7 +899,7 @@
 func (b *Balancer) learnLimit(a *attempt, result Result) {
 	for i := range a.in {
 		u := &a.in[i]
-		if !u.late && (b.now >= u.lateAt || result == Full) {
+		if !u.late && (a.isLate(u, b.now) || result == Full) {
 			// The limit itself is cut, not what was out: one that was alone and late says little of a crowd.
 			u.late, u.limit = true, max(u.unit, u.limit*u.cut)
 			// Danger: a bank that starts under load would double its limits far past what tips a server.
@@ -922,15 +929,39 @@
 	}
 }
 
-// FirstByte binds a streamed request to its attempt.
+// FirstByte binds a streamed request to its attempt. What follows hangs on how fast the client reads: it says
+// nothing of the backend, and counts as no load there.
 func (b *Balancer) FirstByte(now time.Duration, f FirstByte) {
 	b.now = now
 	r := b.requests[f.ID]
-	if r == nil || f.Attempt < 0 || f.Attempt >= len(r.attempts) {
+	if r == nil || r.ended || r.streaming || f.Attempt < 0 || f.Attempt >= len(r.attempts) {
 		return
 	}
-	r.streaming = true
-	b.cancelOthers(r, r.attempts[f.Attempt])
+	a := r.attempts[f.Attempt]
+	if a.done {
+		return
+	}
+	r.streaming, r.stream = true, a
+	b.cancelOthers(r, a)
+	b.land(a, Outcome{ID: f.ID, Attempt: f.Attempt, Backend: f.Backend, Result: OK, Final: true})
+	b.dispatch()
+}
+
+// Whole says that the last byte of a streamed body has gone by: the request's time counts from here.
+func (b *Balancer) Whole(now time.Duration, id RequestID, deadline time.Duration) {
+	b.now = now
+	r := b.requests[id]
+	if r == nil || r.ended || !r.Streamed || r.whole {
+		return
+	}
+	c := &b.cfg.Classes[r.Class]
+	r.whole, r.arrived, r.Deadline = true, now, deadline
+	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(r.Cost)), deadline)
+	for _, a := range r.attempts {
+		if !a.done {
+			a.waitFrom(now)
+		}
+	}
 }
 
 // Gone takes the client's leave: nothing is owed any more.
@@ -985,7 +1016,7 @@
 
 // overdue thinks of another attempt beside, or in place of, one that takes longer than usual.
 func (b *Balancer) overdue(r *request, a *attempt) {
-	if r.ended || a.done || r.streaming || b.retries < 1 ||
+	if r.ended || a.done || r.streaming || r.Streamed || b.retries < 1 ||
 		b.now+span(a.expected) > b.lastUseful(r) {
 		return
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -18,7 +19,7 @@
 )
 
 const (
-	bodyBytes = 64 << 10 // the longest body of a request or an answer
+	bodyBytes = 64 << 10 // the longest body of a request or an answer that is held whole
 	idleEach  = 32       // idle connections kept to one backend
 	rest      = 10 * time.Millisecond
 	leastIdle = 20 * time.Millisecond // what the limit on idle connections sinks to
@@ -301,6 +302,9 @@
 	header       http.Header
 	body         []byte
 	probe        bool
+
+	upload *upload              // in place of body, for a long one
+	begin  func(*download) bool // takes a long answer, or tells that it comes too late; nil takes none
 }
 
 // request is the message for one attempt, on a connection to addr.
@@ -315,7 +319,7 @@
 	return req
 }
 
-// exchange sends a message once and says how that ended, with the answer's body for OK.
+// exchange sends a message once and says how that ended, with the answer's body for OK unless that was streamed.
 func (p *pool) exchange(ctx context.Context, b *backend, m *message) (mulleinferry.Result, []byte) {
 	for {
 		c, err := p.takeIdle(b)
@@ -324,7 +328,7 @@
 			c, err = p.dial(ctx, b)
 		}
 		if err != nil {
-			if errors.Is(ctx.Err(), context.Canceled) {
+			if errors.Is(context.Cause(ctx), context.Canceled) {
 				return mulleinferry.Cancelled, nil
 			}
 			return mulleinferry.ConnectFailed, nil
@@ -332,7 +336,7 @@
 		result, body, untouched := p.roundTrip(ctx, b, c, m)
 		// Danger: a backend may close an idle connection just as it is taken. As long as not one byte was
 		// written to it nothing has been sent, and another connection will do.
-		if !untouched || !reused || ctx.Err() != nil {
+		if !untouched || !reused || ctx.Err() != nil || m.upload.isSpent() {
 			return result, body
 		}
 	}
@@ -344,38 +348,82 @@
 	began, idle := time.Now(), c.idleAt
 	stop := context.AfterFunc(ctx, c.interrupt)
 	req := m.request(c.RemoteAddr().String())
-	written, whole, err := c.write(req)
+	var written int
+	var whole bool
+	var err error
+	if m.upload != nil {
+		written, whole, err = c.writeStreamed(req, m.upload)
+	} else {
+		written, whole, err = c.write(req)
+	}
 	if whole && !m.probe {
 		p.attempts.Add(1)
 	}
-	if err == nil {
+	if err == nil || errors.Is(err, errEarly) {
 		var resp *http.Response
-		if resp, body, err = c.readAnswer(req); err == nil {
-			if !stop() || resp.Close {
+		var long *download
+		var failed error
+		if err != nil { // no time-out is set before the body's end
+			c.limitRead(time.Now().Add(p.connectTimeout))
+		}
+		resp, body, long, failed = c.readAnswer(req)
+		if failed == nil && long != nil {
+			failed = p.handOver(ctx, resp, long, m)
+		}
+		if failed == nil && (whole || resp.StatusCode != http.StatusOK) {
+			if !stop() || resp.Close || !whole || long != nil && resp.StatusCode != http.StatusOK {
 				c.Close()
 			} else {
+				c.limitRead(time.Time{})
 				p.putIdle(b, c)
 			}
 			return answered(resp), body, false
 		}
+		if err == nil {
+			err = failed
+		}
 	}
 	stop()
 	c.Close()
+	cause := context.Cause(ctx)
 	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) {
 		p.broke(began.Sub(idle))
 	}
 	untouched = written == 0
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(cause, context.Canceled), errors.Is(err, errClient), errors.Is(err, errGone):
 		return mulleinferry.Cancelled, nil, untouched
+	case errors.Is(err, errSpent):
+		return mulleinferry.Moot, nil, false
 	case !whole: // its last byte never went out
 		return mulleinferry.ConnectFailed, nil, untouched
-	case ctx.Err() != nil:
+	case cause != nil:
 		return mulleinferry.Timeout, nil, false
 	}
 	return mulleinferry.Reset, nil, false
 }
 
+// handOver has a long answer read by whoever wants it, and waits for its end. Of an answer that is no success
+// nothing but the status counts.
+func (p *pool) handOver(ctx context.Context, resp *http.Response, d *download, m *message) error {
+	defer d.close()
+	if resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	if m.begin == nil {
+		return fmt.Errorf("%w: more than %d bytes", errSpoilt, bodyBytes)
+	}
+	if !m.begin(d) {
+		return errGone
+	}
+	select {
+	case err := <-d.ended:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // answered is the outcome that a whole answer stands for.
 func answered(resp *http.Response) mulleinferry.Result {
 	switch code := resp.StatusCode; {
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -39,12 +40,21 @@
 	fresh   bool      // nor of any request
 	since   time.Time // it waits; else of the request in hand, from which its time counts
 	closed  bool
+	framer  framer
+	pending []byte // read, but of a next message: net/http gets one at a time, each after its framing is known
 }
 
 // Read drops what comes in once the connection was closed between two requests. Danger: the client sends
 // such a request again elsewhere; if it were served here too, it would run twice.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	n := copy(p, c.pending)
+	c.pending = c.pending[n:]
+	c.mu.Unlock()
+	var err error
+	if n == 0 {
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -56,9 +66,23 @@
 		}
 		c.waiting, c.fresh = false, false
 	}
+	if whole := c.framer.scan(p[:n]); whole < n {
+		c.pending = append(slices.Clone(p[whole:n]), c.pending...)
+		n = whole
+	}
 	return n, err
 }
 
+// framing is that of the request being handled. Each may be asked for once.
+func (c *clientConn) framing() (framing, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framer.next()
+}
+
+// quiet tells whether nothing stands to be read. The lock must be held.
+func (c *clientConn) quiet() bool { return len(c.pending) == 0 && silent(c.Conn) }
+
 func (c *clientConn) Close() error {
 	err := c.Conn.Close()
 	c.once.Do(func() {
@@ -74,7 +98,7 @@
 func (c *clientConn) closeWaiting(now time.Time) {
 	c.mu.Lock()
 	waits := c.waiting && now.Sub(c.since) >= closeRest || c.fresh && now.Sub(c.since) >= freshRest
-	closed := waits && !c.closed && silent(c.Conn)
+	closed := waits && !c.closed && c.quiet()
 	c.closed = c.closed || closed
 	c.mu.Unlock()
 	if closed {
@@ -85,7 +109,7 @@
 // evict closes the connection for one that comes, unless something stands to be read on it.
 func (c *clientConn) evict() {
 	c.mu.Lock()
-	evicted := (c.waiting || c.fresh) && silent(c.Conn)
+	evicted := (c.waiting || c.fresh) && c.quiet()
 	c.closed = c.closed || evicted
 	c.since = time.Now()
 	c.mu.Unlock()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,8 +24,8 @@
 	maxTimeout    = time.Hour               // a longer X-Timeout-Ms is taken for an error,
 	longTimeout   = time.Minute             // and one longer than this for this
 	maxHint       = time.Hour               // a longer X-Cost is none
-	headerTimeout = 2 * time.Second         // for a request's head, from its first byte or its connection's start
-	bodyTimeout   = 2500 * time.Millisecond // for its head and body, likewise
+	headerTimeout = 2700 * time.Millisecond // for a request's head, from its first byte or its connection's start
+	bodyTimeout   = 2800 * time.Millisecond // for its head and the first byte of its body, likewise
 	rejectDrain   = 250 * time.Millisecond  // for the rest of what was turned away, so that the client reads why
 	writeTimeout  = 10 * time.Second        // for an answer's way out
 	idleTimeout   = 4 * time.Second
@@ -117,41 +118,148 @@
 		io.WriteString(w, "ok\n")
 		return
 	}
-	req, err := f.parse(r, taken)
+	req, err := f.parse(r)
 	if err != nil {
 		f.reject(w, err)
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
-	if err := f.enter(id, r.ContentLength); err != nil {
-		f.reject(w, err)
-		return
+	id, bytes := r.Header.Get("X-Request-Id"), r.ContentLength
+	if bytes < 0 || bytes > bodyBytes {
+		bytes = streamBytes
 	}
-	defer f.leave(id, r.ContentLength)
-	deadlines := http.NewResponseController(w)
-	if c, ours := r.Context().Value(connKey{}).(*clientConn); ours {
-		deadlines.SetReadDeadline(c.begun().Add(f.bodyTimeout))
+	if err := f.enter(id, bytes); err != nil {
+		f.turnAway(w, req, err)
+		return
 	}
-	req.message.body = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, req.message.body); err != nil {
-		f.reject(w, &rejection{http.StatusBadRequest, fmt.Sprintf("reading the body: %v", err)})
+	defer f.leave(id, bytes)
+	if err := f.readAhead(w, r, req); err != nil {
+		f.turnAway(w, req, err)
 		return
 	}
-	deadlines.SetReadDeadline(time.Time{})
-	f.loop.figures.InFlight.Add(1)
-	defer f.loop.figures.InFlight.Add(-1)
+	u := req.message.upload
+	if u != nil {
+		defer func() {
+			if u.stop() {
+				f.loop.figures.InFlight.Add(-1)
+			}
+		}()
+	} else {
+		req.deadline = f.loop.clock.now() + req.timeout
+		if r.ContentLength == 0 {
+			req.deadline = taken + req.timeout
+		}
+		f.loop.figures.InFlight.Add(1)
+		defer f.loop.figures.InFlight.Add(-1)
+	}
 	f.loop.post(func() { f.loop.take(req) })
+	var failed chan error
+	if u != nil {
+		failed = u.failed
+	}
 	select {
 	case a := <-req.answer:
-		f.loop.figures.Ended(req.class, outcomeOf(a.status))
-		f.closing(w)
-		deadlines.SetWriteDeadline(time.Now().Add(f.writeTimeout))
-		write(w, a)
+		f.answer(w, req, u, a)
+	case err := <-failed:
+		f.loop.post(func() { f.loop.gone(req) })
+		u.stop()
+		f.turnAway(w, req, unread(err))
 	case <-r.Context().Done():
 		f.loop.post(func() { f.loop.gone(req) })
 	}
 }
 
+// readAhead reads a short body whole. Of a long one it reads what can be held, and has the rest read by an attempt.
+func (f *frontend) readAhead(w http.ResponseWriter, r *http.Request, req *request) error {
+	deadlines := http.NewResponseController(w)
+	began := time.Now()
+	if c, ours := r.Context().Value(connKey{}).(*clientConn); ours {
+		began = c.begun()
+	}
+	limit := began.Add(f.bodyTimeout)
+	body := make([]byte, 0, max(0, min(r.ContentLength, bodyBytes)))
+	for len(body) < bodyBytes {
+		if len(body) == cap(body) {
+			if r.ContentLength >= 0 && int64(len(body)) == r.ContentLength {
+				break
+			}
+			body = slices.Grow(body, 512)
+		}
+		deadlines.SetReadDeadline(limit)
+		n, err := r.Body.Read(body[len(body):min(cap(body), bodyBytes)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			deadlines.SetReadDeadline(time.Time{})
+			req.message.body = body
+			return nil
+		}
+		if err != nil {
+			return unread(err)
+		}
+		if n > 0 {
+			limit = bodyLimit(time.Now(), began, int64(len(body)))
+		}
+	}
+	if r.ContentLength == int64(len(body)) {
+		deadlines.SetReadDeadline(time.Time{})
+		req.message.body = body
+		return nil
+	}
+	deadlines.EnableFullDuplex() // an answer may come before the body's end
+	u := &upload{ahead: body, length: r.ContentLength, began: began, rest: r.Body, read: int64(len(body)),
+		limit: deadlines.SetReadDeadline, failed: make(chan error, 1)}
+	u.whole = func() {
+		deadlines.SetReadDeadline(time.Time{})
+		now := f.loop.clock.now()
+		f.loop.figures.InFlight.Add(1)
+		go f.loop.post(func() { f.loop.whole(req, now) }) // Danger: the loop may ask for the lock that is held here
+	}
+	req.message.upload = u
+	return nil
+}
+
+// unread says why a body could not be read.
+func unread(err error) error {
+	if r := (*rejection)(nil); errors.As(err, &r) {
+		return r
+	}
+	status := http.StatusBadRequest
+	if timedOut(err) {
+		status = http.StatusRequestTimeout
+	}
+	return &rejection{status, fmt.Sprintf("reading the body: %v", err)}
+}
+
+// answer gives the client the final answer.
+func (f *frontend) answer(w http.ResponseWriter, req *request, u *upload, a answer) {
+	f.closing(w)
+	c := http.NewResponseController(w)
+	if u != nil {
+		if !u.stop() { // the rest of the body is not wanted
+			w.Header().Set("Connection", "close")
+			c.SetReadDeadline(time.Now().Add(rejectDrain))
+		}
+	}
+	if a.stream == nil {
+		f.loop.figures.Ended(req.class, outcomeOf(a.status))
+		c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
+		write(w, a)
+		return
+	}
+	err := pass(w, a.stream, f.writeTimeout)
+	a.stream.end(err)
+	if err != nil {
+		f.loop.figures.Ended(req.class, figures.Failed)
+		f.log.Warn("a long answer broke off", "err", err)
+		panic(http.ErrAbortHandler) // the client must be able to tell
+	}
+	f.loop.figures.Ended(req.class, figures.Served)
+}
+
+// turnAway rejects a request whose class is known.
+func (f *frontend) turnAway(w http.ResponseWriter, req *request, err error) {
+	f.loop.figures.Ended(req.class, outcomeOf(f.reject(w, err)))
+}
+
 // closing has the connection closed after this answer while the proxy ends, which it tells.
 func (f *frontend) closing(w http.ResponseWriter) bool {
 	draining := f.conns.isDraining()
@@ -186,7 +294,7 @@
 
 // reject turns a request away at once and closes its connection: what comes behind it can't be trusted. The
 // server would read a body to its end before it writes an error, so it is told not to.
-func (f *frontend) reject(w http.ResponseWriter, err error) {
+func (f *frontend) reject(w http.ResponseWriter, err error) int {
 	status := http.StatusBadRequest
 	if r := (*rejection)(nil); errors.As(err, &r) {
 		status = r.status
@@ -201,18 +309,24 @@
 	}
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
+	return status
 }
 
-// checkFraming refuses bodies whose length is not plainly told. Danger: where a length and an encoding stand
+// checkFraming refuses bodies whose end is not plainly told. Danger: where a length and an encoding stand
 // side by side, who goes by the other one finds a request inside the body. net/http drops the length then, and
 // in HTTP/1.0 the encoding, without a word.
 func checkFraming(r *http.Request) error {
+	if c, ours := r.Context().Value(connKey{}).(*clientConn); ours {
+		h, known := c.framing()
+		if !known || h.odd || h.chunked != (len(r.TransferEncoding) > 0) ||
+			!h.chunked && max(h.length, 0) != r.ContentLength {
+			return malformed("the body's end is not plainly told")
+		}
+	}
 	switch {
-	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
-		return &rejection{http.StatusLengthRequired, "bodies are taken by Content-Length only"}
-	case r.ContentLength > bodyBytes:
-		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", bodyBytes)}
-	case !r.ProtoAtLeast(1, 1) && r.ContentLength > 0:
+	case r.ContentLength > mostBytes:
+		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", mostBytes)}
+	case !r.ProtoAtLeast(1, 1) && r.ContentLength != 0:
 		return &rejection{http.StatusHTTPVersionNotSupported, "bodies are taken by HTTP/1.1 only"}
 	}
 	return nil
@@ -242,7 +356,7 @@
 }
 
 // parse makes a request of a head, or says what is wrong with it. The body is yet to be read.
-func (f *frontend) parse(r *http.Request, taken time.Duration) (*request, error) {
+func (f *frontend) parse(r *http.Request) (*request, error) {
 	h := r.Header
 	for _, name := range []string{"X-Request-Id", "X-Priority-Class", "X-Timeout-Ms"} {
 		if len(h[name]) != 1 {
@@ -266,8 +380,8 @@
 	timeout := min(time.Duration(ms)*time.Millisecond, longTimeout)
 	return &request{class: class, tenant: f.tenants[plain(h.Get("X-Tenant-Id"))], key: keyHash(r.URL.Query().Get("key")),
 		cost: hint(h.Get("X-Cost")), repeat: h.Get("X-Retried") == "1", answer: make(chan answer, 1),
-		deadline: taken + timeout - min(answerRoom, timeout/roomPart),
-		message:  &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}}, nil
+		timeout: timeout - min(answerRoom, timeout/roomPart),
+		message: &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}}, nil
 }
 
 // hint is the guess at a request's work; one that makes no sense counts as none.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -31,6 +31,7 @@
 	status     int
 	retryAfter time.Duration
 	body       []byte
+	stream     *download // in place of body, for a long one
 }
 
 // request is one that was taken and is not yet forgotten.
@@ -49,12 +50,32 @@
 	ended    bool
 	timedOut bool // the last attempt
 	expiry   *timer
+	timeout  time.Duration // from the last byte to the deadline
+	stream   *download     // its answer, if that is a long one
 }
 
+// uploading tells whether the request's body is on its way yet.
+func (r *request) uploading() bool { return r.deadline == 0 }
+
 type attempt struct {
-	to     mulleinferry.BackendID
-	sent   time.Duration
-	cancel context.CancelFunc
+	to    mulleinferry.BackendID
+	sent  time.Duration
+	ctx   context.Context
+	give  context.CancelCauseFunc
+	timer *time.Timer // its time-out; nil while its body is on its way
+}
+
+// cancel ends the attempt, and what its time-out holds.
+func (a *attempt) cancel() {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	a.give(context.Canceled)
+}
+
+// limit sets the attempt's time-out.
+func (a *attempt) limit(d time.Duration) {
+	a.timer = time.AfterFunc(d, func() { a.give(context.DeadlineExceeded) })
 }
 
 // loop is the one goroutine that calls the module. All state of requests is its own; everything else posts
@@ -252,13 +273,46 @@
 	}
 	r.id = l.lastID
 	l.requests[r.id] = r
-	if now >= r.deadline {
+	deadline := r.deadline
+	if r.uploading() { // as if its last byte had come; Whole tells
+		deadline = now + r.timeout
+	} else if now >= r.deadline {
 		l.end(r, answer{status: http.StatusGatewayTimeout})
 		return
+	} else {
+		r.expiry = l.at(r.deadline+backstop, func() { l.expire(r) })
 	}
-	r.expiry = l.at(r.deadline+backstop, func() { l.expire(r) })
 	l.module.Request(now, mulleinferry.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, Cost: r.cost,
-		Deadline: r.deadline, Repeat: r.repeat})
+		Deadline: deadline, Repeat: r.repeat, Streamed: r.uploading()})
+}
+
+// whole notes that the last byte of a streamed body has been read: the request's time counts from there.
+func (l *loop) whole(r *request, at time.Duration) {
+	if r.ended || !r.uploading() {
+		return
+	}
+	r.deadline = at + r.timeout
+	r.expiry = l.at(r.deadline+backstop, func() { l.expire(r) })
+	now := l.clock.now()
+	for _, a := range r.attempts {
+		if a.timer == nil {
+			a.limit(r.deadline - now)
+		}
+	}
+	l.module.Whole(now, r.id, r.deadline)
+}
+
+// firstByte takes a long answer that has begun: it is the final one.
+func (l *loop) firstByte(r *request, n int, d *download) {
+	if r.ended {
+		d.end(errGone)
+		return
+	}
+	a := r.attempts[n]
+	r.stream = d
+	l.end(r, answer{status: http.StatusOK, stream: d})
+	now := l.clock.now()
+	l.module.FirstByte(now, mulleinferry.FirstByte{ID: r.id, Attempt: n, Backend: a.to, Took: now - a.sent})
 }
 
 // expire ends a request that is still open after its deadline: an answer is owed whatever went wrong.
@@ -273,6 +327,9 @@
 
 // gone notes that the client has left.
 func (l *loop) gone(r *request) {
+	if r.stream != nil {
+		r.stream.end(errGone)
+	}
 	if r.ended || r.id == 0 {
 		return
 	}
@@ -304,12 +361,13 @@
 	a.cancel()
 	r.out--
 	r.timedOut = result == mulleinferry.Timeout
+	spent := result != mulleinferry.OK && r.message != nil && r.message.upload.isSpent()
 	if result == mulleinferry.OK {
 		l.end(r, answer{status: http.StatusOK, body: body})
 	}
 	l.forget(r)
 	l.module.Outcome(now, mulleinferry.Outcome{ID: r.id, Attempt: n, Backend: a.to, Result: result,
-		Took: now - a.sent, Final: r.ended})
+		Took: now - a.sent, Final: r.ended, Spent: spent})
 }
 
 // ---- the list ----
@@ -385,11 +443,14 @@
 		return
 	}
 	n, now := len(r.attempts), h.clock.now()
-	if until <= 0 || until > r.deadline {
+	if r.uploading() {
+		until = now + r.timeout // what is told to the backend; its time-out is set once the body is whole
+	} else if until <= 0 || until > r.deadline {
 		until = r.deadline
 	}
-	ctx, cancel := context.WithDeadline(h.ctx, h.clock.time(until))
-	r.attempts = append(r.attempts, &attempt{to: to, sent: now, cancel: cancel})
+	a := &attempt{to: to, sent: now}
+	a.ctx, a.give = context.WithCancelCause(h.ctx)
+	r.attempts = append(r.attempts, a)
 	r.out++
 	b := h.pool.find(to)
 	if r.ended || b == nil || now >= until || n >= h.cfg.Module.Caps.MaxAttempts ||
@@ -397,11 +458,30 @@
 		h.deferred = append(h.deferred, func() { h.outcome(r, n, mulleinferry.Moot, nil) })
 		return
 	}
+	if !r.uploading() {
+		a.limit(until - now)
+	}
 	m := *r.message
+	m.begin = func(d *download) bool {
+		if a.ctx.Err() != nil {
+			return false
+		}
+		h.post(func() {
+			if a.timer != nil {
+				a.timer.Stop()
+			}
+			if a.ctx.Err() != nil { // its time ran out meanwhile
+				d.end(errGone)
+				return
+			}
+			h.firstByte(r, n, d)
+		})
+		return true
+	}
 	m.header = m.header.Clone()
 	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, (until-now).Milliseconds()), 10))
 	h.start(func() {
-		result, body := h.pool.exchange(ctx, b, &m)
+		result, body := h.pool.exchange(a.ctx, b, &m)
 		h.post(func() { h.outcome(r, n, result, body) })
 	})
 }
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,160 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// echoBackend answers each request with its body, in pieces and with the framing that the path asks for.
+func echoBackend(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		switch {
+		case r.URL.Query().Get("framing") == "chunks":
+		case r.URL.Query().Get("framing") == "end":
+			c, out, _ := http.NewResponseController(w).Hijack()
+			defer c.Close()
+			fmt.Fprintf(out, "HTTP/1.1 200 OK\r\n\r\n%s", body)
+			out.Flush()
+			return
+		default:
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		}
+		for len(body) > 0 {
+			n := min(len(body), 50_000)
+			w.Write(body[:n])
+			body = body[n:]
+			w.(http.Flusher).Flush()
+		}
+	})}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+// Bodies and answers of any length and framing come through unchanged, several on one connection.
+func TestLongBodiesAndAnswersPassThrough(t *testing.T) {
+	p := startProxy(t, listText(1, true, memberText("a", echoBackend(t), "active")), newCatalog(t), nil)
+	text := strings.Repeat("0123456789abcde\n", 3<<20/16)
+	for _, framing := range []string{"length", "chunks", "end"} {
+		for _, sent := range []string{"length", "chunks"} {
+			t.Run(sent+" to "+framing, func(t *testing.T) {
+				c, err := net.Dial("tcp", p.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				in := bufio.NewReader(c)
+				for _, n := range []int{0, 5, bodyBytes - 1, bodyBytes, bodyBytes + 1, 3 << 20} {
+					head := fmt.Sprintf("POST /api?framing=%s HTTP/1.1\r\nHost: s\r\nX-Request-ID: s%d\r\nX-Priority-Class: hand-in\r\nX-Timeout-Ms: 10000\r\n",
+						framing, lastAsked.Add(1))
+					wrote := make(chan error, 1)
+					go func() {
+						var err error
+						if sent == "length" {
+							_, err = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, n, text[:n])
+						} else {
+							fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n", head)
+							for at := 0; at < n; at += 70_000 {
+								piece := text[at:min(n, at+70_000)]
+								fmt.Fprintf(c, "%x;ext=1\r\n%s\r\n", len(piece), piece)
+							}
+							_, err = io.WriteString(c, "0\r\nX-Sum: 1\r\n\r\n")
+						}
+						wrote <- err
+					}()
+					_, got := mustAnswer(t, 200)(readAnswer(in))
+					if got != text[:n] {
+						t.Fatalf("%d bytes came back as %d others", n, len(got))
+					}
+					if err := <-wrote; err != nil {
+						t.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A long answer is passed on as it comes: its first bytes don't wait for its last.
+func TestALongAnswerIsNotHeldBack(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			more := make(chan bool)
+			addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				if readWhole(in) {
+					io.WriteString(c, head)
+					<-more
+				}
+			})
+			p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), nil)
+			c, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: s%d\r\nX-Priority-Class: fetch-work\r\nX-Timeout-Ms: 9000\r\n\r\n", lastAsked.Add(1))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			begin := make([]byte, 3)
+			if _, err := io.ReadFull(resp.Body, begin); err != nil || string(begin) != "abc" {
+				t.Errorf("%q, %v", begin, err)
+			}
+			close(more) // the backend breaks off: the client must be able to tell
+			if _, err := io.ReadAll(resp.Body); err == nil {
+				t.Error("the answer seems whole")
+			}
+		})
+	}
+}
+
+// A long body that the backend turns away early gets its answer while it is being sent.
+func TestABodyTurnedAwayEarlyIsAnswered(t *testing.T) {
+	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			say(c, "HTTP/1.1 503 Full\nX-Not-Processed: 1\nContent-Length: 0\n\n")
+			io.Copy(io.Discard, in)
+		}
+	})
+	p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), nil)
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: s%d\r\nX-Priority-Class: hand-in\r\nX-Timeout-Ms: 9000\r\nContent-Length: %d\r\n\r\n",
+		lastAsked.Add(1), 8<<20)
+	go func() {
+		piece := make([]byte, copyBytes)
+		for range 8 << 20 / copyBytes {
+			if _, err := c.Write(piece); err != nil {
+				return
+			}
+		}
+	}()
+	if resp, _ := mustAnswer(t, 503)(readAnswer(bufio.NewReader(c))); resp.Header.Get("Retry-After") == "" {
+		t.Error("it does not say when to come back")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -111,6 +111,9 @@
 	late   bool
 }
 
+// isLate tells whether an attempt is late by now; one whose body is on its way is not.
+func (a *attempt) isLate(u *use, now time.Duration) bool { return !a.uploading && now >= u.lateAt }
+
 type request struct {
 	Request
 	arrived, aimAt, waitUntil time.Duration
@@ -119,7 +122,9 @@
 	silent                    int // pairs that have not answered
 	attempts                  []*attempt
 	out                       int
-	ended, streaming, closed  bool    // closed: no longer counted as open
+	ended, streaming, closed  bool // closed: no longer counted as open
+	whole                     bool // its streamed body has gone by
+	stream                    *attempt
 	worth, over, rank         float64 // over: part of its tenant's traffic that is beyond its share
 }
 
@@ -131,6 +136,7 @@
 	in                             []use
 	expected, work, weight, rounds float64 // rounds: what was before it, in times its own
 	done, mayRun, cancelled, again bool    // again: its end asks for another attempt
+	uploading                      bool    // its body is on its way: no answer is waited for yet
 }
 
 func tried(r *request, t *target) bool {
@@ -157,7 +163,20 @@
 	t.out = append(t.out, a)
 	t.load += a.weight
 	t.sentSince++
-	t.ageA, t.ageB = t.ageA+millis(a.sent)/a.expected, t.ageB+1/a.expected
+	if a.uploading = r.Streamed; !a.uploading {
+		a.waitFrom(a.sent)
+	}
+}
+
+// waitFrom notes that an answer is waited for from now on. A body that is still on its way says nothing of how
+// fast the backend answers.
+func (a *attempt) waitFrom(now time.Duration) {
+	t := a.to
+	t.ageA, t.ageB = t.ageA+millis(now)/a.expected, t.ageB+1/a.expected
+	for i := range a.in {
+		a.in[i].lateAt += now - a.sent
+	}
+	a.sent, a.uploading = now, false
 }
 
 // finish takes an attempt off all books.
@@ -178,7 +197,7 @@
 	}
 	if t.load -= a.weight; len(t.out) == 0 {
 		t.load, t.ageA, t.ageB = 0, 0, 0
-	} else {
+	} else if !a.uploading {
 		t.ageA, t.ageB = t.ageA-millis(a.sent)/a.expected, t.ageB-1/a.expected
 	}
 }
