Count a body on its way as no load, and hold answers of unknown length for 25 ms only

Ruled out: room at the backends is what was short, not answers (none full, no errors); a body that takes seconds had held its backend's place all the while.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -22,7 +22,7 @@
 	bodyRate   = 16 << 10                // which must be so many bytes a second
 	sendStall  = 10 * time.Second        // for a backend to take a piece of a body
 	readStall  = 10 * time.Second        // without a byte of a long answer
-	holdAnswer = 250 * time.Millisecond  // for an answer of unknown length to end before it is passed on
+	holdAnswer = 25 * time.Millisecond   // for an answer of unknown length to end before it is passed on
 )
 
 var (
--- a/state.go
+++ b/state.go
@@ -137,6 +137,7 @@
 	expected, work, weight, rounds float64 // rounds: what was before it, in times its own
 	done, mayRun, cancelled, again bool    // again: its end asks for another attempt
 	uploading                      bool    // its body is on its way: no answer is waited for yet
+	full                           float64 // its weight from then on
 }
 
 func tried(r *request, t *target) bool {
@@ -161,22 +162,31 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	t.out = append(t.out, a)
-	t.load += a.weight
 	t.sentSince++
-	if a.uploading = r.Streamed; !a.uploading {
-		a.waitFrom(a.sent)
+	if a.uploading = r.Streamed; a.uploading {
+		a.full, a.weight = a.weight, 0
+		return
 	}
+	t.load += a.weight
+	a.waitFrom(a.sent)
 }
 
 // waitFrom notes that an answer is waited for from now on. A body that is still on its way says nothing of how
-// fast the backend answers.
+// fast the backend answers, and is no load there yet: the backend begins with its last byte.
 func (a *attempt) waitFrom(now time.Duration) {
 	t := a.to
 	t.ageA, t.ageB = t.ageA+millis(now)/a.expected, t.ageB+1/a.expected
-	for i := range a.in {
-		a.in[i].lateAt += now - a.sent
+	if a.uploading {
+		a.uploading, a.weight = false, a.full
+		t.load += a.weight
+		for i := range a.in {
+			u := &a.in[i]
+			u.mean(now)
+			u.load += a.weight
+			u.lateAt, u.atSend = u.lateAt+now-a.sent, u.load
+		}
 	}
-	a.sent, a.uploading = now, false
+	a.sent = now
 }
 
 // finish takes an attempt off all books.
