--- a/cmd/opalcroft/main.go
+++ b/cmd/opalcroft/main.go
@@ -33,7 +33,6 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -42,6 +41,13 @@
 	defer writer.Close()
 	log := slog.New(slog.NewTextHandler(writer, nil)).With("proxy", cfg.Name)
 	p := proxy.New(cfg, log)
+	p.Shared = func(shared bool) {
+		limit := memoryPart * float64(cfg.MemoryMB) * (1 << 20)
+		if shared {
+			limit /= 2
+		}
+		debug.SetMemoryLimit(int64(limit))
+	}
 	ended := make(chan struct{})
 	defer close(ended)
 	go reload(p, hup, ended)
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -235,6 +235,13 @@
 	}
 }
 
+// limitOpen sets how many connections there may be. What is more now ends in its own time.
+func (p *pool) limitOpen(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
 // reserve counts a connection that is about to be made. With no socket left an idle one elsewhere goes.
 func (p *pool) reserve() bool {
 	var evicted *conn
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -304,8 +304,8 @@
 	c.EnableFullDuplex()
 	c.SetReadDeadline(time.Now().Add(rejectDrain))
 	c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "1")
+	if caps := &f.loop.cfg.Module.Caps; status == http.StatusServiceUnavailable && caps.RetryAfter {
+		setRetryAfter(w.Header(), min(time.Second, caps.MaxRetryAfter))
 	}
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
@@ -427,6 +427,13 @@
 	return out
 }
 
+// setRetryAfter says when to come back, if there is anything to say.
+func setRetryAfter(h http.Header, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+}
+
 // write gives the answer. What goes wrong here is the client's end of the connection.
 func write(w http.ResponseWriter, a answer) {
 	h := w.Header()
@@ -436,9 +443,7 @@
 	default:
 		a.body = []byte(http.StatusText(a.status) + "\n")
 		h.Set("Content-Type", "text/plain; charset=utf-8")
-		if a.retryAfter > 0 {
-			h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
-		}
+		setRetryAfter(h, a.retryAfter)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -24,6 +25,9 @@
 	timerAgain = 100 * time.Millisecond
 	// How often the figures on the list are brought up to date.
 	censusEvery = 100 * time.Millisecond
+	// The span over which the proxies that are told to move to another discovery together do so. The old one
+	// answers for a second and a half yet.
+	moveSpread = 500 * time.Millisecond
 )
 
 // answer is a request's one final answer.
@@ -87,6 +91,9 @@
 	module    *mulleinferry.Balancer
 	pool      *pool
 	discovery *discovery
+	next      *discovery // where it moves to soon, if not nil
+	move      *timer
+	rng       *rand.Rand
 	figures   *figures.Figures
 	store     *handover.Store
 	roster    *roster
@@ -114,7 +121,8 @@
 func newLoop(cfg *Config, log *slog.Logger, p *pool, d *discovery) (*loop, error) {
 	l := &loop{cfg: cfg, clock: newClock(), log: log, pool: p, discovery: d, events: make(chan func(), eventBuffer),
 		done: make(chan struct{}), listKnown: true, set: map[uint64]int{}, requests: map[mulleinferry.RequestID]*request{}, stopWatch: func() {},
-		zones: numbers(cfg.Zones), kinds: numbers(cfg.Kinds), figures: figures.New(nil), store: handover.Open("", ""), roster: newRoster()}
+		zones: numbers(cfg.Zones), kinds: numbers(cfg.Kinds), figures: figures.New(nil), store: handover.Open("", ""), roster: newRoster(),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	var err error
 	l.module, err = mulleinferry.New(cfg.Module, cfg.Seed, host{l})
 	return l, err
@@ -166,6 +174,9 @@
 	close(l.done)
 	l.workers.Wait()
 	l.discovery.close()
+	if l.next != nil {
+		l.next.close()
+	}
 }
 
 // post hands an event to the loop; after its end they are dropped.
@@ -412,6 +423,28 @@
 	}
 }
 
+// moveTo turns to another discovery a little later. Danger: where a fleet's configurations are replaced together,
+// all proxies would ask for the whole list in the same moment.
+func (l *loop) moveTo(d *discovery) {
+	if l.next != nil {
+		l.next.close()
+	}
+	l.next = d
+	l.drop(l.move)
+	l.move = l.at(l.clock.now()+time.Duration(l.rng.Int64N(int64(moveSpread))), func() {
+		l.next = nil
+		l.ask(d)
+	})
+}
+
+// target is the discovery that is asked, or is going to be.
+func (l *loop) target() *discovery {
+	if l.next != nil {
+		return l.next
+	}
+	return l.discovery
+}
+
 // ask turns to another discovery. Backends, their health and all requests in hand live on; the old service's
 // calls end, and what they may still bring counts no more. The new one's versions are its own, so it is asked
 // for the whole list first.
--- /dev/null
+++ b/internal/proxy/operator_test.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"mulleinferry/internal/figures"
+)
+
+// A lame duck answers what comes, closes each connection after it, also the idle ones, and can come back.
+func TestLameDuck(t *testing.T) {
+	got := make(chan *http.Request, 64)
+	p := startProxy(t, listText(1, true, memberText("a", countingBackend(t, got), "active")), newCatalog(t), nil)
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		return c, bufio.NewReader(c)
+	}
+	kept, keptIn := dial()
+	used, usedIn := dial()
+	for _, c := range []struct {
+		c  net.Conn
+		in *bufio.Reader
+	}{{kept, keptIn}, {used, usedIn}} {
+		if resp, _ := mustAnswer(t, 200)(askOn(c.c, c.in, "hand-in", 9000, "x")); resp.Close {
+			t.Fatal("closed in ordinary service")
+		}
+	}
+	o := operator{p.proxy}
+	o.LameDuck()
+	if resp, _ := mustAnswer(t, 200)(askOn(used, usedIn, "hand-in", 9000, "x")); !resp.Close {
+		t.Error("the answer of a lame duck does not close its connection")
+	}
+	if _, err := keptIn.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	late, lateIn := dial()
+	mustAnswer(t, 200)(askOn(late, lateIn, "hand-in", 9000, "x"))
+	o.Rejoin()
+	again, againIn := dial()
+	if resp, _ := mustAnswer(t, 200)(askOn(again, againIn, "hand-in", 9000, "x")); resp.Close {
+		t.Error("back at work, it still closes connections")
+	}
+}
+
+// The figures count what clients were answered, and what was written to backends.
+func TestFiguresFollowTheAnswers(t *testing.T) {
+	got := make(chan *http.Request, 64)
+	p := startProxy(t, listText(1, true, memberText("a", countingBackend(t, got), "active")), newCatalog(t), nil)
+	for range 3 {
+		mustAnswer(t, 200)(p.ask(t, "hand-in", 9000, "x"))
+	}
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: f\r\nX-Priority-Class: hand-in\r\nX-Timeout-Ms: 9000\r\nContent-Length: 5\r\n\r\nhal")
+	c.(*net.TCPConn).CloseWrite()
+	mustAnswer(t, 400)(readAnswer(bufio.NewReader(c)))
+	want := `{"served":{"fetch-work":0,"hand-in":3},"refused":{"fetch-work":0,"hand-in":0},"failed":{"fetch-work":0,"hand-in":1},` +
+		`"attempts":3,"in_flight":0,"backends_known":1,"backends_excluded":0,"reloads_ok":0,"reloads_failed":1}`
+	p.proxy.ReloadFailed(errors.New("no such file"))
+	text := ""
+	for start := time.Now(); text != want; time.Sleep(time.Millisecond) { // they may lag a little
+		b, err := operator{p.proxy}.Figures().MarshalJSON()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text = string(b); time.Since(start) > patience {
+			t.Fatalf("got  %s\nwant %s", text, want)
+		}
+	}
+}
+
+func TestOutcomeOf(t *testing.T) {
+	for status, want := range map[int]figures.Outcome{200: figures.Served, 429: figures.Refused, 503: figures.Refused,
+		502: figures.Failed, 504: figures.Failed, 400: figures.Failed, 413: figures.Failed} {
+		if got := outcomeOf(status); got != want {
+			t.Errorf("%d counts as %v, want %v", status, got, want)
+		}
+	}
+}
+
+// Only what was listed can be taken out, also long after it has left; of very many names the oldest are forgotten.
+func TestTheRosterIsBounded(t *testing.T) {
+	r := newRoster()
+	r.add(List{Members: []Member{{ID: "first"}}})
+	if !r.listed("first") || r.listed("other") {
+		t.Error("it does not know what was listed")
+	}
+	for i := range mostNames {
+		r.add(List{Members: []Member{{ID: fmt.Sprint(i)}}})
+	}
+	if r.listed("first") || !r.listed("0") || len(r.names) != mostNames || len(r.order) != mostNames {
+		t.Errorf("%d names are remembered", len(r.names))
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,6 +26,10 @@
 	roster  *roster
 	conns   *clientConns
 	ready   atomic.Bool // it takes clients
+
+	// Shared is told whether another process of this proxy lives beside this one, at the start and at each change:
+	// the limits are for both together. It may be nil.
+	Shared func(bool)
 }
 
 // New makes a proxy.
@@ -61,8 +65,8 @@
 		select {
 		case cfg := <-p.reloads:
 			l.post(func() {
-				if cfg.Discovery != l.discovery.addr {
-					l.ask(newDiscovery(cfg.Discovery))
+				if cfg.Discovery != l.target().addr {
+					l.moveTo(newDiscovery(cfg.Discovery))
 				}
 			})
 		case <-ctx.Done():
@@ -78,6 +82,38 @@
 	clientPart   = 0.6 // of the others, for clients: one too few there loses a request, one to backends an attempt
 )
 
+// watchShare has the process keep to its part while it shares the proxy's limits, until ctx ends.
+func (p *Proxy) watchShare(ctx context.Context, pool *pool) {
+	all := pool.most
+	shared := false
+	look := func(first bool) {
+		now := !p.store.Alone() || p.store.Succeeded()
+		if now == shared && !first {
+			return
+		}
+		shared = now
+		if shared {
+			pool.limitOpen(all / 2)
+		} else {
+			pool.limitOpen(all)
+		}
+		if p.Shared != nil {
+			p.Shared(shared)
+		}
+	}
+	look(true)
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			look(false)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // clientPlaces is how many connections clients may hold.
 func clientPlaces(c *Config) int { return int(clientPart * float64(c.Sockets-spareSockets)) }
 
@@ -129,6 +165,7 @@
 	running.Go(func() { pool.runRetire(inner) })
 	running.Go(func() { p.takeReloads(inner, loop) })
 	running.Go(func() { p.conns.runLameDuck(inner) })
+	running.Go(func() { p.watchShare(inner, pool) })
 	running.Go(func() {
 		p.store.Follow(inner, followEvery, p.roster.wakeLoop, func(err error) {
 			p.log.Error("what the other process has written can't be read", "err", err)
