Let a drain wait for long answers; an answer right after the last byte is not early

Seen: the old process ended by itself 1.85 s after the new one served and cut what it was passing on; now SIGKILL ends what came late.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -35,7 +35,8 @@
 
 	acceptOn  = 600 * time.Millisecond // after SIGTERM: connections come for up to 400 ms more
 	lastCall  = 3 * time.Second        // after SIGTERM: the longest deadline that is waited for,
-	drainRoom = 650 * time.Millisecond // and past it, before SIGKILL (700 ms)
+	drainRoom = 650 * time.Millisecond // and past it
+	drainLong = time.Minute            // after SIGTERM: for long answers and bodies that are on their way then
 	drainLook = 10 * time.Millisecond
 )
 
@@ -98,7 +99,12 @@
 	}
 	time.Sleep(acceptOn)
 	listener.Close()
-	for f.conns.closeIdle(time.Now()) > 0 && time.Since(began) < most {
+	// Danger: what is in hand when the process ends by itself is lost. Past the last deadline that can only be long
+	// answers and bodies; these go on until they end, or until somebody ends the process.
+	for f.conns.closeIdle(time.Now()) > 0 {
+		if passed := time.Since(began); passed >= drainLong || passed >= most && f.inHand() == 0 {
+			break
+		}
 		time.Sleep(drainLook)
 	}
 	f.server.Close()
@@ -347,6 +353,13 @@
 	return nil
 }
 
+// inHand is how many requests were taken, or are on their way, and have no whole answer.
+func (f *frontend) inHand() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open)
+}
+
 // leave ends what enter began.
 func (f *frontend) leave(id string, bytes int64) {
 	f.mu.Lock()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -123,6 +123,10 @@
 }
 
 func (r *uploadReader) Read(p []byte) (int, error) {
+	// Danger: the backend may answer as soon as it has the last byte, before whoever writes has seen the end here.
+	if r.ended.Load() {
+		return 0, io.EOF
+	}
 	if !r.to.quiet() { // an answer, or its end: the rest is of no use
 		return 0, errEarly
 	}
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -158,3 +158,69 @@
 		t.Error("it does not say when to come back")
 	}
 }
+
+// A backend that answers as soon as it has the last byte of a long body has not answered early.
+func TestAnAnswerRightAfterTheLastByteIsNotEarly(t *testing.T) {
+	last := make(chan bool)
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		<-last
+		say(c, served)
+		io.Copy(io.Discard, in)
+	}))
+	c, err := p.dial(t.Context(), b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	body := strings.NewReader("all of it")
+	u := &upload{length: 9, began: time.Now(), rest: io.MultiReader(body), limit: func(time.Time) error { return nil },
+		whole: func() { // the last byte is out, and the answer is there before the next look for more
+			close(last)
+			for start := time.Now(); c.quiet() && time.Since(start) < patience; {
+				time.Sleep(time.Millisecond)
+			}
+		}, failed: make(chan error, 1)}
+	req := testMessage("POST", nil).request("a")
+	if _, whole, err := c.writeStreamed(req, u); !whole {
+		t.Fatalf("not whole: %v", err)
+	}
+}
+
+// At its end a proxy waits for a long answer that is on its way, past all deadlines.
+func TestTheEndWaitsForALongAnswer(t *testing.T) {
+	first, rest := make(chan bool), make(chan bool)
+	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if readWhole(in) {
+			say(c, "HTTP/1.1 200 OK\nContent-Length: 100000\n\nabc")
+			close(first)
+			<-rest
+			io.WriteString(c, strings.Repeat("x", 100000-3))
+		}
+	})
+	p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), func(c *Config) {
+		for i := range c.Module.Classes { // so that the last deadline is soon past
+			c.Module.Classes[i].GiveUp = 10 * time.Millisecond
+		}
+	})
+	type result struct {
+		body string
+		err  error
+	}
+	got := make(chan result, 1)
+	go func() {
+		_, body, err := p.ask(t, "fetch-work", 9000, "")
+		got <- result{body, err}
+	}()
+	<-first
+	p.stop()
+	select {
+	case err := <-p.done:
+		t.Fatalf("ended with an answer on its way: %v", err)
+	case <-time.After(acceptOn + drainRoom + 500*time.Millisecond):
+	}
+	close(rest)
+	if r := <-got; r.err != nil || len(r.body) != 100000 {
+		t.Errorf("%d bytes, %v", len(r.body), r.err)
+	}
+	p.done <- <-p.done
+}
