--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -21,8 +21,9 @@
 	mu       sync.Mutex
 	all      map[*clientConn]bool
 	most     int
-	draining bool      // the process ends
-	duckFrom time.Time // lame duck since then; zero if it is none
+	draining bool          // the process ends
+	lastIn   time.Duration // by the loop's clock: who comes after it has no time for a long answer
+	duckFrom time.Time     // lame duck since then; zero if it is none
 }
 
 func newClientConns(most int) *clientConns {
@@ -199,12 +200,20 @@
 	return len(s.all)
 }
 
-func (s *clientConns) setDraining() {
+// setDraining has the connections end, and tells from when on there is no time left for long answers.
+func (s *clientConns) setDraining(lastIn time.Duration) {
 	s.mu.Lock()
-	s.draining = true
+	s.draining, s.lastIn = true, lastIn
 	s.mu.Unlock()
 }
 
+// endsSoon tells whether a request that came then is too late for a long answer.
+func (s *clientConns) endsSoon(came time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining && came > s.lastIn
+}
+
 // isDraining tells whether clients are sent away, for good or for a time.
 func (s *clientConns) isDraining() bool {
 	s.mu.Lock()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -88,7 +88,7 @@
 // while yet, unless a later process takes them from the same socket; then the idle ones are closed, and it waits
 // for what was taken.
 func (f *frontend) drain(listener net.Listener, succeeded bool) {
-	f.conns.setDraining()
+	f.conns.setDraining(f.loop.clock.now() + acceptOn)
 	began := time.Now()
 	most := drainRoom
 	for _, c := range f.loop.cfg.Module.Classes {
@@ -251,6 +251,13 @@
 		write(w, a)
 		return
 	}
+	// Danger: of what comes late in a drain a long answer may be cut off by the process's end, and be lost.
+	if f.conns.endsSoon(req.came()) {
+		a.stream.end(errGone)
+		f.loop.figures.Ended(req.class, figures.Failed)
+		write(w, answer{status: http.StatusBadGateway})
+		return
+	}
 	err := pass(w, a.stream, f.writeTimeout)
 	a.stream.end(err)
 	if err != nil {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -58,6 +58,9 @@
 	stream   *download     // its answer, if that is a long one
 }
 
+// came is when the request's last byte did. It holds for requests that are answered.
+func (r *request) came() time.Duration { return r.deadline - r.timeout }
+
 // uploading tells whether the request's body is on its way yet.
 func (r *request) uploading() bool { return r.deadline == 0 }
 
@@ -316,6 +319,7 @@
 // firstByte takes a long answer that has begun: it is the final one.
 func (l *loop) firstByte(r *request, n int, d *download) {
 	if r.ended {
+		l.log.Info("a long answer is not wanted any more", "attempt", n, "streaming", r.stream != nil)
 		d.end(errGone)
 		return
 	}
@@ -504,6 +508,7 @@
 				a.timer.Stop()
 			}
 			if a.ctx.Err() != nil { // its time ran out meanwhile
+				h.log.Info("a long answer came too late", "cause", context.Cause(a.ctx), "uploading", r.uploading())
 				d.end(errGone)
 				return
 			}
