--- a/cmd/wirehost/main.go
+++ b/cmd/lapissim/main.go
@@ -1,4 +1,4 @@
-// Wirehost hosts instances of the decision module on the simulator's wire:
+// Lapissim hosts instances of the decision module on the simulator's wire:
 // batches of events on standard input, one reply to each on standard output.
 package main
 
@@ -9,13 +9,13 @@
 	"io"
 	"os"
 
-	"mulleinferry"
-	"mulleinferry/internal/wire"
+	"lapisspread/decision"
+	"lapisspread/internal/wire"
 )
 
 func main() {
 	if err := serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		fmt.Fprintln(os.Stderr, "lapissim:", err)
 		os.Exit(1)
 	}
 }
@@ -23,7 +23,7 @@
 // serve answers batches until the input ends. A reply is written whole or not at all.
 func serve(in io.Reader, out io.Writer) error {
 	in = bufio.NewReaderSize(in, 1<<16)
-	instances := map[uint16]*mulleinferry.Balancer{}
+	instances := map[uint16]*decision.Balancer{}
 	var reply wire.Reply
 	var buf []byte
 	for {
@@ -64,7 +64,7 @@
 }
 
 // guard delivers an event and turns a panic into an error.
-func guard(instances map[uint16]*mulleinferry.Balancer, reply *wire.Reply, batch wire.Batch, ev *wire.Event) (err error) {
+func guard(instances map[uint16]*decision.Balancer, reply *wire.Reply, batch wire.Batch, ev *wire.Event) (err error) {
 	defer func() {
 		if v := recover(); v != nil {
 			err = &panicError{ev.Instance, v}
@@ -73,13 +73,13 @@
 	return deliver(instances, reply, batch, ev)
 }
 
-func deliver(instances map[uint16]*mulleinferry.Balancer, reply *wire.Reply, batch wire.Batch, ev *wire.Event) error {
+func deliver(instances map[uint16]*decision.Balancer, reply *wire.Reply, batch wire.Batch, ev *wire.Event) error {
 	if ev.Code == wire.Init {
 		cfg, err := wire.ParseBootInfo(string(ev.BootInfo))
 		if err != nil {
 			return err
 		}
-		b, err := mulleinferry.New(cfg, ev.Seed, wire.Actions{To: reply, Instance: ev.Instance})
+		b, err := decision.New(cfg, ev.Seed, wire.Actions{To: reply, Instance: ev.Instance})
 		if err != nil {
 			return err
 		}
--- a/cmd/wirehost/main_test.go
+++ b/cmd/lapissim/main_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"mulleinferry"
-	"mulleinferry/internal/wire"
+	"lapisspread/decision"
+	"lapisspread/internal/wire"
 )
 
 func batch(seq uint32, records uint32, body ...any) []byte {
@@ -90,7 +90,7 @@
 // A panic in the decision code belongs on the wire, not in a stack trace.
 func TestAPanicBecomesAnErrorThatNamesTheInstance(t *testing.T) {
 	var reply wire.Reply
-	instances := map[uint16]*mulleinferry.Balancer{5: {}} // never made by New: any request panics
+	instances := map[uint16]*decision.Balancer{5: {}} // never made by New: any request panics
 	err := guard(instances, &reply, wire.Batch{}, &wire.Event{Code: wire.Ask, Instance: 5})
 	var failed *panicError
 	if !errors.As(err, &failed) || failed.instance != 5 || !strings.Contains(err.Error(), "instance 5") {
--- a/cmd/opalcroft/main.go
+++ b/cmd/lapisspread/main.go
@@ -1,4 +1,4 @@
-// Opalcroft is the proxy: the decisions of package mulleinferry on real sockets.
+// Lapisspread is the proxy: the decisions of package decision on real sockets.
 package main
 
 import (
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"mulleinferry/internal/proxy"
+	"lapisspread/internal/proxy"
 )
 
 // memoryPart is the part of the memory limit that the collector keeps the heap within: the rest is for
@@ -21,7 +21,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "opalcroft:", err)
+		fmt.Fprintln(os.Stderr, "lapisspread:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/opalcroft/main_test.go
+++ b/cmd/lapisspread/main_test.go
@@ -51,7 +51,7 @@
 			if exit := (*exec.ExitError)(nil); !errors.As(err, &exit) || exit.ExitCode() != 1 {
 				t.Errorf("ended with %v, want code 1", err)
 			}
-			if lines := strings.Split(strings.TrimSpace(text.String()), "\n"); len(lines) != 1 || !strings.HasPrefix(lines[0], "opalcroft: ") {
+			if lines := strings.Split(strings.TrimSpace(text.String()), "\n"); len(lines) != 1 || !strings.HasPrefix(lines[0], "lapisspread: ") {
 				t.Errorf("standard error:\n%s", text.String())
 			}
 		})
--- a/api.go
+++ b/decision/api.go
@@ -1,4 +1,4 @@
-// Package mulleinferry makes the decisions of an HTTP load balancer that runs as a
+// Package decision makes the decisions of an HTTP load balancer that runs as a
 // small bank of proxies. This file is its whole interface; the decisions are
 // in balancer.go.
 //
@@ -14,7 +14,7 @@
 //     call the Balancer back; what they cause comes as later events.
 //   - Identifiers are opaque. Backends keep theirs over a restart; a request
 //     identifier is never used again.
-package mulleinferry
+package decision
 
 import "time"
 
--- a/balancer.go
+++ b/decision/balancer.go
@@ -1,4 +1,4 @@
-package mulleinferry
+package decision
 
 // Every decision of the proxy. Its interface (settings, events, actions) is in api.go, its records in
 // state.go. The order: checker, candidates and delay estimate, admission, attempts, timers.
--- /dev/null
+++ b/decision/example_test.go
@@ -0,0 +1,58 @@
+package decision_test
+
+import (
+	"fmt"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// printer is a Host that prints what a proxy would do.
+type printer struct{}
+
+func (printer) Send(id decision.RequestID, to decision.BackendID, until time.Duration) {
+	fmt.Printf("send request %d to backend %d, until %v\n", id, to, until)
+}
+func (printer) Refuse(id decision.RequestID, after time.Duration) {
+	fmt.Printf("refuse request %d, come again after %v\n", id, after)
+}
+func (printer) Fail(id decision.RequestID) { fmt.Printf("fail request %d\n", id) }
+func (printer) Cancel(id decision.RequestID, n int) {
+	fmt.Printf("cancel attempt %d of %d\n", n, id)
+}
+func (printer) Probe(b decision.BackendID)    {}
+func (printer) Release(b decision.BackendID)  {}
+func (printer) Watch(on bool)                 {}
+func (printer) Fetch()                        {}
+func (printer) Tell(peer uint32, body []byte) {}
+func (printer) After(d time.Duration, token uint64) {
+	// A real proxy calls Timer with the token when the time has come.
+}
+func (printer) Log(line string) { fmt.Println(line) }
+
+// A proxy tells its Balancer what happened; the Host carries out what it decides.
+func Example() {
+	cfg := decision.Config{
+		Instances: 1,
+		Tick:      time.Millisecond,
+		Classes: []decision.Class{{Name: "page", Aim: 300 * time.Millisecond, GiveUp: time.Second,
+			Effect: decision.Safe, Value: 1}},
+		Goal: decision.Goal{Whole: 1},
+		Caps: decision.Caps{Probes: true, ConnectTimeout: 100 * time.Millisecond, MaxAttempts: 3},
+	}
+	b, err := decision.New(cfg, 1, printer{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	b.Start(time.Second)
+	b.Membership(time.Second, decision.Membership{Kind: decision.ListFull, Backends: []decision.Backend{
+		{ID: 7, State: decision.Ready},
+		{ID: 8, State: decision.Draining},
+	}})
+	b.Request(time.Second, decision.Request{ID: 1, Deadline: 2 * time.Second})
+	now := time.Second + 20*time.Millisecond
+	b.Outcome(now, decision.Outcome{ID: 1, Backend: 7, Result: decision.OK, Took: 20 * time.Millisecond, Final: true})
+	// Output:
+	// send request 1 to backend 7, until 1.299s
+}
--- a/many_test.go
+++ b/decision/many_test.go
@@ -1,4 +1,4 @@
-package mulleinferry
+package decision
 
 import (
 	"testing"
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 const (
@@ -41,7 +41,7 @@
 	idleFor        time.Duration
 
 	mu       sync.Mutex
-	backends map[mulleinferry.BackendID]*backend
+	backends map[decision.BackendID]*backend
 	open     int // connections, also those being made
 	most     int
 
@@ -62,7 +62,7 @@
 
 func newPool(most int, connectTimeout, connIdle time.Duration) *pool {
 	return &pool{dialer: new(net.Dialer).DialContext, connectTimeout: connectTimeout, idleFor: connIdle / idlePart,
-		most: most, backends: map[mulleinferry.BackendID]*backend{}, limit: connIdle / idlePart, soon: soon, attempts: new(atomic.Int64)}
+		most: most, backends: map[decision.BackendID]*backend{}, limit: connIdle / idlePart, soon: soon, attempts: new(atomic.Int64)}
 }
 
 // update takes in a list. A backend that drains or is gone, or has another address, loses its idle
@@ -70,12 +70,12 @@
 func (p *pool) update(list List) {
 	var stale []*conn
 	p.mu.Lock()
-	named := map[mulleinferry.BackendID]bool{}
+	named := map[decision.BackendID]bool{}
 	for _, m := range list.Members {
 		id := backendID(m.ID)
 		named[id] = true
 		b := p.backends[id]
-		if m.State == mulleinferry.Gone {
+		if m.State == decision.Gone {
 			stale = append(stale, p.drop(id)...)
 			continue
 		}
@@ -83,7 +83,7 @@
 			b = &backend{addr: m.Addr}
 			p.backends[id] = b
 		}
-		b.draining = m.State == mulleinferry.Draining
+		b.draining = m.State == decision.Draining
 		if moved := m.Addr != "" && m.Addr != b.addr; moved || b.draining {
 			stale, b.idle = append(stale, b.idle...), nil
 			if moved {
@@ -103,7 +103,7 @@
 }
 
 // drop forgets a backend and gives its idle connections. The lock must be held.
-func (p *pool) drop(id mulleinferry.BackendID) []*conn {
+func (p *pool) drop(id decision.BackendID) []*conn {
 	b := p.backends[id]
 	if b == nil {
 		return nil
@@ -120,14 +120,14 @@
 }
 
 // find is the backend of that id, or nil.
-func (p *pool) find(id mulleinferry.BackendID) *backend {
+func (p *pool) find(id decision.BackendID) *backend {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.backends[id]
 }
 
 // release closes a backend's idle connections.
-func (p *pool) release(id mulleinferry.BackendID) {
+func (p *pool) release(id decision.BackendID) {
 	p.mu.Lock()
 	var stale []*conn
 	if b := p.backends[id]; b != nil {
@@ -327,7 +327,7 @@
 }
 
 // exchange sends a message once and says how that ended, with the answer's body for OK unless that was streamed.
-func (p *pool) exchange(ctx context.Context, b *backend, m *message) (mulleinferry.Result, []byte) {
+func (p *pool) exchange(ctx context.Context, b *backend, m *message) (decision.Result, []byte) {
 	for {
 		c, err := p.takeIdle(b)
 		reused := c != nil
@@ -336,9 +336,9 @@
 		}
 		if err != nil {
 			if errors.Is(context.Cause(ctx), context.Canceled) {
-				return mulleinferry.Cancelled, nil
+				return decision.Cancelled, nil
 			}
-			return mulleinferry.ConnectFailed, nil
+			return decision.ConnectFailed, nil
 		}
 		result, body, untouched := p.roundTrip(ctx, b, c, m)
 		// Danger: a backend may close an idle connection just as it is taken. As long as not one byte was
@@ -351,7 +351,7 @@
 
 // roundTrip sends a message on one connection; untouched tells that not a byte of it was written. What can't
 // be finished is given up by closing the connection, also at a time-out.
-func (p *pool) roundTrip(ctx context.Context, b *backend, c *conn, m *message) (result mulleinferry.Result, body []byte, untouched bool) {
+func (p *pool) roundTrip(ctx context.Context, b *backend, c *conn, m *message) (result decision.Result, body []byte, untouched bool) {
 	began, idle := time.Now(), c.idleAt
 	stop := context.AfterFunc(ctx, c.interrupt)
 	req := m.request(c.RemoteAddr().String())
@@ -399,15 +399,15 @@
 	untouched = written == 0
 	switch {
 	case errors.Is(cause, context.Canceled), errors.Is(err, errClient), errors.Is(err, errGone):
-		return mulleinferry.Cancelled, nil, untouched
+		return decision.Cancelled, nil, untouched
 	case errors.Is(err, errSpent):
-		return mulleinferry.Moot, nil, false
+		return decision.Moot, nil, false
 	case !whole: // its last byte never went out
-		return mulleinferry.ConnectFailed, nil, untouched
+		return decision.ConnectFailed, nil, untouched
 	case cause != nil:
-		return mulleinferry.Timeout, nil, false
+		return decision.Timeout, nil, false
 	}
-	return mulleinferry.Reset, nil, false
+	return decision.Reset, nil, false
 }
 
 // handOver has a long answer read by whoever wants it, and waits for its end. Of an answer that is no success
@@ -432,19 +432,19 @@
 }
 
 // answered is the outcome that a whole answer stands for.
-func answered(resp *http.Response) mulleinferry.Result {
+func answered(resp *http.Response) decision.Result {
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		return mulleinferry.OK
+		return decision.OK
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
-		return mulleinferry.Full
+		return decision.Full
 	}
-	return mulleinferry.Error
+	return decision.Error
 }
 
 // probe asks a backend whether it is well.
-func (p *pool) probe(ctx context.Context, b *backend) mulleinferry.Result {
+func (p *pool) probe(ctx context.Context, b *backend) decision.Result {
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
 	result, _ := p.exchange(ctx, b, &message{method: http.MethodGet, url: url.URL{Path: "/ping"},
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 const patience = 20 * time.Second // for what must come about; no test takes near as long
@@ -59,7 +59,7 @@
 func testPool(t *testing.T, addr string) (*pool, *backend) {
 	t.Helper()
 	p := newPool(16, patience, 2*patience)
-	p.update(List{Members: []Member{{ID: "a", Addr: addr, State: mulleinferry.Ready}}})
+	p.update(List{Members: []Member{{ID: "a", Addr: addr, State: decision.Ready}}})
 	t.Cleanup(func() { p.update(List{Full: true}) })
 	return p, p.find(backendID("a"))
 }
@@ -79,55 +79,55 @@
 	}
 	for name, c := range map[string]struct {
 		serve func(int, net.Conn, *bufio.Reader)
-		want  mulleinferry.Result
+		want  decision.Result
 	}{
-		"served":                {answer(served), mulleinferry.OK},
-		"error":                 {answer("HTTP/1.1 500 Oh\nContent-Length: 0\n\n"), mulleinferry.Error},
-		"not found":             {answer("HTTP/1.1 404 No\nContent-Length: 0\n\n"), mulleinferry.Error},
-		"503 turned away":       {answer("HTTP/1.1 503 Full\nX-Not-Processed: 1\nContent-Length: 0\n\n"), mulleinferry.Full},
-		"504 turned away":       {answer("HTTP/1.1 504 Late\nX-Not-Processed: 1\nContent-Length: 0\n\n"), mulleinferry.Full},
-		"503 and no word of it": {answer("HTTP/1.1 503 Full\nContent-Length: 0\n\n"), mulleinferry.Error},
+		"served":                {answer(served), decision.OK},
+		"error":                 {answer("HTTP/1.1 500 Oh\nContent-Length: 0\n\n"), decision.Error},
+		"not found":             {answer("HTTP/1.1 404 No\nContent-Length: 0\n\n"), decision.Error},
+		"503 turned away":       {answer("HTTP/1.1 503 Full\nX-Not-Processed: 1\nContent-Length: 0\n\n"), decision.Full},
+		"504 turned away":       {answer("HTTP/1.1 504 Late\nX-Not-Processed: 1\nContent-Length: 0\n\n"), decision.Full},
+		"503 and no word of it": {answer("HTTP/1.1 503 Full\nContent-Length: 0\n\n"), decision.Error},
 		"broken after the last byte": {func(_ int, _ net.Conn, in *bufio.Reader) { readWhole(in) },
-			mulleinferry.Reset},
+			decision.Reset},
 		"reset after the last byte": {func(_ int, c net.Conn, in *bufio.Reader) {
 			readWhole(in)
 			c.(*net.TCPConn).SetLinger(0)
-		}, mulleinferry.Reset},
-		"answer cut short": {answer("HTTP/1.1 200 OK\nContent-Length: 9\n\nfine"), mulleinferry.Reset},
-		"no HTTP":          {answer("what?\n\n"), mulleinferry.Reset},
+		}, decision.Reset},
+		"answer cut short": {answer("HTTP/1.1 200 OK\nContent-Length: 9\n\nfine"), decision.Reset},
+		"no HTTP":          {answer("what?\n\n"), decision.Reset},
 		"answer too long": {answer("HTTP/1.1 200 OK\nContent-Length: 65537\n\n" + strings.Repeat("x", bodyBytes+1)),
-			mulleinferry.Reset},
-		"two lengths":       {answer("HTTP/1.1 200 OK\nContent-Length: 4\nContent-Length: 4\n\nfine"), mulleinferry.Reset},
-		"length and chunks": {answer("HTTP/1.1 200 OK\nContent-Length: 4\nTransfer-Encoding: chunked\n\n4\nfine\n0\n\n"), mulleinferry.Reset},
-		"negative length":   {answer("HTTP/1.1 200 OK\nContent-Length: -4\n\nfine"), mulleinferry.Reset},
-		"ends by the end":   {answer("HTTP/1.1 200 OK\n\nfine"), mulleinferry.OK},
-		"chunks":            {answer("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n4\nfine\n0\n\n"), mulleinferry.OK},
-		"1xx ahead":         {answer("HTTP/1.1 103 Hints\nLink: x\n\nHTTP/1.1 100 Go\n\n" + served), mulleinferry.OK},
+			decision.Reset},
+		"two lengths":       {answer("HTTP/1.1 200 OK\nContent-Length: 4\nContent-Length: 4\n\nfine"), decision.Reset},
+		"length and chunks": {answer("HTTP/1.1 200 OK\nContent-Length: 4\nTransfer-Encoding: chunked\n\n4\nfine\n0\n\n"), decision.Reset},
+		"negative length":   {answer("HTTP/1.1 200 OK\nContent-Length: -4\n\nfine"), decision.Reset},
+		"ends by the end":   {answer("HTTP/1.1 200 OK\n\nfine"), decision.OK},
+		"chunks":            {answer("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n4\nfine\n0\n\n"), decision.OK},
+		"1xx ahead":         {answer("HTTP/1.1 103 Hints\nLink: x\n\nHTTP/1.1 100 Go\n\n" + served), decision.OK},
 		"1xx for ever": {func(_ int, c net.Conn, in *bufio.Reader) {
 			for readWhole(in); ; {
 				if _, err := io.WriteString(c, "HTTP/1.1 103 Hints\r\n\r\n"); err != nil {
 					return
 				}
 			}
-		}, mulleinferry.Reset},
+		}, decision.Reset},
 		"a head without end": {func(_ int, c net.Conn, in *bufio.Reader) {
 			for readWhole(in); ; {
 				if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 512)); err != nil {
 					return
 				}
 			}
-		}, mulleinferry.Reset},
+		}, decision.Reset},
 		// The connection stays open: what can't be an answer must not be waited for.
 		"3 GB announced": {func(_ int, c net.Conn, in *bufio.Reader) {
 			readWhole(in)
 			say(c, "HTTP/1.1 200 OK\nContent-Length: 3000000000\n\nfine")
 			readWhole(in)
-		}, mulleinferry.Reset},
+		}, decision.Reset},
 		"noise and an open connection": {func(_ int, c net.Conn, in *bufio.Reader) {
 			readWhole(in)
 			say(c, "\x00\x01\n\n")
 			readWhole(in)
-		}, mulleinferry.Reset},
+		}, decision.Reset},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, b := testPool(t, rawBackend(t, c.serve))
@@ -135,7 +135,7 @@
 			if result != c.want {
 				t.Errorf("result %v, want %v", result, c.want)
 			}
-			if result == mulleinferry.OK && string(body) != "fine" {
+			if result == decision.OK && string(body) != "fine" {
 				t.Errorf("body %q", body)
 			}
 		})
@@ -149,7 +149,7 @@
 	}
 	listener.Close()
 	p, b := testPool(t, listener.Addr().String())
-	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != mulleinferry.ConnectFailed {
+	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.ConnectFailed {
 		t.Errorf("result %v, want ConnectFailed", result)
 	}
 	if p.open != 0 {
@@ -186,7 +186,7 @@
 	p.connectTimeout = 50 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != mulleinferry.ConnectFailed {
+	if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != decision.ConnectFailed {
 		t.Errorf("result %v, want ConnectFailed", result)
 	}
 	if ctx.Err() != nil {
@@ -211,13 +211,13 @@
 	}
 	// Longer than all the buffers on the way, so the write can't end before the break.
 	result, _ := p.exchange(t.Context(), b, testMessage("POST", bytes.Repeat([]byte("x"), 16<<20)))
-	if result != mulleinferry.ConnectFailed {
+	if result != decision.ConnectFailed {
 		t.Errorf("result %v, want ConnectFailed", result)
 	}
 }
 
 func TestTimeoutAndCancelCloseTheConnection(t *testing.T) {
-	for name, want := range map[string]mulleinferry.Result{"time-out": mulleinferry.Timeout, "cancel": mulleinferry.Cancelled} {
+	for name, want := range map[string]decision.Result{"time-out": decision.Timeout, "cancel": decision.Cancelled} {
 		t.Run(name, func(t *testing.T) {
 			came, closed := make(chan bool, 1), make(chan bool, 1)
 			p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
@@ -226,7 +226,7 @@
 				closed <- true
 			}))
 			ctx, cancel := context.WithCancel(t.Context())
-			if want == mulleinferry.Timeout {
+			if want == decision.Timeout {
 				ctx, cancel = context.WithTimeout(t.Context(), 300*time.Millisecond)
 			} else {
 				go func() { <-came; cancel() }()
@@ -262,7 +262,7 @@
 		}))
 		m := testMessage(method, nil)
 		m.header.Set("Idempotency-Key", "7")
-		for _, want := range []mulleinferry.Result{mulleinferry.OK, mulleinferry.Reset} {
+		for _, want := range []decision.Result{decision.OK, decision.Reset} {
 			if result, _ := p.exchange(t.Context(), b, m); result != want {
 				t.Errorf("%s: result %v, want %v", method, result, want)
 			}
@@ -283,7 +283,7 @@
 	}))
 	send := func() {
 		t.Helper()
-		if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != mulleinferry.OK {
+		if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
 			t.Fatalf("result %v", result)
 		}
 	}
@@ -314,7 +314,7 @@
 		}
 	}))
 	for i := range 3 {
-		if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != mulleinferry.OK {
+		if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK {
 			t.Fatalf("attempt %d: result %v", i, result)
 		}
 		for start := time.Now(); ; time.Sleep(time.Millisecond) { // until the close has been noticed
@@ -341,7 +341,7 @@
 			say(c, served)
 		}
 	}))
-	send := func(idle time.Duration, want mulleinferry.Result, connsWant int32) {
+	send := func(idle time.Duration, want decision.Result, connsWant int32) {
 		t.Helper()
 		for _, c := range b.idle {
 			c.idleAt = time.Now().Add(-idle)
@@ -351,19 +351,19 @@
 		}
 	}
 	p.soon = patience // whatever the machine's pace
-	send(0, mulleinferry.OK, 1)
-	send(10*time.Second, mulleinferry.Reset, 1)
+	send(0, decision.OK, 1)
+	send(10*time.Second, decision.Reset, 1)
 	if p.limit > 6*time.Second {
 		t.Errorf("after one that had been idle for 10 s broke, the limit is %v", p.limit)
 	}
 	p.limitAt = time.Now().Add(time.Hour)
-	send(6*time.Second, mulleinferry.OK, 2)
-	send(time.Second, mulleinferry.OK, 2)
+	send(6*time.Second, decision.OK, 2)
+	send(time.Second, decision.OK, 2)
 	p.broke(0)
 	p.limitAt = time.Now().Add(time.Hour)
-	send(time.Second, mulleinferry.OK, 3)
+	send(time.Second, decision.OK, 3)
 	p.limitAt = time.Now().Add(-time.Hour)
-	send(p.idleFor-patience/4, mulleinferry.OK, 3)
+	send(p.idleFor-patience/4, decision.OK, 3)
 }
 
 func TestSocketsAreBounded(t *testing.T) {
@@ -376,7 +376,7 @@
 		}
 	}))
 	p.most = 2
-	results := make(chan mulleinferry.Result, 2)
+	results := make(chan decision.Result, 2)
 	for range 2 {
 		go func() {
 			result, _ := p.exchange(t.Context(), b, testMessage("GET", nil))
@@ -384,21 +384,21 @@
 		}()
 		within(t, came, "no request came")
 	}
-	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != mulleinferry.ConnectFailed {
+	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.ConnectFailed {
 		t.Errorf("with no socket left: result %v, want ConnectFailed", result)
 	}
 	close(leave)
 	for range 2 {
-		if result := within(t, results, "no answer"); result != mulleinferry.OK {
+		if result := within(t, results, "no answer"); result != decision.OK {
 			t.Errorf("result %v", result)
 		}
 	}
 	// Both are idle now, and make room for one to another backend.
-	p.update(List{Members: []Member{{ID: "b", State: mulleinferry.Ready, Addr: rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+	p.update(List{Members: []Member{{ID: "b", State: decision.Ready, Addr: rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
 		readWhole(in)
 		say(c, served)
 	})}}})
-	if result, _ := p.exchange(t.Context(), p.find(backendID("b")), testMessage("GET", nil)); result != mulleinferry.OK {
+	if result, _ := p.exchange(t.Context(), p.find(backendID("b")), testMessage("GET", nil)); result != decision.OK {
 		t.Errorf("with idle connections elsewhere: result %v", result)
 	}
 }
@@ -424,8 +424,8 @@
 		for _, c := range conns {
 			p.putIdle(b, c)
 		}
-		p.update(List{Members: []Member{{ID: "b", State: mulleinferry.Ready, Addr: rawBackend(t, serveAll)}}})
-		if result, _ := p.exchange(t.Context(), p.find(backendID("b")), testMessage("GET", nil)); result != mulleinferry.OK {
+		p.update(List{Members: []Member{{ID: "b", State: decision.Ready, Addr: rawBackend(t, serveAll)}}})
+		if result, _ := p.exchange(t.Context(), p.find(backendID("b")), testMessage("GET", nil)); result != decision.OK {
 			t.Errorf("%d idle: result %v", idle, result)
 		}
 		if silent(conns[0].Conn) || idle > 1 && !silent(conns[1].Conn) || p.open != idle || len(b.idle) != idle-1 {
@@ -457,7 +457,7 @@
 			}))
 			for i := range 2 {
 				result, body := p.exchange(t.Context(), b, testMessage("POST", []byte("x")))
-				if result != mulleinferry.OK || string(body) != "fine" {
+				if result != decision.OK || string(body) != "fine" {
 					t.Fatalf("request %d: result %v, body %q", i, result, body)
 				}
 				if !late || i > 0 {
@@ -494,19 +494,19 @@
 		}
 	})
 	p, b := testPool(t, addr)
-	done := make(chan mulleinferry.Result, 1)
+	done := make(chan decision.Result, 1)
 	go func() {
 		result, _ := p.exchange(t.Context(), b, testMessage("GET", nil))
 		done <- result
 	}()
 	within(t, came, "no request came")
-	p.update(List{Full: true, Members: []Member{{ID: "new", Addr: addr, State: mulleinferry.Ready}}})
+	p.update(List{Full: true, Members: []Member{{ID: "new", Addr: addr, State: decision.Ready}}})
 	leave <- true
-	if result := within(t, done, "no answer"); result != mulleinferry.OK {
+	if result := within(t, done, "no answer"); result != decision.OK {
 		t.Errorf("what was in hand: result %v", result)
 	}
 	leave <- true
-	if result, _ := p.exchange(t.Context(), p.find(backendID("new")), testMessage("GET", nil)); result != mulleinferry.OK {
+	if result, _ := p.exchange(t.Context(), p.find(backendID("new")), testMessage("GET", nil)); result != decision.OK {
 		t.Errorf("result %v", result)
 	}
 	if n := conns.Load(); n != 2 {
@@ -517,9 +517,9 @@
 // A drain that is told while a connection is being made takes effect before anything is sent on it.
 func TestDrainWhileConnecting(t *testing.T) {
 	for name, change := range map[string]Member{
-		"drains": {ID: "a", State: mulleinferry.Draining},
-		"left":   {ID: "a", State: mulleinferry.Gone},
-		"moved":  {ID: "a", State: mulleinferry.Ready, Addr: "127.0.0.1:1"},
+		"drains": {ID: "a", State: decision.Draining},
+		"left":   {ID: "a", State: decision.Gone},
+		"moved":  {ID: "a", State: decision.Ready, Addr: "127.0.0.1:1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var requests atomic.Int32
@@ -534,7 +534,7 @@
 				defer p.update(List{Members: []Member{change}})
 				return dial(ctx, network, addr)
 			}
-			if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != mulleinferry.ConnectFailed {
+			if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.ConnectFailed {
 				t.Errorf("result %v, want ConnectFailed", result)
 			}
 			if requests.Load() != 0 {
@@ -551,11 +551,11 @@
 		}
 	}))
 	p.exchange(t.Context(), b, testMessage("GET", nil))
-	p.update(List{Members: []Member{{ID: "a", State: mulleinferry.Draining}}})
+	p.update(List{Members: []Member{{ID: "a", State: decision.Draining}}})
 	if p.open != 0 {
 		t.Errorf("%d connections to a draining backend", p.open)
 	}
-	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != mulleinferry.ConnectFailed {
+	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.ConnectFailed {
 		t.Errorf("result %v, want ConnectFailed", result)
 	}
 }
@@ -568,7 +568,7 @@
 			say(c, "HTTP/1.1 200 OK\nContent-Length: 0\n\n")
 		}
 	}))
-	if result := p.probe(t.Context(), b); result != mulleinferry.OK {
+	if result := p.probe(t.Context(), b); result != decision.OK {
 		t.Errorf("result %v", result)
 	}
 	if path := within(t, paths, "no probe came"); path != "GET /ping" {
@@ -582,7 +582,7 @@
 		readWhole(in)
 	}))
 	p.connectTimeout = 300 * time.Millisecond
-	if result := p.probe(t.Context(), b); result != mulleinferry.Timeout {
+	if result := p.probe(t.Context(), b); result != decision.Timeout {
 		t.Errorf("result %v, want Timeout", result)
 	}
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"strings"
 
-	"mulleinferry"
-	"mulleinferry/internal/wire"
+	"lapisspread/decision"
+	"lapisspread/internal/wire"
 )
 
 // Config is all that a proxy is told at its start.
@@ -25,10 +25,10 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
-	Known    List                // the backends as this proxy last had them
-	Module   mulleinferry.Config // the settings
-	Zones    []string            // their names, by number
-	Kinds    []string            // of machine, likewise
+	Known    List            // the backends as this proxy last had them
+	Module   decision.Config // the settings
+	Zones    []string        // their names, by number
+	Kinds    []string        // of machine, likewise
 }
 
 // file is the form of config.json.
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 const (
@@ -33,17 +33,17 @@
 	Addr       string
 	Zone, Kind string
 	Cell       int
-	State      mulleinferry.State
+	State      decision.State
 	Weight     float64
 	Started    time.Duration
 }
 
 // backendID comes from the name alone, so that it is the same at every proxy and after every restart:
 // keys find their backends by it.
-func backendID(name string) mulleinferry.BackendID {
+func backendID(name string) decision.BackendID {
 	h := fnv.New32a()
 	io.WriteString(h, name)
-	return mulleinferry.BackendID(h.Sum32())
+	return decision.BackendID(h.Sum32())
 }
 
 // parseList reads discovery's JSON. One odd entry voids the whole list.
@@ -68,12 +68,12 @@
 	if f.Generation == nil {
 		return List{}, errors.New("no generation")
 	}
-	states := map[string]mulleinferry.State{"active": mulleinferry.Ready, "leaving": mulleinferry.Draining,
-		"left": mulleinferry.Gone}
+	states := map[string]decision.State{"active": decision.Ready, "leaving": decision.Draining,
+		"left": decision.Gone}
 	list := List{Version: *f.Generation, Full: f.Reset}
 	for _, e := range f.Instances {
 		state, known := states[e.State]
-		if e.ID == "" || !known || state == mulleinferry.Ready && e.Addr == "" {
+		if e.ID == "" || !known || state == decision.Ready && e.Addr == "" {
 			return List{}, fmt.Errorf("instance %q: no id, no address or unknown lifecycle %q", e.ID, e.State)
 		}
 		const latest = 1e13 // far past any date; beyond it the clock's own range would be left
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"mulleinferry/internal/figures"
+	"lapisspread/internal/figures"
 )
 
 const (
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -12,9 +12,9 @@
 	"sync"
 	"time"
 
-	"mulleinferry"
-	"mulleinferry/internal/figures"
-	"mulleinferry/internal/handover"
+	"lapisspread/decision"
+	"lapisspread/internal/figures"
+	"lapisspread/internal/handover"
 )
 
 const (
@@ -40,7 +40,7 @@
 
 // request is one that was taken and is not yet forgotten.
 type request struct {
-	id       mulleinferry.RequestID
+	id       decision.RequestID
 	message  *message
 	class    int
 	tenant   int
@@ -65,7 +65,7 @@
 func (r *request) uploading() bool { return r.deadline == 0 }
 
 type attempt struct {
-	to    mulleinferry.BackendID
+	to    decision.BackendID
 	sent  time.Duration
 	ctx   context.Context
 	give  context.CancelCauseFunc
@@ -91,7 +91,7 @@
 	cfg       *Config
 	clock     clock
 	log       *slog.Logger
-	module    *mulleinferry.Balancer
+	module    *decision.Balancer
 	pool      *pool
 	discovery *discovery
 	next      *discovery // where it moves to soon, if not nil
@@ -111,8 +111,8 @@
 	timerSeq  uint64
 	set       map[uint64]int // timers that the module has set, by token
 	deferred  []func()       // follow the event being handled
-	requests  map[mulleinferry.RequestID]*request
-	lastID    mulleinferry.RequestID
+	requests  map[decision.RequestID]*request
+	lastID    decision.RequestID
 	version   uint32 // of the list
 	listKnown bool   // it is from the discovery that is asked now, or from the start
 	stopWatch context.CancelFunc
@@ -123,11 +123,11 @@
 
 func newLoop(cfg *Config, log *slog.Logger, p *pool, d *discovery) (*loop, error) {
 	l := &loop{cfg: cfg, clock: newClock(), log: log, pool: p, discovery: d, events: make(chan func(), eventBuffer),
-		done: make(chan struct{}), listKnown: true, set: map[uint64]int{}, requests: map[mulleinferry.RequestID]*request{}, stopWatch: func() {},
+		done: make(chan struct{}), listKnown: true, set: map[uint64]int{}, requests: map[decision.RequestID]*request{}, stopWatch: func() {},
 		zones: numbers(cfg.Zones), kinds: numbers(cfg.Kinds), figures: figures.New(nil), store: handover.Open("", ""), roster: newRoster(),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	var err error
-	l.module, err = mulleinferry.New(cfg.Module, cfg.Seed, host{l})
+	l.module, err = decision.New(cfg.Module, cfg.Seed, host{l})
 	return l, err
 }
 
@@ -148,7 +148,7 @@
 	l.handle(func() {
 		l.module.Start(l.clock.now())
 		l.obey() // before the list, so that nothing is sent to a backend that is out
-		l.list(l.cfg.Known, mulleinferry.ListCached)
+		l.list(l.cfg.Known, decision.ListCached)
 		if !l.cfg.Module.OnRequest { // the module takes pushed lists as they come and asks for none
 			host{l}.Watch(true)
 		}
@@ -296,7 +296,7 @@
 	} else {
 		r.expiry = l.at(r.deadline+backstop, func() { l.expire(r) })
 	}
-	l.module.Request(now, mulleinferry.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, Cost: r.cost,
+	l.module.Request(now, decision.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, Cost: r.cost,
 		Deadline: deadline, Repeat: r.repeat, Streamed: r.uploading()})
 }
 
@@ -327,7 +327,7 @@
 	r.stream = d
 	l.end(r, answer{status: http.StatusOK, stream: d})
 	now := l.clock.now()
-	l.module.FirstByte(now, mulleinferry.FirstByte{ID: r.id, Attempt: n, Backend: a.to, Took: now - a.sent})
+	l.module.FirstByte(now, decision.FirstByte{ID: r.id, Attempt: n, Backend: a.to, Took: now - a.sent})
 }
 
 // expire ends a request that is still open after its deadline: an answer is owed whatever went wrong.
@@ -371,41 +371,41 @@
 }
 
 // outcome takes the end of an attempt.
-func (l *loop) outcome(r *request, n int, result mulleinferry.Result, body []byte) {
+func (l *loop) outcome(r *request, n int, result decision.Result, body []byte) {
 	now, a := l.clock.now(), r.attempts[n]
 	a.cancel()
 	r.out--
-	r.timedOut = result == mulleinferry.Timeout
-	spent := result != mulleinferry.OK && r.message != nil && r.message.upload.isSpent()
-	if result == mulleinferry.OK {
+	r.timedOut = result == decision.Timeout
+	spent := result != decision.OK && r.message != nil && r.message.upload.isSpent()
+	if result == decision.OK {
 		l.end(r, answer{status: http.StatusOK, body: body})
 	}
 	l.forget(r)
-	l.module.Outcome(now, mulleinferry.Outcome{ID: r.id, Attempt: n, Backend: a.to, Result: result,
+	l.module.Outcome(now, decision.Outcome{ID: r.id, Attempt: n, Backend: a.to, Result: result,
 		Took: now - a.sent, Final: r.ended, Spent: spent})
 }
 
 // ---- the list ----
 
 // list hands a list to the pool and to the module, in this order: what the module sends next goes by it.
-func (l *loop) list(list List, kind mulleinferry.ListKind) {
+func (l *loop) list(list List, kind decision.ListKind) {
 	l.version = list.Version
-	if kind != mulleinferry.ListDelta {
+	if kind != decision.ListDelta {
 		list.Full = true
 	}
 	l.pool.update(list)
 	l.roster.add(list)
-	m := mulleinferry.Membership{Kind: kind, Version: list.Version}
+	m := decision.Membership{Kind: kind, Version: list.Version}
 	for _, e := range list.Members {
 		l.log.Info("listed", "backend", backendID(e.ID), "name", e.ID, "addr", e.Addr, "state", stateNames[e.State])
-		m.Backends = append(m.Backends, mulleinferry.Backend{ID: backendID(e.ID), Zone: l.number(l.zones, e.Zone),
+		m.Backends = append(m.Backends, decision.Backend{ID: backendID(e.ID), Zone: l.number(l.zones, e.Zone),
 			Kind: l.number(l.kinds, e.Kind), Cell: e.Cell, State: e.State, Weight: e.Weight, Started: e.Started})
 	}
 	l.module.Membership(l.clock.now(), m)
 }
 
-var stateNames = map[mulleinferry.State]string{mulleinferry.Ready: "ready", mulleinferry.Draining: "draining",
-	mulleinferry.Gone: "gone"}
+var stateNames = map[decision.State]string{decision.Ready: "ready", decision.Draining: "draining",
+	decision.Gone: "gone"}
 
 // number is a name's place in the settings; names that these lack share the place after the last.
 func (l *loop) number(of map[string]int, name string) int {
@@ -421,9 +421,9 @@
 	switch {
 	case list.Full:
 		l.listKnown = true
-		l.list(list, mulleinferry.ListFull)
+		l.list(list, decision.ListFull)
 	case list.Version >= l.version:
-		l.list(list, mulleinferry.ListDelta)
+		l.list(list, decision.ListDelta)
 	}
 }
 
@@ -462,7 +462,7 @@
 
 func (l *loop) listFailed(err error) {
 	l.log.Warn("a call for the list failed", "err", err)
-	l.module.Membership(l.clock.now(), mulleinferry.Membership{Kind: mulleinferry.ListFailed})
+	l.module.Membership(l.clock.now(), decision.Membership{Kind: decision.ListFailed})
 }
 
 // ---- the module's host ----
@@ -470,10 +470,10 @@
 // host carries out the module's actions. None of its methods blocks, and what they cause comes as later events.
 type host struct{ *loop }
 
-var _ mulleinferry.Host = host{}
+var _ decision.Host = host{}
 
 // Send starts an attempt. What may not go out (any more) ends as Moot.
-func (h host) Send(id mulleinferry.RequestID, to mulleinferry.BackendID, until time.Duration) {
+func (h host) Send(id decision.RequestID, to decision.BackendID, until time.Duration) {
 	r := h.requests[id]
 	if r == nil {
 		h.log.Warn("an attempt for a request that is over")
@@ -492,7 +492,7 @@
 	b := h.pool.find(to)
 	if r.ended || b == nil || now >= until || n >= h.cfg.Module.Caps.MaxAttempts ||
 		r.out > 1 && !h.cfg.Module.Caps.SecondCopies {
-		h.deferred = append(h.deferred, func() { h.outcome(r, n, mulleinferry.Moot, nil) })
+		h.deferred = append(h.deferred, func() { h.outcome(r, n, decision.Moot, nil) })
 		return
 	}
 	if !r.uploading() {
@@ -525,14 +525,14 @@
 }
 
 // Refuse says that coming again is harmless, and when.
-func (h host) Refuse(id mulleinferry.RequestID, retryAfter time.Duration) {
+func (h host) Refuse(id decision.RequestID, retryAfter time.Duration) {
 	if r := h.requests[id]; r != nil {
 		h.end(r, answer{status: http.StatusServiceUnavailable, retryAfter: retryAfter})
 	}
 }
 
 // Fail promises nothing.
-func (h host) Fail(id mulleinferry.RequestID) {
+func (h host) Fail(id decision.RequestID) {
 	if r := h.requests[id]; r != nil {
 		status := http.StatusBadGateway
 		if r.timedOut {
@@ -543,21 +543,21 @@
 }
 
 // Cancel closes the attempt's connection; its outcome comes as an event.
-func (h host) Cancel(id mulleinferry.RequestID, n int) {
+func (h host) Cancel(id decision.RequestID, n int) {
 	if r := h.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
 		r.attempts[n].cancel()
 	}
 }
 
 // Probe checks a backend.
-func (h host) Probe(to mulleinferry.BackendID) {
+func (h host) Probe(to decision.BackendID) {
 	sent, b := h.clock.now(), h.pool.find(to)
-	report := func(result mulleinferry.Result) {
+	report := func(result decision.Result) {
 		now := h.clock.now()
-		h.module.Probed(now, mulleinferry.ProbeResult{Backend: to, Result: result, Took: now - sent})
+		h.module.Probed(now, decision.ProbeResult{Backend: to, Result: result, Took: now - sent})
 	}
 	if b == nil {
-		h.deferred = append(h.deferred, func() { report(mulleinferry.Moot) })
+		h.deferred = append(h.deferred, func() { report(decision.Moot) })
 		return
 	}
 	h.start(func() {
@@ -567,7 +567,7 @@
 }
 
 // Release closes a backend's idle connections.
-func (h host) Release(b mulleinferry.BackendID) {
+func (h host) Release(b decision.BackendID) {
 	h.start(func() { h.pool.release(b) })
 }
 
--- a/internal/proxy/operator_test.go
+++ b/internal/proxy/operator_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"mulleinferry/internal/figures"
+	"lapisspread/internal/figures"
 )
 
 // A lame duck answers what comes, closes each connection after it, also the idle ones, and can come back.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy is a proxy on real sockets around the decisions of package mulleinferry: it carries out what
+// Package proxy is a proxy on real sockets around the decisions of package decision: it carries out what
 // they say, and tells them what comes of it.
 package proxy
 
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinferry/internal/console"
-	"mulleinferry/internal/figures"
-	"mulleinferry/internal/handover"
+	"lapisspread/internal/console"
+	"lapisspread/internal/figures"
+	"lapisspread/internal/handover"
 )
 
 // Proxy is a whole proxy: what Run needs beside its configuration.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 // settings are those of a site with a safe and an unsafe class. Discovery is asked.
@@ -339,7 +339,7 @@
 // What may not be sent any more ends as Moot, in a later event, and nothing goes out.
 func TestMootSends(t *testing.T) {
 	l := testLoop(t)
-	l.pool.update(List{Members: []Member{{ID: "a", Addr: "127.0.0.1:1", State: mulleinferry.Ready}}})
+	l.pool.update(List{Members: []Member{{ID: "a", Addr: "127.0.0.1:1", State: decision.Ready}}})
 	for name, send := range map[string]func(*request){
 		"unknown backend": func(r *request) { host{l}.Send(1, backendID("b"), 0) },
 		"past time":       func(r *request) { host{l}.Send(1, backendID("a"), l.clock.now()-1) },
@@ -567,7 +567,7 @@
 		}
 	}
 	list, err := parseList([]byte(listText(7, false, memberText("a", "", "left"))))
-	if err != nil || list.Version != 7 || list.Full || list.Members[0].State != mulleinferry.Gone {
+	if err != nil || list.Version != 7 || list.Full || list.Members[0].State != decision.Gone {
 		t.Errorf("a change: %+v, %v", list, err)
 	}
 }
@@ -917,7 +917,7 @@
 		t.Fatal(err)
 	}
 	m := c.Module
-	if m.Classes[1].Name != "hand-in" || m.Classes[1].Effect != mulleinferry.Unsafe || m.Classes[0].Effect != mulleinferry.Safe ||
+	if m.Classes[1].Name != "hand-in" || m.Classes[1].Effect != decision.Unsafe || m.Classes[0].Effect != decision.Safe ||
 		!m.OnRequest || m.Caps.ConnectTimeout != 250*time.Millisecond || m.Obligations.FallMultiple != 2.5 {
 		t.Errorf("settings %+v", m)
 	}
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 // settings are the lines of a BootInfo text, by key.
@@ -32,7 +32,7 @@
 // never arrives), Caps.CpuUsPerS and Caps.CpuUsPerRequest (a proxy looks at the
 // few backends in use, far under any limit seen), report values not in known
 // below, and whether reports come inline too; rough weights count as nominal.
-func ParseBootInfo(text string) (mulleinferry.Config, error) {
+func ParseBootInfo(text string) (decision.Config, error) {
 	s := settings{values: map[string]setting{}}
 	line := 0
 	for l := range strings.Lines(text) {
@@ -43,7 +43,7 @@
 		}
 		key, value, found := strings.Cut(l, "=")
 		if key = strings.TrimSpace(key); !found || key == "" {
-			return mulleinferry.Config{}, fmt.Errorf("settings line %d: %q is not path=value", line, l)
+			return decision.Config{}, fmt.Errorf("settings line %d: %q is not path=value", line, l)
 		}
 		s.values[key] = setting{strings.TrimSpace(value), line}
 	}
@@ -51,8 +51,8 @@
 	return c, s.err
 }
 
-func (s *settings) config() mulleinferry.Config {
-	c := mulleinferry.Config{
+func (s *settings) config() decision.Config {
+	c := decision.Config{
 		Instances: s.count("Balancers", 1), Rank: s.count("Rank", 0), Zone: s.count("Zone", 0),
 		Tick:           s.span("Tick", 0),
 		OverShareWorth: s.number("OverShareWorth", 1),
@@ -60,18 +60,18 @@
 		WarmKeys:       s.flag("Extra.WarmKeys"),
 		MarksRetry:     s.flag("Clients.MarksRetry"),
 		OnRequest:      s.word("Discovery", "pushed", "on_request") == "on_request",
-		Goal: mulleinferry.Goal{Whole: s.number("Goal.Whole", 1), WorstClass: s.number("Goal.WorstClass", 0),
+		Goal: decision.Goal{Whole: s.number("Goal.Whole", 1), WorstClass: s.number("Goal.WorstClass", 0),
 			WorstTenant: s.number("Goal.WorstTenant", 0), WorstWindow: s.number("Goal.WorstWindow", 0)},
-		Prices: mulleinferry.Prices{Connection: s.number("Prices.Connection", 0),
+		Prices: decision.Prices{Connection: s.number("Prices.Connection", 0),
 			CrossZone: s.number("Prices.CrossZone", 0), Discovery: s.number("Prices.Discovery", 0),
 			Handshake: s.number("Prices.Handshake", 0), LateFail: s.number("Prices.LateFail", 0),
 			Peer: s.number("Prices.Peer", 0), Probe: s.number("Prices.Probe", 0), Waste: s.number("Prices.Waste", 0)},
-		Obligations: mulleinferry.Obligations{AnswerSlack: s.span("Obligations.AnswerSlack", 0),
+		Obligations: decision.Obligations{AnswerSlack: s.span("Obligations.AnswerSlack", 0),
 			AskEvery: s.span("Obligations.AskEvery", 0), Cold: s.span("Obligations.Cold", 0),
 			DrainGrace: s.span("Obligations.DrainGrace", 0), Fall: s.span("Obligations.Fall", 0),
 			FallMultiple:  s.number("Obligations.FallMultiple", 1),
 			StartCapacity: s.number("Obligations.StartCapacity", 1)},
-		Caps: mulleinferry.Caps{Cancel: s.flag("Caps.Cancel"), Peers: s.flag("Caps.Peers"), Probes: s.flag("Caps.Probes"),
+		Caps: decision.Caps{Cancel: s.flag("Caps.Cancel"), Peers: s.flag("Caps.Peers"), Probes: s.flag("Caps.Probes"),
 			RetryAfter: s.flag("Caps.RetryAfter"), SecondCopies: s.flag("Caps.SecondCopies"),
 			ConnIdle: s.span("Caps.ConnIdle", 0), ConnectTimeout: s.span("Caps.ConnectTimeout", 0),
 			MaxRetryAfter: s.span("Caps.MaxRetryAfter", 0), MaxAttempts: s.count("Caps.MaxAttempts", 1),
@@ -79,9 +79,9 @@
 	}
 	switch s.word("Weights", "off", "nominal", "rough", "live") {
 	case "nominal", "rough":
-		c.Weights = mulleinferry.WeightNominal
+		c.Weights = decision.WeightNominal
 	case "live":
-		c.Weights = mulleinferry.WeightLive
+		c.Weights = decision.WeightLive
 	}
 	if how := s.word("Feedback.How", "off", "inline", "on_probe"); how != "off" {
 		c.Report = s.fields("Feedback.Names")
@@ -91,35 +91,35 @@
 	}
 	for i := range s.items("Tenants.count") {
 		p := fmt.Sprintf("Tenants.%d.", i)
-		c.Tenants = append(c.Tenants, mulleinferry.Tenant{Name: s.text(p + "Name"), Share: s.number(p+"Share", 0),
+		c.Tenants = append(c.Tenants, decision.Tenant{Name: s.text(p + "Name"), Share: s.number(p+"Share", 0),
 			QuotaPerS: s.number(p+"QuotaPerS", 0)})
 	}
 	return c
 }
 
-func (s *settings) class(p string) mulleinferry.Class {
-	c := mulleinferry.Class{Name: s.text(p + "Name"), Aim: s.span(p+"Aim", 0), AimStretch: s.number(p+"AimStretch", 0),
+func (s *settings) class(p string) decision.Class {
+	c := decision.Class{Name: s.text(p + "Name"), Aim: s.span(p+"Aim", 0), AimStretch: s.number(p+"AimStretch", 0),
 		GiveUp: s.span(p+"GiveUp", 0), LateShare: s.number(p+"LateShare", 0), Stream: s.flag(p + "Stream"),
 		Value: s.number(p+"Value", 1), Window: s.span(p+"Window", 0)}
 	switch s.word(p+"Effect", "fragile", "dedup", "retryable") {
 	case "dedup":
-		c.Effect = mulleinferry.Keyed
+		c.Effect = decision.Keyed
 	case "retryable":
-		c.Effect = mulleinferry.Safe
+		c.Effect = decision.Safe
 	}
 	switch s.word(p+"Group", "cell", "zone", "all") {
 	case "zone":
-		c.Group = mulleinferry.GroupZone
+		c.Group = decision.GroupZone
 	case "all":
-		c.Group = mulleinferry.GroupAll
+		c.Group = decision.GroupAll
 	}
 	return c
 }
 
-func (s *settings) fields(key string) []mulleinferry.ReportField {
-	known := map[string]mulleinferry.ReportField{"busy_reqs": mulleinferry.FieldHeld, "pending": mulleinferry.FieldWaiting,
-		"failed_ps": mulleinferry.FieldErrors}
-	var fields []mulleinferry.ReportField
+func (s *settings) fields(key string) []decision.ReportField {
+	known := map[string]decision.ReportField{"busy_reqs": decision.FieldHeld, "pending": decision.FieldWaiting,
+		"failed_ps": decision.FieldErrors}
+	var fields []decision.ReportField
 	if list := s.text(key); list != "" {
 		for name := range strings.SplitSeq(list, ",") {
 			fields = append(fields, known[strings.TrimSpace(name)])
--- a/internal/wire/bootinfo_test.go
+++ b/internal/wire/bootinfo_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 func TestSettings(t *testing.T) {
@@ -22,18 +22,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := mulleinferry.Config{Instances: 3, Rank: 2, Zone: 1, Tick: 5 * ms, OnRequest: true, WarmKeys: true,
-		OverShareWorth: 1, WorthByWork: true, Weights: mulleinferry.WeightNominal,
-		Report: []mulleinferry.ReportField{mulleinferry.FieldErrors, mulleinferry.FieldHeld, mulleinferry.FieldOther},
-		Goal:   mulleinferry.Goal{Whole: 1},
-		Classes: []mulleinferry.Class{
-			{Name: "a", Aim: time.Second, GiveUp: 3 * time.Second, Effect: mulleinferry.Safe, Group: mulleinferry.GroupAll, Value: 1},
-			{Name: "b", Aim: 400 * ms, GiveUp: 900 * ms, Effect: mulleinferry.Keyed, Group: mulleinferry.GroupZone, Value: 1,
+	want := decision.Config{Instances: 3, Rank: 2, Zone: 1, Tick: 5 * ms, OnRequest: true, WarmKeys: true,
+		OverShareWorth: 1, WorthByWork: true, Weights: decision.WeightNominal,
+		Report: []decision.ReportField{decision.FieldErrors, decision.FieldHeld, decision.FieldOther},
+		Goal:   decision.Goal{Whole: 1},
+		Classes: []decision.Class{
+			{Name: "a", Aim: time.Second, GiveUp: 3 * time.Second, Effect: decision.Safe, Group: decision.GroupAll, Value: 1},
+			{Name: "b", Aim: 400 * ms, GiveUp: 900 * ms, Effect: decision.Keyed, Group: decision.GroupZone, Value: 1,
 				Window: 1200*ms + 500*time.Microsecond},
 		},
-		Tenants:     []mulleinferry.Tenant{{Name: "t", QuotaPerS: 12.5}},
-		Obligations: mulleinferry.Obligations{FallMultiple: 2.5, StartCapacity: 1},
-		Caps:        mulleinferry.Caps{Cancel: true, ConnectTimeout: 250 * ms, MaxAttempts: 6, StreamsPerConn: 1},
+		Tenants:     []decision.Tenant{{Name: "t", QuotaPerS: 12.5}},
+		Obligations: decision.Obligations{FallMultiple: 2.5, StartCapacity: 1},
+		Caps:        decision.Caps{Cancel: true, ConnectTimeout: 250 * ms, MaxAttempts: 6, StreamsPerConn: 1},
 	}
 	if !reflect.DeepEqual(c, want) {
 		t.Errorf("got  %+v\nwant %+v", c, want)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 // Code is an event's record code.
@@ -56,14 +56,14 @@
 	Instance uint16
 	Seed     uint64
 	BootInfo []byte
-	ID       mulleinferry.RequestID
+	ID       decision.RequestID
 	Token    uint64
-	List     mulleinferry.Membership
-	Request  mulleinferry.Request
-	First    mulleinferry.FirstByte
-	Outcome  mulleinferry.Outcome
-	Probe    mulleinferry.ProbeResult
-	Message  mulleinferry.PeerMessage
+	List     decision.Membership
+	Request  decision.Request
+	First    decision.FirstByte
+	Outcome  decision.Outcome
+	Probe    decision.ProbeResult
+	Message  decision.PeerMessage
 }
 
 // ReadBatch reads a frame, using buf's space if it suffices. The error is
@@ -134,7 +134,7 @@
 	pos  int
 	err  error
 	load []float32
-	rows []mulleinferry.Backend
+	rows []decision.Backend
 }
 
 var (
@@ -200,23 +200,23 @@
 }
 
 // results gives the outcomes by their code on the wire.
-var results = [...]mulleinferry.Result{mulleinferry.Error, mulleinferry.OK, mulleinferry.Full, mulleinferry.Timeout,
-	mulleinferry.ConnectFailed, mulleinferry.Reset, mulleinferry.Cancelled, mulleinferry.Moot}
+var results = [...]decision.Result{decision.Error, decision.OK, decision.Full, decision.Timeout,
+	decision.ConnectFailed, decision.Reset, decision.Cancelled, decision.Moot}
 
-func (d *decoder) result() mulleinferry.Result {
+func (d *decoder) result() decision.Result {
 	c := d.u8()
 	if int(c) >= len(results) {
 		d.fail(fmt.Errorf("unknown outcome %d", c))
-		return mulleinferry.Error
+		return decision.Error
 	}
 	return results[c]
 }
 
-var states = [...]mulleinferry.State{mulleinferry.Gone, mulleinferry.Ready, mulleinferry.Draining}
+var states = [...]decision.State{decision.Gone, decision.Ready, decision.Draining}
 
-var listKinds = [...]mulleinferry.ListKind{mulleinferry.ListDelta, mulleinferry.ListFull, mulleinferry.ListCached, mulleinferry.ListFailed}
+var listKinds = [...]decision.ListKind{decision.ListDelta, decision.ListFull, decision.ListCached, decision.ListFailed}
 
-func (d *decoder) list() mulleinferry.Membership {
+func (d *decoder) list() decision.Membership {
 	kind, version, n := d.u8(), d.u32(), int(d.u32())
 	if int(kind) >= len(listKinds) {
 		d.fail(fmt.Errorf("unknown list mode %d", kind))
@@ -224,11 +224,11 @@
 		d.fail(errShort)
 	}
 	if d.err != nil {
-		return mulleinferry.Membership{}
+		return decision.Membership{}
 	}
 	d.rows = d.rows[:0]
 	for range n {
-		row := mulleinferry.Backend{ID: mulleinferry.BackendID(d.u32()), Zone: int(d.u16()), Kind: int(d.u16()),
+		row := decision.Backend{ID: decision.BackendID(d.u32()), Zone: int(d.u16()), Kind: int(d.u16()),
 			Cell: int(d.u16())}
 		state := d.u8()
 		row.Weight, row.Started = float64(d.f32()), d.time()
@@ -239,7 +239,7 @@
 		row.State = states[state]
 		d.rows = append(d.rows, row)
 	}
-	return mulleinferry.Membership{Kind: listKinds[kind], Version: version, Backends: d.rows}
+	return decision.Membership{Kind: listKinds[kind], Version: version, Backends: d.rows}
 }
 
 const hintValid = 1
@@ -253,7 +253,7 @@
 	case Membership:
 		ev.List = d.list()
 	case Ask:
-		r := mulleinferry.Request{ID: mulleinferry.RequestID(d.u32()), Cost: d.time(), Deadline: d.time()}
+		r := decision.Request{ID: decision.RequestID(d.u32()), Cost: d.time(), Deadline: d.time()}
 		bits := d.u8()
 		r.Class, r.Key, r.Tenant = int(d.u8()), d.u64(), int(d.u32())
 		if bits&hintValid == 0 || r.Cost < 0 {
@@ -262,22 +262,22 @@
 		r.Repeat = bits&clientRepeat != 0
 		ev.Request = r
 	case Headers:
-		ev.First = mulleinferry.FirstByte{ID: mulleinferry.RequestID(d.u32()), Attempt: int(d.u8()),
-			Backend: mulleinferry.BackendID(d.u32()), Took: d.time()}
+		ev.First = decision.FirstByte{ID: decision.RequestID(d.u32()), Attempt: int(d.u8()),
+			Backend: decision.BackendID(d.u32()), Took: d.time()}
 	case Returned:
-		ev.Outcome = mulleinferry.Outcome{ID: mulleinferry.RequestID(d.u32()), Attempt: int(d.u8()),
-			Backend: mulleinferry.BackendID(d.u32()), Result: d.result(), Took: d.time(), Final: d.u8() != 0,
+		ev.Outcome = decision.Outcome{ID: decision.RequestID(d.u32()), Attempt: int(d.u8()),
+			Backend: decision.BackendID(d.u32()), Result: d.result(), Took: d.time(), Final: d.u8() != 0,
 			Load: d.loads()}
 	case Aborted:
-		ev.ID = mulleinferry.RequestID(d.u32())
+		ev.ID = decision.RequestID(d.u32())
 	case Elapsed:
 		ev.Token = d.u64()
 	case Probed:
-		ev.Probe = mulleinferry.ProbeResult{Backend: mulleinferry.BackendID(d.u32()), Result: d.result(), Took: d.time(),
+		ev.Probe = decision.ProbeResult{Backend: decision.BackendID(d.u32()), Result: d.result(), Took: d.time(),
 			Load: d.loads()}
 	case Peer:
 		from := int(d.u16())
-		ev.Message = mulleinferry.PeerMessage{From: from, Body: d.take(int(d.u16()))}
+		ev.Message = decision.PeerMessage{From: from, Body: d.take(int(d.u16()))}
 	case Destroy:
 	default:
 		d.fail(errors.New("unknown record code"))
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 // frame builds little-endian bytes; a float64 is written as such, an int as one byte.
@@ -50,7 +50,7 @@
 		e := *ev
 		e.Outcome.Load = append([]float32(nil), ev.Outcome.Load...)
 		e.Probe.Load = append([]float32(nil), ev.Probe.Load...)
-		e.List.Backends = append([]mulleinferry.Backend(nil), ev.List.Backends...)
+		e.List.Backends = append([]decision.Backend(nil), ev.List.Backends...)
 		out = append(out, e)
 		return nil
 	})
@@ -69,23 +69,23 @@
 	}{
 		{"init", raw(1, uint64(77), uint32(3), "a=b"), func(e Event) any { return string(e.BootInfo) }, "a=b"},
 		{"membership", raw(2, 1, uint32(5), uint32(1), row), func(e Event) any { return e.List },
-			mulleinferry.Membership{Kind: mulleinferry.ListFull, Version: 5, Backends: []mulleinferry.Backend{{ID: 70, Zone: 2,
-				Kind: 1, Cell: 9, State: mulleinferry.Ready, Weight: 1.5, Started: 8000*ms + 250*time.Microsecond}}}},
-		{"a failed list", raw(2, 3, uint32(5), uint32(0)), func(e Event) any { return e.List.Kind }, mulleinferry.ListFailed},
+			decision.Membership{Kind: decision.ListFull, Version: 5, Backends: []decision.Backend{{ID: 70, Zone: 2,
+				Kind: 1, Cell: 9, State: decision.Ready, Weight: 1.5, Started: 8000*ms + 250*time.Microsecond}}}},
+		{"a failed list", raw(2, 3, uint32(5), uint32(0)), func(e Event) any { return e.List.Kind }, decision.ListFailed},
 		{"ask", raw(3, uint32(9), 12.5, 900.0, 3, 2, uint64(1<<60), uint32(4)), func(e Event) any { return e.Request },
-			mulleinferry.Request{ID: 9, Class: 2, Tenant: 4, Key: 1 << 60, Cost: 12500 * time.Microsecond, Deadline: 900 * ms,
+			decision.Request{ID: 9, Class: 2, Tenant: 4, Key: 1 << 60, Cost: 12500 * time.Microsecond, Deadline: 900 * ms,
 				Repeat: true}},
 		{"ask without a valid hint", raw(3, uint32(9), 12.5, 900.0, 0, 2, uint64(0), uint32(0)),
 			func(e Event) any { return e.Request.Cost }, time.Duration(0)},
 		{"headers", raw(4, uint32(9), 1, uint32(70), 3.0), func(e Event) any { return e.First },
-			mulleinferry.FirstByte{ID: 9, Attempt: 1, Backend: 70, Took: 3 * ms}},
+			decision.FirstByte{ID: 9, Attempt: 1, Backend: 70, Took: 3 * ms}},
 		{"returned", raw(5, uint32(9), 1, uint32(70), 4, 3.0, 1, 2, float32(1), float32(2)),
-			func(e Event) any { return e.Outcome }, mulleinferry.Outcome{ID: 9, Attempt: 1, Backend: 70,
-				Result: mulleinferry.ConnectFailed, Took: 3 * ms, Final: true, Load: []float32{1, 2}}},
-		{"aborted", raw(6, uint32(9)), func(e Event) any { return e.ID }, mulleinferry.RequestID(9)},
+			func(e Event) any { return e.Outcome }, decision.Outcome{ID: 9, Attempt: 1, Backend: 70,
+				Result: decision.ConnectFailed, Took: 3 * ms, Final: true, Load: []float32{1, 2}}},
+		{"aborted", raw(6, uint32(9)), func(e Event) any { return e.ID }, decision.RequestID(9)},
 		{"elapsed", raw(7, uint64(1)<<63), func(e Event) any { return e.Token }, uint64(1) << 63},
 		{"probed", raw(8, uint32(70), 1, 1.5, 0), func(e Event) any { return e.Probe },
-			mulleinferry.ProbeResult{Backend: 70, Result: mulleinferry.OK, Took: 1500 * time.Microsecond}},
+			decision.ProbeResult{Backend: 70, Result: decision.OK, Took: 1500 * time.Microsecond}},
 		{"neighbour_says", raw(9, uint16(2), uint16(2), "hi"), func(e Event) any { return string(e.Message.Body) }, "hi"},
 		{"destroy", raw(10), func(e Event) any { return e.Code }, Destroy},
 	} {
@@ -101,8 +101,8 @@
 }
 
 func TestOutcomeCodes(t *testing.T) {
-	want := []mulleinferry.Result{mulleinferry.Error, mulleinferry.OK, mulleinferry.Full, mulleinferry.Timeout, mulleinferry.ConnectFailed,
-		mulleinferry.Reset, mulleinferry.Cancelled, mulleinferry.Moot}
+	want := []decision.Result{decision.Error, decision.OK, decision.Full, decision.Timeout, decision.ConnectFailed,
+		decision.Reset, decision.Cancelled, decision.Moot}
 	for code, result := range want {
 		evs, err := events(t, batch(1, 0, 2, raw(11, uint16(0), 8, uint32(1), code, 0.0, 0)))
 		if err != nil || evs[0].Probe.Result != result {
@@ -158,21 +158,21 @@
 	var r Reply
 	for _, c := range []struct {
 		name string
-		do   func(mulleinferry.Host)
+		do   func(decision.Host)
 		want []byte
 	}{
-		{"transmit", func(h mulleinferry.Host) { h.Send(9, 70, 1500*time.Microsecond) }, raw(1, uint32(9), uint32(70), 1.5)},
-		{"reject", func(h mulleinferry.Host) { h.Refuse(9, 240*ms) }, raw(2, uint32(9), 240.0)},
-		{"end_failed", func(h mulleinferry.Host) { h.Fail(9) }, raw(3, uint32(9))},
-		{"abort_attempt", func(h mulleinferry.Host) { h.Cancel(9, 2) }, raw(4, uint32(9), 2)},
-		{"notify_me", func(h mulleinferry.Host) { h.After(500*ms, 77) }, raw(5, 500.0, uint64(77))},
-		{"sample", func(h mulleinferry.Host) { h.Probe(70) }, raw(6, uint32(70))},
-		{"release", func(h mulleinferry.Host) { h.Release(70) }, raw(7, uint32(70))},
-		{"signal", func(h mulleinferry.Host) { h.Tell(mulleinferry.Everyone, []byte("hi")) }, raw(8, uint32(1<<32-1), uint16(2), "hi")},
-		{"say_log", func(h mulleinferry.Host) { h.Log("x") }, raw(9, uint16(1), "x")},
-		{"broken", func(h mulleinferry.Host) { h.(Actions).Broken("x") }, raw(10, uint16(1), "x")},
-		{"observe", func(h mulleinferry.Host) { h.Watch(true); h.Watch(false) }, raw(11, 1, 11, 0)},
-		{"resolve", func(h mulleinferry.Host) { h.Fetch() }, raw(12)},
+		{"transmit", func(h decision.Host) { h.Send(9, 70, 1500*time.Microsecond) }, raw(1, uint32(9), uint32(70), 1.5)},
+		{"reject", func(h decision.Host) { h.Refuse(9, 240*ms) }, raw(2, uint32(9), 240.0)},
+		{"end_failed", func(h decision.Host) { h.Fail(9) }, raw(3, uint32(9))},
+		{"abort_attempt", func(h decision.Host) { h.Cancel(9, 2) }, raw(4, uint32(9), 2)},
+		{"notify_me", func(h decision.Host) { h.After(500*ms, 77) }, raw(5, 500.0, uint64(77))},
+		{"sample", func(h decision.Host) { h.Probe(70) }, raw(6, uint32(70))},
+		{"release", func(h decision.Host) { h.Release(70) }, raw(7, uint32(70))},
+		{"signal", func(h decision.Host) { h.Tell(decision.Everyone, []byte("hi")) }, raw(8, uint32(1<<32-1), uint16(2), "hi")},
+		{"say_log", func(h decision.Host) { h.Log("x") }, raw(9, uint16(1), "x")},
+		{"broken", func(h decision.Host) { h.(Actions).Broken("x") }, raw(10, uint16(1), "x")},
+		{"observe", func(h decision.Host) { h.Watch(true); h.Watch(false) }, raw(11, 1, 11, 0)},
+		{"resolve", func(h decision.Host) { h.Fetch() }, raw(12)},
 	} {
 		r.Reset(6)
 		c.do(Actions{To: &r, Instance: 3})
@@ -234,7 +234,7 @@
 	if err != nil || len(evs) != 3 {
 		t.Fatalf("%d events, error %v", len(evs), err)
 	}
-	ask := mulleinferry.Request{ID: 0x5d3a91c4, Cost: 12 * ms, Deadline: 8652250 * time.Microsecond,
+	ask := decision.Request{ID: 0x5d3a91c4, Cost: 12 * ms, Deadline: 8652250 * time.Microsecond,
 		Key: 0x91f03b7c55d20a64}
 	if evs[0].Instance != 3 || evs[0].Request != ask || evs[1].Token != 77 || evs[2].Instance != 5 {
 		t.Errorf("got %+v", evs)
@@ -254,12 +254,12 @@
 		{"02 02 29000000 02000000 074a1203 0000 0000 0000 01 0000803f 0000000000000000 " +
 			"f211902c 0100 0000 0000 01 0000c03f 0000000000d4b740   membership", func(e Event) bool {
 			l := e.List
-			return l.Kind == mulleinferry.ListCached && l.Version == 41 && len(l.Backends) == 2 &&
+			return l.Kind == decision.ListCached && l.Version == 41 && len(l.Backends) == 2 &&
 				l.Backends[1].Zone == 1 && l.Backends[1].Weight == 1.5 && l.Backends[1].Started == 6100*ms
 		}},
 		{"04 c4913a5d 00 074a1203 0000000000802240   headers", func(e Event) bool { return e.First.Took == 9250*time.Microsecond }},
 		{"05 c4913a5d 00 074a1203 01 0000000000803240 01 00   returned", func(e Event) bool {
-			return e.Outcome.Result == mulleinferry.OK && e.Outcome.Final && e.Outcome.Took == 18500*time.Microsecond
+			return e.Outcome.Result == decision.OK && e.Outcome.Final && e.Outcome.Took == 18500*time.Microsecond
 		}},
 		{"08 f211902c 01 666666666666f63f 03 0000e0400000404052b81e3f   probed", func(e Event) bool {
 			return e.Probe.Took == 1400*time.Microsecond && len(e.Probe.Load) == 3 && e.Probe.Load[0] == 7
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"mulleinferry"
+	"lapisspread/decision"
 )
 
 // The actions' record codes.
@@ -51,7 +51,7 @@
 	return r.buf
 }
 
-// Actions writes one instance's actions; it is that instance's mulleinferry.Host.
+// Actions writes one instance's actions; it is that instance's decision.Host.
 type Actions struct {
 	To       *Reply
 	Instance uint16
@@ -80,47 +80,47 @@
 	a.To.buf = append(a.To.buf, b...)
 }
 
-// Send implements mulleinferry.Host.
-func (a Actions) Send(id mulleinferry.RequestID, to mulleinferry.BackendID, until time.Duration) {
+// Send implements decision.Host.
+func (a Actions) Send(id decision.RequestID, to decision.BackendID, until time.Duration) {
 	a.record(transmit)
 	a.u32(uint32(id))
 	a.u32(uint32(to))
 	a.millis(until)
 }
 
-// Refuse implements mulleinferry.Host.
-func (a Actions) Refuse(id mulleinferry.RequestID, retryAfter time.Duration) {
+// Refuse implements decision.Host.
+func (a Actions) Refuse(id decision.RequestID, retryAfter time.Duration) {
 	a.record(reject)
 	a.u32(uint32(id))
 	a.millis(retryAfter)
 }
 
-// Fail implements mulleinferry.Host.
-func (a Actions) Fail(id mulleinferry.RequestID) {
+// Fail implements decision.Host.
+func (a Actions) Fail(id decision.RequestID) {
 	a.record(endFailed)
 	a.u32(uint32(id))
 }
 
-// Cancel implements mulleinferry.Host.
-func (a Actions) Cancel(id mulleinferry.RequestID, attempt int) {
+// Cancel implements decision.Host.
+func (a Actions) Cancel(id decision.RequestID, attempt int) {
 	a.record(abortAttempt)
 	a.u32(uint32(id))
 	a.To.buf = append(a.To.buf, byte(attempt))
 }
 
-// Probe implements mulleinferry.Host.
-func (a Actions) Probe(b mulleinferry.BackendID) {
+// Probe implements decision.Host.
+func (a Actions) Probe(b decision.BackendID) {
 	a.record(sample)
 	a.u32(uint32(b))
 }
 
-// Release implements mulleinferry.Host.
-func (a Actions) Release(b mulleinferry.BackendID) {
+// Release implements decision.Host.
+func (a Actions) Release(b decision.BackendID) {
 	a.record(release)
 	a.u32(uint32(b))
 }
 
-// Watch implements mulleinferry.Host.
+// Watch implements decision.Host.
 func (a Actions) Watch(on bool) {
 	a.record(observe)
 	var v byte
@@ -130,24 +130,24 @@
 	a.To.buf = append(a.To.buf, v)
 }
 
-// Fetch implements mulleinferry.Host.
+// Fetch implements decision.Host.
 func (a Actions) Fetch() { a.record(resolve) }
 
-// Tell implements mulleinferry.Host.
+// Tell implements decision.Host.
 func (a Actions) Tell(peer uint32, body []byte) {
 	a.record(signal)
 	a.u32(peer)
 	a.bytes(body, maxMessage)
 }
 
-// After implements mulleinferry.Host.
+// After implements decision.Host.
 func (a Actions) After(d time.Duration, token uint64) {
 	a.record(notifyMe)
 	a.millis(d)
 	a.u64(token)
 }
 
-// Log implements mulleinferry.Host.
+// Log implements decision.Host.
 func (a Actions) Log(line string) {
 	a.record(sayLog)
 	a.bytes([]byte(line), maxText)
