Give the proxy a command line: serve, config check, version, completion

A wrong configuration showed itself only by starting the proxy, and there was no help. cobra now reads the command line: serve is what run starts, config check FILE reads a file as the start would and names field and reason in one line (exit 1), a wrong command line exits with 2, version tells the build.

--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -3,75 +3,140 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"log/slog"
-	"math"
+	"io"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
+
+	"github.com/spf13/cobra"
 
 	"lapisspread/internal/proxy"
 )
 
-// memoryPart is the part of the memory limit that the collector keeps the heap within: the rest is for
-// what it does not count, such as the sockets' buffers and the program itself.
-const memoryPart = 0.7
+// Exit codes, besides 0 for success.
+const (
+	exitFailed = 1 // the command ran and failed: a bad configuration, an address in use
+	exitUsage  = 2 // the command line itself was wrong
+)
+
+// usageError is a command line that cannot be carried out as it is written.
+type usageError struct{ error }
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "lapisspread:", err)
-		os.Exit(1)
+func main() { os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// execute runs one command line and gives its exit code.
+func execute(args []string, out, errOut io.Writer) int {
+	root := rootCommand()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(context.Background())
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errOut, "lapisspread:", err)
+	if errors.As(err, new(usageError)) {
+		fmt.Fprintln(errOut, "Try 'lapisspread --help'.")
+		return exitUsage
 	}
+	return exitFailed
 }
 
-func run() error {
-	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
-	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := proxy.LoadConfig(os.Getenv)
-	if err != nil {
-		return err
+func rootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "lapisspread",
+		Short: "An HTTP/1.1 proxy that decides which backend to take, when to try again and when to refuse",
+		Long: `lapisspread stands in front of a fleet of dispatch nodes.
+
+It is told what it needs by a JSON file that BALANCER_CONFIG names; BALANCER_NAME, BALANCER_LISTEN,
+BALANCER_DISCOVERY and BALANCER_CONSOLE go before what that file says. SIGHUP reads the file again,
+SIGTERM ends the proxy in order.
+
+Exit codes: 0 ended in order, 1 failed, 2 the command line was wrong.`,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          noArguments,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	signal.Ignore(syscall.SIGPIPE) // a log whose reader has died must not take the proxy with it
-	writer := proxy.NewLogWriter(os.Stderr)
-	defer writer.Close()
-	log := slog.New(slog.NewTextHandler(writer, nil)).With("proxy", cfg.Name)
-	p := proxy.New(cfg, log)
-	p.Shared = func(shared bool) {
-		limit := memoryPart * float64(cfg.MemoryMB) * (1 << 20)
-		if shared {
-			limit /= 2
-		}
-		debug.SetMemoryLimit(int64(limit))
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(serveCommand(), configCommand(), versionCommand())
+	return root
+}
+
+func serveCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "serve",
+		Short: "Serve clients until SIGTERM",
+		Args:  noArguments,
+		RunE:  func(*cobra.Command, []string) error { return serve() },
+	}
+}
+
+func configCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "config",
+		Short: "Look at configurations",
+		Args:  noArguments,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	ended := make(chan struct{})
-	defer close(ended)
-	go reload(p, hup, ended)
-	if err := p.Run(ctx); err != nil {
-		return err
+	c.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Tell whether a configuration could be served, and if not, which field is wrong and why",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) != 1 {
+				return usageError{fmt.Errorf("config check takes one FILE, not %d", len(args))}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := proxy.CheckConfig(args[0], os.Getenv)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: proxy %q, %d classes, %d tenants, %d backends known\n",
+				args[0], c.Name, len(c.Module.Classes), len(c.Module.Tenants), len(c.Known.Members))
+			return nil
+		},
+	})
+	return c
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print which build this is",
+		Args:  noArguments,
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintln(cmd.OutOrStdout(), "lapisspread", buildVersion())
+		},
 	}
-	log.Info("ended")
-	return nil
 }
 
-// reload reads the configuration anew at each SIGHUP, for as long as the program runs. A bad one changes
-// nothing.
-func reload(p *proxy.Proxy, hup <-chan os.Signal, ended <-chan struct{}) {
-	for {
-		select {
-		case <-hup:
-		case <-ended:
-			return
-		}
-		cfg, err := proxy.ReloadConfig(os.Getenv)
-		if err != nil {
-			p.ReloadFailed(err)
-			continue
+// buildVersion is what the Go toolchain has written into the program: the revision it was built from, and
+// whether the tree had changes beside it.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "(unknown)"
+	}
+	version, revision, dirty := info.Main.Version, "", ""
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			revision = " " + s.Value[:min(12, len(s.Value))]
+		case "vcs.modified":
+			if s.Value == "true" {
+				dirty = " with changes"
+			}
 		}
-		p.Reload(cfg)
 	}
+	return fmt.Sprintf("%s%s%s %s", version, revision, dirty, info.GoVersion)
+}
+
+func noArguments(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usageError{fmt.Errorf("%s: there is no command or argument %q", cmd.CommandPath(), args[0])}
+	}
+	return nil
 }
--- a/cmd/lapisspread/main_test.go
+++ b/cmd/lapisspread/main_test.go
@@ -18,7 +18,7 @@
 )
 
 // The test binary stands in for the program when it is started with this.
-const asProgram = "OPALCROFT_TEST_RUN"
+const asProgram = "LAPISSPREAD_TEST_RUN"
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
@@ -32,7 +32,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	t.Cleanup(cancel)
-	c := exec.CommandContext(ctx, os.Args[0])
+	c := exec.CommandContext(ctx, os.Args[0], "serve")
 	c.Env = append(append(os.Environ(), asProgram+"=1", "BALANCER_LISTEN=", "BALANCER_DISCOVERY="), env...)
 	return c
 }
--- /dev/null
+++ b/cmd/lapisspread/serve.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"lapisspread/internal/proxy"
+)
+
+// memoryPart is the part of the memory limit that the collector keeps the heap within: the rest is for
+// what it does not count, such as the sockets' buffers and the program itself.
+const memoryPart = 0.7
+
+// serve runs the proxy until SIGTERM. An error says why it could not serve.
+func serve() error {
+	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
+	signal.Notify(hup, syscall.SIGHUP)
+	cfg, err := proxy.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGPIPE) // a log whose reader has died must not take the proxy with it
+	writer := proxy.NewLogWriter(os.Stderr)
+	defer writer.Close()
+	log := slog.New(slog.NewTextHandler(writer, nil)).With("proxy", cfg.Name)
+	p := proxy.New(cfg, log)
+	p.Shared = func(shared bool) {
+		limit := memoryPart * float64(cfg.MemoryMB) * (1 << 20)
+		if shared {
+			limit /= 2
+		}
+		debug.SetMemoryLimit(int64(limit))
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go reload(p, hup, ended)
+	if err := p.Run(ctx); err != nil {
+		return err
+	}
+	log.Info("ended")
+	return nil
+}
+
+// reload reads the configuration anew at each SIGHUP, for as long as the program runs. A bad one changes
+// nothing.
+func reload(p *proxy.Proxy, hup <-chan os.Signal, ended <-chan struct{}) {
+	for {
+		select {
+		case <-hup:
+		case <-ended:
+			return
+		}
+		cfg, err := proxy.ReloadConfig(os.Getenv)
+		if err != nil {
+			p.ReloadFailed(err)
+			continue
+		}
+		p.Reload(cfg)
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -188,3 +188,21 @@
 func plain(text string) string {
 	return strings.NewReplacer(" ", "_", ",", "_", "\n", "_", "\r", "_").Replace(text)
 }
+
+// CheckConfig reads the configuration at path as the start would, with the variables that getenv gives, and has
+// the decision module look at its settings. It opens nothing but the file. The error names the field.
+func CheckConfig(path string, getenv func(string) string) (Config, error) {
+	c, err := LoadConfig(func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return path
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return Config{}, err
+	}
+	if _, err := decision.New(c.Module, c.Seed, nil); err != nil {
+		return Config{}, fmt.Errorf("configuration %s: settings: %w", path, err)
+	}
+	return c, nil
+}
