Add the laboratory's world, judge and simulator in virtual time

New: a pure model of nodes, cells, register, clients and faults; a streaming ledger that judges the four rules and worth; a driver in virtual time with the decision module in process; plain policies to compare with; proxies with one flaw each on which the judge is tried; six ready experiments.

--- /dev/null
+++ b/cmd/lapislab/selfcheck.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lapisspread/internal/lab/experiment"
+	"lapisspread/internal/lab/judge"
+	"lapisspread/internal/lab/rival"
+	"lapisspread/internal/lab/sim"
+)
+
+// trialDay has what each flaw needs to show: load, nodes that drain and come back cold.
+const trialDay = `name = "trial"
+about = "What each flaw needs to show"
+duration = "20s"
+[world]
+load = 0.45
+[[fault]]
+kind = "rolling-restart"
+at = "2s"
+every = "2500ms"
+share = 0.5
+`
+
+func selfCheckCommand() *cobra.Command {
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "self-check",
+		Short: "Try the judge: proxies with one flaw each must be convicted of its rule and no other, right ones acquitted",
+		Args:  usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			out := cmd.OutOrStdout()
+			convicted, acquitted, wrong := 0, 0, 0
+			right := append([]string{rival.Module}, rival.Baselines[:3]...)
+			for _, flaw := range rival.Flaws {
+				v, err := trial(cmd, flaw.Name, seed)
+				if err != nil {
+					return err
+				}
+				broken := v.Broken()
+				ok := len(broken) == 1 && string(broken[0]) == flaw.Rule
+				if ok {
+					convicted++
+				} else {
+					wrong++
+				}
+				fmt.Fprintf(out, "%-18s guilty of %-10s %4d breaches: %s%s\n", flaw.Name, names(broken), v.RulesBroken, about(v), verdict(ok))
+			}
+			for _, name := range right {
+				v, err := trial(cmd, name, seed)
+				if err != nil {
+					return err
+				}
+				ok := v.RulesBroken == 0
+				if ok {
+					acquitted++
+				} else {
+					wrong++
+				}
+				fmt.Fprintf(out, "%-18s guilty of %-10s %4d breaches%s%s\n", name, names(v.Broken()), v.RulesBroken, about(v), verdict(ok))
+			}
+			fmt.Fprintf(out, "convicted %d of %d, acquitted %d of %d\n", convicted, len(rival.Flaws), acquitted, len(right))
+			if wrong > 0 {
+				return errors.New("the judge erred")
+			}
+			return nil
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "what chance comes from")
+	return c
+}
+
+func trial(cmd *cobra.Command, policy string, seed uint64) (judge.Verdict, error) {
+	f, err := experiment.Parse("trial", []byte(trialDay))
+	if err != nil {
+		return judge.Verdict{}, err
+	}
+	factory, err := rival.Named(policy)
+	if err != nil {
+		return judge.Verdict{}, err
+	}
+	spec := f.Spec(seed, 1)
+	spec.Duration = 20 * time.Second
+	r, err := sim.New(&spec, factory)
+	if err != nil {
+		return judge.Verdict{}, err
+	}
+	res, err := r.Run(cmd.Context())
+	return res.Verdict, err
+}
+
+func names(rules []judge.Rule) string {
+	if len(rules) == 0 {
+		return "nothing"
+	}
+	var s []string
+	for _, r := range rules {
+		s = append(s, string(r))
+	}
+	return strings.Join(s, ",")
+}
+
+func about(v judge.Verdict) string {
+	if len(v.Breaches) == 0 {
+		return ""
+	}
+	return v.Breaches[0].What
+}
+
+func verdict(ok bool) string {
+	if ok {
+		return ""
+	}
+	return "   WRONG"
+}
--- /dev/null
+++ b/internal/lab/experiment/file.go
@@ -0,0 +1,239 @@
+// Package experiment reads experiments from TOML files and compares their variants. The schema is File; a key
+// that it does not have is an error with its line.
+package experiment
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"lapisspread/internal/lab/world"
+)
+
+// Span is a time in a file: "500ms", "2s", "1m30s".
+type Span time.Duration
+
+// UnmarshalText reads a span.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no span of time such as \"500ms\" or \"2s\"", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// File is an experiment. What is left out is as on the operators' usual day: see world.Default.
+type File struct {
+	Name     string    `toml:"name"`     // letters, digits and dashes
+	About    string    `toml:"about"`    // one line for people
+	Duration Span      `toml:"duration"` // of the load; 30s if left out
+	Seeds    []uint64  `toml:"seeds"`    // one run of each variant for each; [1] if left out
+	World    World     `toml:"world"`
+	Curve    []Point   `toml:"curve"` // factors on the rate over time, linear between
+	Faults   []Fault   `toml:"fault"`
+	Classes  []Class   `toml:"class"` // replace the usual ones, all or none
+	Variants []Variant `toml:"variant"`
+}
+
+// World is the size of things.
+type World struct {
+	Zones   []string `toml:"zones"`
+	Proxies int      `toml:"proxies"`
+	Nodes   int      `toml:"nodes"`
+	Rate    float64  `toml:"rate"`  // first tries a second where the curve is 1
+	Load    float64  `toml:"load"`  // instead of rate: as a share of what the mean fleet can serve
+	Skew    *float64 `toml:"skew"`  // by how much more than its part the first zone gets
+	Quota   *float64 `toml:"quota"` // of the rate, that the tenants' shares come to
+	// Stragglers are clients of a kind of their own, on sockets only.
+	HalfOpen int `toml:"half_open"` // connections on which nothing ever comes
+	Slow     int `toml:"slow"`      // clients that take two seconds over a head
+}
+
+// Point is a place on the load curve.
+type Point struct {
+	At     Span    `toml:"at"`
+	Factor float64 `toml:"factor"`
+}
+
+// Fault is a trouble on the time line: see world.Fault for the kinds and what each takes.
+type Fault struct {
+	Kind  string  `toml:"kind"`
+	At    Span    `toml:"at"`
+	For   Span    `toml:"for"`
+	Share float64 `toml:"share"`
+	Size  float64 `toml:"size"`
+	Class string  `toml:"class"`
+	Extra float64 `toml:"extra"`
+	Zone  string  `toml:"zone"`
+	Every Span    `toml:"every"`
+}
+
+// Class is a kind of request. Work and wait are means in milliseconds.
+type Class struct {
+	Name   string  `toml:"name"`
+	Share  float64 `toml:"share"`
+	Work   float64 `toml:"work_ms"`
+	Wait   float64 `toml:"wait_ms"`
+	Aim    Span    `toml:"aim"`
+	GiveUp Span    `toml:"give_up"`
+	Safe   bool    `toml:"safe"`
+	Worth  float64 `toml:"worth"`
+	Late   float64 `toml:"late"`
+}
+
+// Variant is one way to run the experiment. The first is what the others are held against.
+type Variant struct {
+	Name   string   `toml:"name"`
+	Policy string   `toml:"policy"` // "module", or a plain policy: see lapislab policies
+	Binary string   `toml:"binary"` // on sockets: the proxy's program; the one of this tree if left out
+	Args   []string `toml:"args"`   // its arguments; ["serve"] if left out
+	Load   float64  `toml:"load"`   // times the experiment's rate; 1 if left out
+}
+
+// Load reads an experiment's file.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the experiment: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads an experiment. Errors name the file, the line where there is one, and the key.
+func Parse(path string, text []byte) (*File, error) {
+	f := &File{}
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			row, _ := strict.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(strict.Errors[0].Key(), "."))
+		}
+		var decode *toml.DecodeError
+		if errors.As(err, &decode) {
+			row, _ := decode.Position()
+			at := ""
+			if key := decode.Key(); len(key) > 0 {
+				at = strings.Join(key, ".") + ": "
+			}
+			return nil, fmt.Errorf("%s:%d: %s%s", path, row, at, strings.TrimPrefix(decode.Error(), "toml: "))
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+func (f *File) check() error {
+	if f.Duration == 0 {
+		f.Duration = Span(30 * time.Second)
+	}
+	if len(f.Seeds) == 0 {
+		f.Seeds = []uint64{1}
+	}
+	if len(f.Variants) == 0 {
+		f.Variants = []Variant{{Name: "module", Policy: "module"}}
+	}
+	for _, r := range f.Name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
+			return fmt.Errorf("name: %q may hold small letters, digits and dashes only", f.Name)
+		}
+	}
+	if f.Name == "" {
+		return errors.New("name: missing")
+	}
+	if f.World.Rate != 0 && f.World.Load != 0 {
+		return errors.New("world: rate and load are both given; one of them says how much comes")
+	}
+	if f.World.HalfOpen < 0 || f.World.HalfOpen > 2000 || f.World.Slow < 0 || f.World.Slow > 2000 {
+		return errors.New("world: half_open and slow must be within 0 and 2000")
+	}
+	seen := map[string]bool{}
+	for i, v := range f.Variants {
+		switch {
+		case v.Name == "":
+			return fmt.Errorf("variant[%d]: name: missing", i)
+		case seen[v.Name]:
+			return fmt.Errorf("variant[%d]: name: %q is there twice", i, v.Name)
+		case v.Load < 0:
+			return fmt.Errorf("variant[%d]: load: %v is negative", i, v.Load)
+		}
+		seen[v.Name] = true
+	}
+	s := f.Spec(f.Seeds[0], 1)
+	return s.Check()
+}
+
+// Spec is the world of a seed, at so many times the file's rate.
+func (f *File) Spec(seed uint64, load float64) world.Spec {
+	s := world.Default()
+	s.Seed, s.Duration = seed, time.Duration(f.Duration)
+	w := &f.World
+	if len(w.Zones) > 0 {
+		s.Zones = w.Zones
+	}
+	if w.Proxies != 0 {
+		s.Proxies = w.Proxies
+	}
+	if w.Nodes != 0 {
+		s.Nodes = w.Nodes
+	}
+	if len(f.Classes) > 0 {
+		s.Classes = nil
+		for _, c := range f.Classes {
+			s.Classes = append(s.Classes, world.Class{Name: c.Name, Share: c.Share, Work: world.Range{Lo: c.Work, Hi: c.Work},
+				CV: world.Range{Lo: 0.5, Hi: 0.5}, Wait: world.Range{Lo: c.Wait, Hi: c.Wait}, Aim: time.Duration(c.Aim),
+				GiveUp: time.Duration(c.GiveUp), Safe: c.Safe, Worth: c.Worth, Late: c.Late})
+		}
+	}
+	if w.Rate != 0 {
+		s.Load.Rate = w.Rate
+	}
+	if w.Load != 0 {
+		s.Load.Rate = w.Load * s.Capacity()
+	}
+	if load > 0 {
+		s.Load.Rate *= load
+	}
+	if w.Skew != nil {
+		s.Load.Skew = *w.Skew
+	}
+	if w.Quota != nil {
+		s.Load.Quota = *w.Quota
+	}
+	for _, p := range f.Curve {
+		s.Load.Curve = append(s.Load.Curve, world.Point{At: time.Duration(p.At), Value: p.Factor})
+	}
+	for _, t := range f.Faults {
+		s.Faults = append(s.Faults, world.Fault{Kind: t.Kind, At: time.Duration(t.At), For: time.Duration(t.For), Share: t.Share, Size: t.Size,
+			Class: t.Class, Extra: t.Extra, Zone: t.Zone, Every: time.Duration(t.Every)})
+	}
+	return s
+}
+
+// Stretch plays the experiment in another duration: all its times follow.
+func (f *File) Stretch(d time.Duration) {
+	if d <= 0 || time.Duration(f.Duration) == d {
+		return
+	}
+	by := float64(d) / float64(f.Duration)
+	scale := func(s *Span) { *s = Span(float64(*s) * by) }
+	for i := range f.Curve {
+		scale(&f.Curve[i].At)
+	}
+	for i := range f.Faults {
+		scale(&f.Faults[i].At)
+		scale(&f.Faults[i].For)
+		scale(&f.Faults[i].Every)
+	}
+	f.Duration = Span(d)
+}
--- /dev/null
+++ b/internal/lab/report/summary.go
@@ -0,0 +1,90 @@
+// Package report writes down what a run has come to: a summary for programs, a page for people, and the difference
+// of two runs.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"lapisspread/internal/lab/judge"
+	"lapisspread/internal/lab/world"
+)
+
+// Schema is the version of the summary's form. It rises when a field changes its meaning or goes; new fields may
+// come without that.
+const Schema = 1
+
+// Summary is the form of summary.json. Times are in seconds unless the name says otherwise.
+type Summary struct {
+	SchemaVersion int     `json:"schema"`
+	Name          string  `json:"name"`
+	Driver        string  `json:"driver"` // "run" or "simulate"
+	Policy        string  `json:"policy"`
+	Seed          uint64  `json:"seed"`
+	Duration      float64 `json:"duration_s"`
+	Proxies       int     `json:"proxies"`
+	Nodes         int     `json:"nodes"`
+	Rate          float64 `json:"rate"`
+	Partial       bool    `json:"partial"` // it was broken off
+	Scored        bool    `json:"scored"`  // false: the machine was too slow for it to count
+	Late          string  `json:"late,omitempty"`
+	Faults        []Fault `json:"faults"`
+	judge.Verdict
+	Problems []string `json:"problems,omitempty"` // what went wrong beside the rules
+}
+
+// Fault is a span in which something was wrong.
+type Fault struct {
+	Kind string  `json:"kind"`
+	From float64 `json:"from_s"`
+	To   float64 `json:"to_s"`
+}
+
+// Summarise makes the summary of a run.
+func Summarise(name, driver, policy string, s *world.Spec, v judge.Verdict, steps []world.Step) *Summary {
+	sum := &Summary{SchemaVersion: Schema, Name: name, Driver: driver, Policy: policy, Seed: s.Seed, Duration: s.Duration.Seconds(),
+		Proxies: s.Proxies, Nodes: s.Nodes, Rate: s.Load.Rate, Scored: true, Verdict: v, Faults: []Fault{}}
+	for _, f := range s.Faults {
+		to := f.At + f.For
+		if f.For == 0 { // one that ends by itself: as long as it strikes
+			to = f.At + time.Second
+			for _, st := range steps {
+				if st.Op == world.OpStart || st.Op == world.OpKillProxy || st.Op == world.OpUpgradeProxy {
+					to = max(to, st.At)
+				}
+			}
+		}
+		sum.Faults = append(sum.Faults, Fault{f.Kind, f.At.Seconds(), to.Seconds()})
+	}
+	return sum
+}
+
+// Read reads a summary's file.
+func Read(path string) (*Summary, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the summary: %w", err)
+	}
+	s := &Summary{}
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if s.SchemaVersion != Schema {
+		return nil, fmt.Errorf("%s: schema: %d, this program reads %d", path, s.SchemaVersion, Schema)
+	}
+	return s, nil
+}
+
+// Write writes a summary's file.
+func (s *Summary) Write(path string) error {
+	text, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return fmt.Errorf("the summary: %w", err)
+	}
+	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("the summary: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/sim/run.go
@@ -0,0 +1,437 @@
+package sim
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lapisspread/decision"
+	"lapisspread/internal/lab/judge"
+	"lapisspread/internal/lab/rival"
+	"lapisspread/internal/lab/world"
+)
+
+// Result is what a run has come to.
+type Result struct {
+	Verdict judge.Verdict
+	Events  uint64 // handled by proxies and cells
+	Faults  []world.Step
+	Ended   time.Duration // virtual time
+}
+
+// Run is one world on its way.
+type Run struct {
+	spec    *world.Spec
+	fleet   *world.Fleet
+	byID    map[decision.BackendID]int
+	reg     *world.Registry
+	gen     *world.Generator
+	ledger  *judge.Ledger
+	proxies []*proxy // by number
+	old     []*proxy // that end in order
+	cells   []*cell
+	named   rival.Factory
+	views   [][]view // what each proxy has been told, by node
+	front   *rand.Rand
+	retries retryHeap
+	routes  [][]int // by zone: proxies that the front layer gives connections to
+	seq     uint64
+	events  uint64
+	lists   uint32
+	starts  []proxyStart
+
+	// Progress is told the virtual time once a virtual second. It may be nil.
+	Progress func(now time.Duration)
+}
+
+type view struct {
+	listing world.Listing
+	started time.Duration
+}
+
+type proxyStart struct {
+	at time.Duration
+	no int
+}
+
+// New makes a run of a spec with a policy in every proxy.
+func New(spec *world.Spec, policy rival.Factory) (*Run, error) {
+	if err := spec.Check(); err != nil {
+		return nil, err
+	}
+	r := &Run{spec: spec, fleet: world.Build(spec), byID: map[decision.BackendID]int{}, reg: world.NewRegistry(spec),
+		gen: world.NewGenerator(spec), named: policy, front: spec.Stream(6), routes: make([][]int, len(spec.Zones))}
+	r.ledger = judge.New(judge.Settings{Classes: spec.Classes, Tenants: spec.Tenants, Proxies: spec.Proxies, Nodes: spec.Nodes,
+		Slack: judge.DefaultSlack + Tick})
+	for i, n := range r.fleet.Nodes {
+		r.byID[decision.BackendID(n.ID)] = i
+	}
+	for _, c := range r.fleet.Cells {
+		r.cells = append(r.cells, newCell(r, c))
+	}
+	for no := range spec.Proxies {
+		views := make([]view, spec.Nodes)
+		for i := range views {
+			views[i].listing = world.Active
+		}
+		r.views = append(r.views, views)
+		r.proxies = append(r.proxies, nil)
+		zone := ProxyZone(spec, no)
+		r.routes[zone] = append(r.routes[zone], no)
+		for node := range spec.Nodes {
+			r.ledger.Told(0, no, node, world.Active, 0)
+		}
+		if err := r.startProxy(0, no); err != nil {
+			return nil, fmt.Errorf("proxy %d: %w", no, err)
+		}
+	}
+	return r, nil
+}
+
+// startProxy puts a new process in a proxy's place.
+func (r *Run) startProxy(now time.Duration, no int) error {
+	r.seq++
+	p := &proxy{no: no, zone: ProxyZone(r.spec, no), r: r, now: now, rng: rand.New(rand.NewPCG(r.spec.Seed^0xb0b, r.seq<<16|uint64(no))),
+		requests: map[decision.RequestID]*request{}, conns: make([]conns, r.spec.Nodes)}
+	policy, err := r.named(ModuleConfig(r.spec, no), p.rng.Uint64(), p)
+	if err != nil {
+		return err
+	}
+	p.policy = policy
+	r.proxies[no] = p
+	policy.Start(now)
+	r.lists++
+	m := decision.Membership{Kind: decision.ListCached, Version: r.lists}
+	for i := range r.fleet.Nodes {
+		if b := r.listed(no, i); b.State != decision.Gone {
+			m.Backends = append(m.Backends, b)
+		}
+	}
+	policy.Membership(now, m)
+	m.Kind = decision.ListFull
+	policy.Membership(now, m)
+	return nil
+}
+
+func (r *Run) listed(proxy, node int) decision.Backend {
+	n, v := r.fleet.Nodes[node], r.views[proxy][node]
+	return decision.Backend{ID: decision.BackendID(n.ID), Zone: n.Zone, Kind: n.Model, Cell: n.CellNo, State: State(v.listing),
+		Weight: n.Weight, Started: v.started}
+}
+
+func (r *Run) backend(node int) decision.BackendID { return decision.BackendID(r.fleet.Nodes[node].ID) }
+
+// toldOfStart tells whether a proxy knows of a node's last start.
+func (r *Run) toldOfStart(proxy, node int) bool {
+	n := r.fleet.Nodes[node]
+	return n.StartedAt > 0 && r.views[proxy][node].started >= n.StartedAt
+}
+
+// way is how long something takes from zone to zone.
+func (r *Run) way(from, to int, rng *rand.Rand) time.Duration {
+	w := r.spec.Net.Same
+	if from != to {
+		w = r.spec.Net.Cross
+	}
+	return time.Duration(float64(w.DrawMs(rng)) * (1 + r.spec.Net.Jitter*rng.ExpFloat64()))
+}
+
+type retryHeap []world.Arrival
+
+func (h retryHeap) Len() int { return len(h) }
+func (h retryHeap) Less(i, j int) bool {
+	if h[i].At != h[j].At {
+		return h[i].At < h[j].At
+	}
+	return h[i].Origin < h[j].Origin
+}
+func (h retryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *retryHeap) Push(x any)   { *h = append(*h, x.(world.Arrival)) }
+func (h *retryHeap) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return a
+}
+
+// Run plays the world to its end, or until ctx ends: what was seen so far is then judged.
+func (r *Run) Run(ctx context.Context) (Result, error) {
+	steps := world.Plan(r.spec, r.fleet)
+	faults := slices.Clone(steps)
+	next, more := r.gen.Next()
+	var longest time.Duration
+	for _, c := range r.spec.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	end := r.spec.Duration + longest + 200*time.Millisecond
+	var now time.Duration
+	for now = Tick; now <= end; now += Tick {
+		if now%time.Second < Tick {
+			if err := ctx.Err(); err != nil {
+				break
+			}
+			if r.Progress != nil {
+				r.Progress(now)
+			}
+		}
+		for len(steps) > 0 && steps[0].At <= now {
+			if err := r.apply(now, steps[0]); err != nil {
+				return Result{}, err
+			}
+			steps = steps[1:]
+		}
+		for len(r.starts) > 0 && r.starts[0].at <= now {
+			if err := r.startProxy(now, r.starts[0].no); err != nil {
+				return Result{}, err
+			}
+			r.starts = r.starts[1:]
+		}
+		for _, n := range r.reg.Due(now) {
+			r.tell(now, n)
+		}
+		for more && next.At <= now {
+			r.ledger.Asked(&next)
+			r.arrive(now, next)
+			next, more = r.gen.Next()
+		}
+		for len(r.retries) > 0 && r.retries[0].At <= now {
+			r.arrive(now, heap.Pop(&r.retries).(world.Arrival))
+		}
+		r.decide(now)
+		r.serve(now)
+		r.ledger.Advance(now)
+	}
+	r.ledger.Finish()
+	return Result{Verdict: r.ledger.Verdict(judge.UsualPrices), Events: r.events, Faults: faults, Ended: now}, ctx.Err()
+}
+
+// arrive hands a client's try to a proxy.
+func (r *Run) arrive(now time.Duration, a world.Arrival) {
+	pool := r.routes[a.Zone]
+	if len(pool) == 0 { // the zone has none: the front of another one takes it
+		for _, other := range r.routes {
+			if pool = other; len(pool) > 0 {
+				break
+			}
+		}
+	}
+	if len(pool) == 0 {
+		return
+	}
+	p := r.proxies[pool[r.front.IntN(len(pool))]]
+	if p.dead { // the front has not noticed: the connection is refused, and the client comes again
+		if again, ok := r.spec.Retry(now, a, world.Rejected, 0, r.front); ok {
+			heap.Push(&r.retries, again)
+		}
+		return
+	}
+	id := r.ledger.Take(judge.Try{Proxy: p.no, Arrival: a})
+	p.inbox = append(p.inbox, event{kind: evArrival, at: a.At, arrival: a, account: id})
+}
+
+// tell brings news to a proxy.
+func (r *Run) tell(now time.Duration, n world.News) {
+	v := &r.views[n.Proxy][n.Node]
+	v.listing = n.Listing
+	v.started = max(v.started, n.Started)
+	r.ledger.Told(now, n.Proxy, n.Node, n.Listing, n.Started)
+	p := r.proxies[n.Proxy]
+	if p.dead {
+		return
+	}
+	r.lists++
+	p.inbox = append(p.inbox, event{kind: evList, at: now, list: decision.Membership{Kind: decision.ListDelta, Version: r.lists,
+		Backends: []decision.Backend{r.listed(n.Proxy, n.Node)}}})
+}
+
+// proxyAway is how long a proxy that was killed takes to come back.
+const proxyAway = 2500 * time.Millisecond
+
+// apply carries out a step of the faults' time line.
+func (r *Run) apply(now time.Duration, s world.Step) error {
+	switch s.Op {
+	case world.OpRegister:
+		r.reg.Stale(now, !s.Flag)
+	case world.OpHeavy:
+		share := s.Extra
+		if s.Size == 1 {
+			share = 0
+		}
+		r.gen.Heavy(s.Node, s.Size, share)
+	case world.OpSlow:
+		for _, c := range r.cells {
+			c.inputs = append(c.inputs, message{at: now, kind: msStep, node: -1, step: s})
+		}
+	case world.OpKillProxy:
+		p := r.proxies[s.Node]
+		p.dead = true
+		r.ledger.ProxyDied(s.Node)
+		p.abandon(now)
+		r.starts = append(r.starts, proxyStart{now + proxyAway, s.Node})
+	case world.OpUpgradeProxy:
+		r.old = append(r.old, r.proxies[s.Node])
+		return r.startProxy(now, s.Node)
+	default:
+		n := r.fleet.Nodes[s.Node]
+		r.cells[n.CellNo].inputs = append(r.cells[n.CellNo].inputs, message{at: now, kind: msStep, node: s.Node, step: s})
+		switch s.Op {
+		case world.OpDrain:
+			r.reg.Change(now, s.Node, world.Leaving, 0, false)
+		case world.OpKill:
+			r.reg.Change(now, s.Node, world.Left, 0, false)
+		case world.OpStart:
+			r.reg.Change(now, s.Node, world.Active, now, false)
+		case world.OpCut:
+			r.reg.Change(now, s.Node, world.Left, 0, true)
+		case world.OpUncut:
+			r.reg.Change(now, s.Node, world.Active, n.StartedAt, false)
+		}
+	}
+	return nil
+}
+
+// abandon closes all connections of a proxy that was killed. Its clients see a reset and come again if they may.
+func (p *proxy) abandon(now time.Duration) {
+	p.now = now
+	ids := make([]decision.RequestID, 0, len(p.requests))
+	for id := range p.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		q := p.requests[id]
+		if !q.closed {
+			q.closed = true
+			p.again(q, world.Errored, 0)
+		}
+		for _, a := range q.attempts {
+			if !a.over {
+				a.over = true
+				p.drop(a)
+			}
+		}
+	}
+	p.due, p.inbox = nil, nil
+	p.requests = map[decision.RequestID]*request{}
+}
+
+// decide is the proxies' half of a step.
+func (r *Run) decide(now time.Duration) {
+	all := append(slices.Clone(r.proxies), r.old...)
+	busy := all[:0]
+	for _, p := range all {
+		if !p.dead && p.active(now) || len(p.out) > 0 {
+			busy = append(busy, p)
+			r.events += uint64(len(p.inbox))
+		}
+	}
+	each(busy, func(p *proxy) {
+		if !p.dead {
+			p.step(now)
+		}
+	})
+	for _, p := range busy {
+		for i := range p.out {
+			m := &p.out[i]
+			c := r.cells[r.fleet.Nodes[m.node].CellNo]
+			c.inputs = append(c.inputs, *m)
+		}
+		p.out = p.out[:0]
+		r.enter(p.no, p.entries)
+		p.entries = p.entries[:0]
+		for _, a := range p.retries {
+			heap.Push(&r.retries, a)
+		}
+		p.retries = p.retries[:0]
+	}
+	for _, p := range r.proxies {
+		if p.probes > 0 {
+			r.ledger.Probed(p.probes)
+			p.probes = 0
+		}
+	}
+	r.old = slices.DeleteFunc(r.old, func(p *proxy) bool { return len(p.requests) == 0 })
+}
+
+// serve is the cells' half of a step.
+func (r *Run) serve(now time.Duration) {
+	busy := make([]*cell, 0, len(r.cells))
+	for _, c := range r.cells {
+		if len(c.inputs) > 0 || c.Next() <= now {
+			busy = append(busy, c)
+			r.events += uint64(len(c.inputs))
+		}
+	}
+	each(busy, func(c *cell) { c.step(now) })
+	for _, c := range busy {
+		r.enter(-1, c.entries)
+		c.entries = c.entries[:0]
+		for _, o := range c.out {
+			if !o.to.dead {
+				o.to.inbox = append(o.to.inbox, o.event)
+			}
+		}
+		c.out = c.out[:0]
+	}
+}
+
+// enter writes into the ledger.
+func (r *Run) enter(proxy int, entries []entry) {
+	for i := range entries {
+		e := &entries[i]
+		switch e.kind {
+		case enSent:
+			r.ledger.Sent(e.at, e.account, proxy, e.node, e.attempt)
+		case enProved:
+			r.ledger.Proved(e.account, e.attempt)
+		case enBegan:
+			r.ledger.Began(e.at, e.account, e.node, e.attempt)
+		case enMade:
+			r.ledger.Made(e.account, e.node, e.attempt)
+		case enAnswered:
+			r.ledger.Answered(e.at, e.account, e.end, e.genuine)
+		case enDeparted:
+			r.ledger.Departed(e.account)
+		case enCrossed:
+			r.ledger.Crossed()
+		case enWasted:
+			r.ledger.Wasted(e.work)
+		case enFell:
+			r.ledger.Fell(*e.fall, e.node)
+		}
+	}
+}
+
+// each calls do for all of list, on as many cores as there are. The order in which they are done is open, so do
+// must touch nothing that another item's does.
+func each[T any](list []T, do func(T)) {
+	workers := min(runtime.GOMAXPROCS(0), len(list)/2)
+	if workers < 2 {
+		for _, x := range list {
+			do(x)
+		}
+		return
+	}
+	var next atomic.Int64
+	work := func() {
+		for {
+			i := int(next.Add(1)) - 1
+			if i >= len(list) {
+				return
+			}
+			do(list[i])
+		}
+	}
+	var wg sync.WaitGroup
+	for range workers - 1 {
+		wg.Go(work)
+	}
+	work()
+	wg.Wait()
+}
--- /dev/null
+++ b/lab/lab.go
@@ -0,0 +1,37 @@
+// Package lab holds the ready experiments.
+package lab
+
+import (
+	"embed"
+	"fmt"
+	"slices"
+	"strings"
+
+	"lapisspread/internal/lab/experiment"
+)
+
+//go:embed *.toml
+var files embed.FS
+
+// Names are the ready experiments, sorted.
+func Names() []string {
+	entries, err := files.ReadDir(".")
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Load reads a ready experiment.
+func Load(name string) (*experiment.File, error) {
+	text, err := files.ReadFile(name + ".toml")
+	if err != nil {
+		return nil, fmt.Errorf("there is no ready experiment %q; there are %s", name, strings.Join(Names(), ", "))
+	}
+	return experiment.Parse("lab/"+name+".toml", text)
+}
