--- /dev/null
+++ b/cmd/lapislab/run.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lapisspread/internal/lab/experiment"
+	"lapisspread/internal/lab/live"
+	"lapisspread/internal/lab/report"
+	"lapisspread/internal/lab/rival"
+)
+
+type runOptions struct {
+	seed     uint64
+	duration time.Duration
+	json     string
+	out      string
+	proxy    string
+	policy   string
+	rate     float64
+	verbose  bool
+}
+
+func runCommand() *cobra.Command {
+	var o runOptions
+	c := &cobra.Command{
+		Use:   "run [EXPERIMENT]",
+		Short: "Play an experiment on loopback sockets around real proxies, and judge it",
+		Long: `run starts a register, nodes, proxies and clients on loopback addresses, plays an experiment (calm for 30 s if
+none is named), shows how it goes and writes a report. Everything it has started ends with it.
+Exit code 0 if all rules held and no proxy ended by itself.`,
+		Args: usage(cobra.MaximumNArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			name := "calm"
+			if len(args) > 0 {
+				name = args[0]
+			} else if o.duration == 0 {
+				o.duration = 30 * time.Second
+			}
+			f, err := named(name)
+			if err != nil {
+				return err
+			}
+			f.Stretch(o.duration)
+			return runOne(cmd.Context(), cmd.OutOrStdout(), f, o)
+		},
+	}
+	c.Flags().Uint64Var(&o.seed, "seed", 1, "what chance comes from")
+	c.Flags().DurationVar(&o.duration, "duration", 0, "play it in this time; all its times follow")
+	c.Flags().StringVar(&o.json, "json", "", "write the summary to this file too")
+	c.Flags().StringVar(&o.out, "out", "", "folder of the report (default lapislab-report/NAME-SEED)")
+	c.Flags().StringVar(&o.proxy, "proxy", "", "the proxy's program (default: lapisspread, built from this tree or beside this program)")
+	c.Flags().StringVar(&o.policy, "policy", rival.Module, "what decides: module is the real proxy, others a plain one; see lapislab list")
+	c.Flags().Float64Var(&o.rate, "rate", 0, "first tries a second")
+	c.Flags().BoolVar(&o.verbose, "verbose", false, "tell what the laboratory does")
+	return c
+}
+
+// runOne plays one experiment on sockets and writes its report.
+func runOne(ctx context.Context, out io.Writer, f *experiment.File, o runOptions) error {
+	s, err := playLive(ctx, out, f, o, 1)
+	if err != nil {
+		return err
+	}
+	dir := o.out
+	if dir == "" {
+		dir = filepath.Join("lapislab-report", fmt.Sprintf("%s-%d", f.Name, o.seed))
+	}
+	page, err := report.Folder(dir, s)
+	if err != nil {
+		return err
+	}
+	if o.json != "" {
+		if err := s.Write(o.json); err != nil {
+			return err
+		}
+	}
+	fmt.Fprint(out, s.Text())
+	fmt.Fprintln(out, "report:", page)
+	return held(s)
+}
+
+// held tells why a run did not hold.
+func held(s *report.Summary) error {
+	switch {
+	case s.RulesBroken > 0 && s.Scored:
+		return fmt.Errorf("%w: %d times a rule was broken: %s", errBroken, s.RulesBroken, first(s.Verdict))
+	case len(s.Problems) > 0:
+		return fmt.Errorf("%w: %s", errBroken, s.Problems[0])
+	case !s.Scored:
+		return fmt.Errorf("not scored, the machine was too slow: %s", s.Late)
+	case s.Partial:
+		return errors.New("broken off; the report holds what was seen")
+	}
+	return nil
+}
+
+// playLive plays an experiment on sockets with one policy, at so many times its rate.
+func playLive(ctx context.Context, out io.Writer, f *experiment.File, o runOptions, load float64) (*report.Summary, error) {
+	spec := f.Spec(o.seed, load)
+	if o.rate > 0 {
+		spec.Load.Rate = o.rate
+	}
+	tmp, err := os.MkdirTemp("", "lapislab-bin-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(tmp)
+	opts := live.Options{Binary: o.proxy, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out)}
+	if o.policy != rival.Module {
+		if _, err := rival.Named(o.policy); err != nil {
+			return nil, err
+		}
+		if opts.Binary, err = os.Executable(); err != nil {
+			return nil, err
+		}
+		opts.Args = []string{"plain-proxy", "--policy", o.policy}
+	} else if opts.Binary == "" {
+		if opts.Binary, err = findProxy(ctx, tmp); err != nil {
+			return nil, err
+		}
+	}
+	if o.verbose {
+		opts.Log = slog.New(slog.NewTextHandler(out, nil))
+	}
+	fmt.Fprintf(out, "%s: %d proxies, %d nodes, %.0f first tries a second for %v, seed %d, %s\n", f.Name, spec.Proxies, spec.Nodes,
+		spec.Load.Rate, spec.Duration, o.seed, o.policy)
+	res, err := live.Play(ctx, &spec, opts)
+	if err != nil {
+		return nil, err
+	}
+	s := report.Summarise(f.Name, "run", o.policy, &spec, res.Verdict, res.Faults)
+	s.Partial, s.Problems, s.Late, s.Scored = res.Partial, res.Problems, res.Late, res.Late == ""
+	return s, nil
+}
+
+// findProxy gives the proxy's program: built from the tree we stand in, or the one beside this program.
+func findProxy(ctx context.Context, tmp string) (string, error) {
+	if _, err := os.Stat("cmd/lapisspread/main.go"); err == nil {
+		path := filepath.Join(tmp, "lapisspread")
+		text, err := exec.CommandContext(ctx, "go", "build", "-o", path, "./cmd/lapisspread").CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("building the proxy: %w: %s", err, strings.TrimSpace(string(text)))
+		}
+		return path, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(filepath.Dir(self), "lapisspread")
+	if _, err := os.Stat(path); err != nil {
+		return "", errors.New("there is no proxy to run: stand in the tree, put lapisspread beside this program, or name one with --proxy")
+	}
+	return path, nil
+}
+
+// shower tells how a run stands: one line that is written over on a terminal, a line every five seconds elsewhere.
+func shower(out io.Writer) func(live.Glimpse) {
+	terminal := false
+	if file, ok := out.(*os.File); ok {
+		if info, err := file.Stat(); err == nil {
+			terminal = info.Mode()&os.ModeCharDevice != 0
+		}
+	}
+	n := 0
+	return func(g live.Glimpse) {
+		n++
+		line := fmt.Sprintf("%5s of %v  ok %4d  refused %3d  failed %3d  in hand %3d  nodes %d up%s  proxies %d  late %4.1f ms  rules broken %d",
+			g.Now.Round(time.Second), g.Of, g.OK, g.Refused, g.Failed, g.Open, g.Up, troubles(g), g.Proxies,
+			float64(g.Late)/float64(time.Millisecond), g.RulesBroken)
+		switch {
+		case terminal:
+			fmt.Fprintf(out, "\r%s\x1b[K", line)
+			if g.Now >= g.Of-time.Second {
+				fmt.Fprintln(out)
+			}
+		case n%5 == 0:
+			fmt.Fprintln(out, line)
+		}
+	}
+}
+
+func troubles(g live.Glimpse) string {
+	var s strings.Builder
+	for _, c := range []struct {
+		n    int
+		name string
+	}{{g.Draining, "draining"}, {g.Down, "down"}, {g.Hanging, "hanging"}, {g.Cut, "cut off"}} {
+		if c.n > 0 {
+			fmt.Fprintf(&s, ", %d %s", c.n, c.name)
+		}
+	}
+	return s.String()
+}
--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -570,3 +570,11 @@
 	}
 	return append(s, last)
 }
+
+// Find gives what a client has asked with a request that is still watched.
+func (l *Ledger) Find(id uint64) (world.Arrival, bool) {
+	if id < l.base || id >= l.base+uint64(len(l.entries)) {
+		return world.Arrival{}, false
+	}
+	return l.entries[id-l.base].Arrival, true
+}
--- /dev/null
+++ b/internal/lab/live/child.go
@@ -0,0 +1,333 @@
+package live
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lapisspread/internal/lab/world"
+)
+
+// child is a proxy's place: one process, or two while it is upgraded.
+type child struct {
+	r      *Run
+	no     int
+	listen string
+	socket *net.TCPListener // held here and passed on, where proxies are upgraded; else nil
+	file   *os.File
+	state  string // its TMPDIR
+
+	mu    sync.Mutex
+	procs []*process // the last one is the newest
+	ended bool       // no more are started
+	deads int        // times its process was killed on purpose
+}
+
+type process struct {
+	cmd      *exec.Cmd
+	done     chan struct{} // closed once it has ended
+	err      error
+	expected bool // its end is
+	console  string
+
+	mu   sync.Mutex
+	tail []string
+}
+
+// keepLines is how much of a child's log is kept to be shown.
+const keepLines = 12
+
+// startProxies starts all proxies and waits for none.
+func (r *Run) startProxies(ctx context.Context) error {
+	upgrades := slices.ContainsFunc(r.spec.Faults, func(f world.Fault) bool { return f.Kind == world.UpgradeProxy })
+	for no := range r.spec.Proxies {
+		c := &child{r: r, no: no, state: filepath.Join(r.tmp, fmt.Sprintf("state-%d", no))}
+		if err := os.Mkdir(c.state, 0o700); err != nil {
+			return fmt.Errorf("proxy %d: %w", no, err)
+		}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("proxy %d: an address: %w", no, err)
+		}
+		c.listen = l.Addr().String()
+		if upgrades {
+			c.socket = l.(*net.TCPListener)
+			if c.file, err = c.socket.File(); err != nil {
+				return fmt.Errorf("proxy %d: its socket: %w", no, err)
+			}
+		} else {
+			l.Close() // the proxy takes it; if another process is faster, the proxy says so and the start fails
+		}
+		r.proxies = append(r.proxies, c)
+		if _, err := c.start(); err != nil {
+			return err
+		}
+	}
+	return r.awaitHealthy(ctx)
+}
+
+// startWait is how long a proxy may take to serve.
+const startWait = 10 * time.Second
+
+func (r *Run) awaitHealthy(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	until := time.Now().Add(startWait)
+	for _, c := range r.proxies {
+		for !healthy(client, c.listen) {
+			p := c.newest()
+			select {
+			case <-p.done:
+				return fmt.Errorf("proxy %d ended at its start: %v%s", c.no, p.err, p.lastLines())
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(10 * time.Millisecond):
+			}
+			if time.Now().After(until) {
+				return fmt.Errorf("proxy %d does not serve %v after its start%s", c.no, startWait, p.lastLines())
+			}
+		}
+	}
+	return nil
+}
+
+func healthy(client *http.Client, addr string) bool {
+	resp, err := client.Get("http://" + addr + "/_health")
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// config writes the child's configuration.
+func (c *child) config() (string, error) {
+	r := c.r
+	known, _ := r.agents[c.no].catalog(0, true)
+	v := map[string]any{"name": fmt.Sprintf("n%d", c.no), "listen": c.listen, "discovery": r.agents[c.no].addr,
+		"seed":   fmt.Sprintf("%x", r.spec.Seed*1000003+uint64(c.no)<<8+uint64(c.deads)),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": r.opts.MemoryMB, "sockets": 1024},
+		"known":  known, "settings": settings(r.spec, c.no)}
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(r.tmp, fmt.Sprintf("config-%d.json", c.no))
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// start starts a process in the place.
+func (c *child) start() (*process, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil, errors.New("the run is over")
+	}
+	path, err := c.config()
+	if err != nil {
+		return nil, fmt.Errorf("proxy %d: its configuration: %w", c.no, err)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0") // finds a free port for the console
+	if err != nil {
+		return nil, fmt.Errorf("proxy %d: its console: %w", c.no, err)
+	}
+	p := &process{done: make(chan struct{}), console: l.Addr().String()}
+	l.Close()
+	p.cmd = exec.Command(c.r.opts.Binary, c.r.opts.Args...)
+	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=",
+		"BALANCER_CONSOLE="+p.console, "BALANCER_PASSED_SOCKET=", "TMPDIR="+c.state)
+	if c.file != nil {
+		p.cmd.ExtraFiles = []*os.File{c.file}
+		p.cmd.Env = append(p.cmd.Env, "BALANCER_PASSED_SOCKET=3")
+	}
+	p.cmd.Env = append(p.cmd.Env, c.r.opts.Env...)
+	// A group of its own, so that Ctrl-C at the terminal reaches the laboratory alone, and an end with ours.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	out, in, err := os.Pipe()
+	if err != nil {
+		return nil, fmt.Errorf("proxy %d: its log: %w", c.no, err)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = in, in
+	started := make(chan error)
+	c.r.running.Go(func() {
+		// The signal at the parent's end follows the thread that started the child.
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := p.cmd.Start()
+		in.Close()
+		started <- err
+		if err != nil {
+			out.Close()
+			return
+		}
+		c.r.running.Go(func() { p.read(out) })
+		p.err = p.cmd.Wait()
+		close(p.done)
+		c.over(p)
+	})
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("proxy %d: starting %s: %w", c.no, c.r.opts.Binary, err)
+	}
+	c.procs = append(c.procs, p)
+	return p, nil
+}
+
+func (c *child) newest() *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.procs[len(c.procs)-1]
+}
+
+// over notes the end of a process.
+func (c *child) over(p *process) {
+	c.mu.Lock()
+	expected := p.expected || c.ended
+	c.procs = slices.DeleteFunc(c.procs, func(o *process) bool { return o == p && len(c.procs) > 1 })
+	c.mu.Unlock()
+	if !expected {
+		c.r.mu.Lock()
+		c.r.problem("proxy %d ended by itself: %v%s", c.no, p.err, p.lastLines())
+		c.r.mu.Unlock()
+	}
+}
+
+func (p *process) read(out *os.File) {
+	defer out.Close()
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.tail = append(p.tail, lines.Text())
+		if len(p.tail) > keepLines {
+			p.tail = p.tail[1:]
+		}
+		p.mu.Unlock()
+	}
+	io.Copy(io.Discard, out)
+}
+
+// lastLines is the end of the child's log, to be put behind an error.
+func (p *process) lastLines() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.tail) == 0 {
+		return "; it has printed nothing"
+	}
+	return "; its last lines:\n    " + strings.Join(p.tail, "\n    ")
+}
+
+// proxyAway is how long a proxy that was killed takes to come back.
+const proxyAway = 1500 * time.Millisecond
+
+// killAndRestart is SIGKILL and a new process after a while.
+func (c *child) killAndRestart() {
+	c.mu.Lock()
+	c.deads++
+	p := c.procs[len(c.procs)-1]
+	p.expected = true
+	c.mu.Unlock()
+	p.cmd.Process.Kill()
+	<-p.done
+	c.r.mu.Lock()
+	c.r.ledger.ProxyDied(c.no) // what came while it died
+	c.r.mu.Unlock()
+	time.Sleep(proxyAway)
+	if _, err := c.start(); err != nil && !c.isOver() {
+		c.r.mu.Lock()
+		c.r.problem("proxy %d does not come back: %v", c.no, err)
+		c.r.mu.Unlock()
+	}
+}
+
+func (c *child) isOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// upgradeWait is how long a new process may take to serve beside the old one, and killAfter how long the old one
+// has after SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s.
+const (
+	upgradeWait = 6 * time.Second
+	killAfter   = 3700 * time.Millisecond
+)
+
+// upgrade starts a new process beside the running one and ends that once the new one serves.
+func (c *child) upgrade() {
+	old := c.newest()
+	next, err := c.start()
+	if err != nil {
+		if !c.isOver() {
+			c.r.mu.Lock()
+			c.r.problem("proxy %d: the upgrade: %v", c.no, err)
+			c.r.mu.Unlock()
+		}
+		return
+	}
+	for until := time.Now().Add(upgradeWait); !ping(next.console) && time.Now().Before(until) && !c.isOver(); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.mu.Lock()
+	old.expected = true
+	c.mu.Unlock()
+	_ = old.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
+	select {
+	case <-old.done:
+	case <-time.After(killAfter):
+		old.cmd.Process.Kill()
+	}
+}
+
+// ping asks a console whether its process takes clients.
+func ping(addr string) bool {
+	conn, err := net.DialTimeout("tcp4", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(conn, "PING\n")
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return strings.HasPrefix(line, "200")
+}
+
+// end ends all processes of the place, in order first, and starts no more.
+func (c *child) end() {
+	c.mu.Lock()
+	c.ended = true
+	procs := slices.Clone(c.procs)
+	c.mu.Unlock()
+	for _, p := range procs {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	deadline := time.After(killAfter)
+	for _, p := range procs {
+		select {
+		case <-p.done:
+		case <-deadline:
+			p.cmd.Process.Kill()
+			<-p.done
+		}
+	}
+	if c.file != nil {
+		c.file.Close()
+		c.socket.Close()
+	}
+}
+
+func proxyZone(s *world.Spec, proxy int) int { return proxy % len(s.Zones) }
--- /dev/null
+++ b/internal/lab/live/client.go
@@ -0,0 +1,471 @@
+package live
+
+import (
+	"bufio"
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lapisspread/internal/lab/judge"
+	"lapisspread/internal/lab/world"
+)
+
+// front is the front layer and the clients behind it.
+type front struct {
+	r    *Run
+	late *hdrhistogram.Histogram // how late tries were sent, in microseconds; guarded by r.mu
+
+	mu      sync.Mutex
+	up      []bool // by proxy: its health said yes
+	turn    int
+	idle    [][]*clientConn // by proxy
+	rude    []net.Conn
+	pending retries
+
+	inHand  sync.WaitGroup
+	open    atomic.Int64
+	retried chan struct{}
+}
+
+type clientConn struct {
+	net.Conn
+	in   *bufio.Reader
+	used bool
+}
+
+func newFront(r *Run) *front {
+	return &front{r: r, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), up: make([]bool, r.spec.Proxies),
+		idle: make([][]*clientConn, r.spec.Proxies), retried: make(chan struct{}, 1)}
+}
+
+// healthEvery is how often the front layer asks each proxy.
+const healthEvery = 100 * time.Millisecond
+
+// watch asks all proxies for their health until ctx ends.
+func (f *front) watch(ctx context.Context) {
+	var each sync.WaitGroup
+	for no, c := range f.r.proxies {
+		each.Go(func() {
+			client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			tick := time.NewTicker(healthEvery)
+			defer tick.Stop()
+			for {
+				ok := healthy(client, c.listen)
+				f.mu.Lock()
+				f.up[no] = ok
+				f.mu.Unlock()
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+				}
+			}
+		})
+	}
+	each.Wait()
+}
+
+// await waits until all proxies serve.
+func (f *front) await(ctx context.Context, most time.Duration) error {
+	for until := time.Now().Add(most); f.serving() < len(f.up); {
+		if time.Now().After(until) {
+			return fmt.Errorf("only %d of %d proxies serve after %v", f.serving(), len(f.up), most)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (f *front) serving() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, up := range f.up {
+		if up {
+			n++
+		}
+	}
+	return n
+}
+
+// route gives a proxy of the zone that is up, or of another if there is none.
+func (f *front) route(zone int) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, own := range [2]bool{true, false} {
+		for i := range f.up {
+			no := (f.turn + i) % len(f.up)
+			if f.up[no] && (!own || proxyZone(f.r.spec, no) == zone) {
+				f.turn = no + 1
+				return no, true
+			}
+		}
+	}
+	return 0, false
+}
+
+type retries []world.Arrival
+
+func (h retries) Len() int           { return len(h) }
+func (h retries) Less(i, j int) bool { return h[i].At < h[j].At }
+func (h retries) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *retries) Push(x any)        { *h = append(*h, x.(world.Arrival)) }
+func (h *retries) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return a
+}
+
+// load sends all first tries at their times, whatever becomes of them, and retries when they are due. It returns
+// when all are answered or given up, or soon after ctx ends.
+func (f *front) load(ctx context.Context) {
+	r := f.r
+	r.mu.Lock()
+	next, more := r.gen.Next()
+	r.mu.Unlock()
+	var longest time.Duration
+	for _, c := range r.spec.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	end := r.spec.Duration + longest
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		now := r.now()
+		if now > end {
+			break
+		}
+		for more && next.At <= now {
+			a := next
+			r.mu.Lock()
+			r.ledger.Asked(&a)
+			_ = f.late.RecordValue(max(1, int64((now-a.At)/time.Microsecond)))
+			next, more = r.gen.Next()
+			r.mu.Unlock()
+			f.spawn(a)
+		}
+		due := end
+		if more {
+			due = next.At
+		}
+		f.mu.Lock()
+		for len(f.pending) > 0 && f.pending[0].At <= now {
+			a := heap.Pop(&f.pending).(world.Arrival)
+			f.mu.Unlock()
+			f.spawn(a)
+			f.mu.Lock()
+		}
+		if len(f.pending) > 0 {
+			due = min(due, f.pending[0].At)
+		}
+		idle := !more && len(f.pending) == 0 && f.open.Load() == 0
+		f.mu.Unlock()
+		if idle {
+			break
+		}
+		timer.Reset(min(max(due-r.now(), 0), 20*time.Millisecond))
+		select {
+		case <-timer.C:
+		case <-f.retried:
+		case <-ctx.Done():
+		}
+	}
+	f.inHand.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conns := range f.idle {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	for _, c := range f.rude {
+		c.Close()
+	}
+}
+
+func (f *front) spawn(a world.Arrival) {
+	f.inHand.Add(1)
+	f.open.Add(1)
+	go func() {
+		defer f.inHand.Done()
+		defer f.open.Add(-1)
+		f.try(a)
+	}()
+}
+
+// again lets the client try once more, if it would.
+func (f *front) again(a world.Arrival, end world.End, retryAfter time.Duration) {
+	f.r.mu.Lock()
+	next, ok := f.r.spec.Retry(f.r.now(), a, end, retryAfter, f.r.rng)
+	f.r.mu.Unlock()
+	if !ok {
+		return
+	}
+	f.mu.Lock()
+	heap.Push(&f.pending, next)
+	f.mu.Unlock()
+	select {
+	case f.retried <- struct{}{}:
+	default:
+	}
+}
+
+// dialWait is how long a client waits for a connection.
+const dialWait = time.Second
+
+// connect gives a connection to a proxy: one that stands idle, or a new one.
+func (f *front) connect(proxy int, fresh bool) (*clientConn, error) {
+	if !fresh {
+		f.mu.Lock()
+		if n := len(f.idle[proxy]); n > 0 {
+			c := f.idle[proxy][n-1]
+			f.idle[proxy] = f.idle[proxy][:n-1]
+			f.mu.Unlock()
+			return c, nil
+		}
+		f.mu.Unlock()
+	}
+	c, err := net.DialTimeout("tcp4", f.r.proxies[proxy].listen, dialWait)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: c, in: bufio.NewReaderSize(c, 4096)}, nil
+}
+
+// lateWatch is how long after its deadline an answer is still waited for, to be written down as late.
+const lateWatch = 300 * time.Millisecond
+
+// errUnread says that a connection ended before anything came on it.
+var errUnread = errors.New("the connection ended before an answer began")
+
+// try carries out one try of a client and writes down what came of it.
+func (f *front) try(a world.Arrival) {
+	r := f.r
+	patience := a.Deadline - a.At
+	proxy, ok := f.route(a.Zone)
+	if !ok { // nobody to send it to: it comes again
+		f.again(a, world.Rejected, 0)
+		return
+	}
+	c, err := f.connect(proxy, false)
+	if err != nil {
+		f.again(a, world.Rejected, 0)
+		return
+	}
+	class := &r.spec.Classes[a.Class]
+	r.mu.Lock()
+	now := r.now()
+	if a.Leaves > 0 {
+		a.Leaves += now - a.At
+	}
+	a.At, a.Deadline = now, now+patience
+	account := r.ledger.Take(judge.Try{Proxy: proxy, Arrival: a})
+	r.mu.Unlock()
+	text := requestText(a, class, r.spec, account, patience)
+	var gaveUp atomic.Bool
+	giveUp := time.AfterFunc(patience, func() { // the client's patience ends; the answer is still watched for
+		gaveUp.Store(true)
+		f.again(a, world.TimedOut, 0)
+	})
+	defer giveUp.Stop()
+	for fresh := false; ; fresh = true {
+		if fresh {
+			if c, err = f.connect(proxy, true); err != nil {
+				f.excuse(account)
+				return
+			}
+		}
+		used := c.used
+		c.SetDeadline(time.Now().Add(a.Deadline + judge.DefaultSlack + socketSlack + lateWatch - r.now()))
+		if a.Leaves > 0 {
+			c.SetDeadline(time.Now().Add(a.Leaves - r.now()))
+		}
+		status, body, header, err := c.ask(text)
+		now = r.now()
+		if err == nil {
+			f.answered(account, a, now, status, body, header, gaveUp.Load())
+			c.used = true
+			if header.Get("Connection") == "close" {
+				c.Close()
+			} else {
+				f.mu.Lock()
+				f.idle[proxy] = append(f.idle[proxy], c)
+				f.mu.Unlock()
+			}
+			return
+		}
+		c.Close()
+		var timeout net.Error
+		switch {
+		case errors.As(err, &timeout) && timeout.Timeout():
+			if a.Leaves > 0 {
+				giveUp.Stop()
+				r.mu.Lock()
+				r.ledger.Departed(account)
+				r.mu.Unlock()
+			}
+			return // the ledger sees that nothing has come
+		case errors.Is(err, errUnread) && used && !fresh:
+			continue // a close between requests has crossed it
+		}
+		f.broke(account, proxy, now, err)
+		if giveUp.Stop() {
+			f.again(a, world.Errored, 0)
+		}
+		return
+	}
+}
+
+// excuse closes the account of a request that no proxy has taken.
+func (f *front) excuse(account uint64) {
+	f.r.mu.Lock()
+	f.r.ledger.Excuse(account)
+	f.r.mu.Unlock()
+}
+
+// broke writes down a connection that ended in the midst, unless its proxy was killed. The news of that death may
+// come a little later than the reset.
+func (f *front) broke(account uint64, proxy int, at time.Duration, err error) {
+	time.Sleep(20 * time.Millisecond)
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	f.r.ledger.Broke(at, account, err.Error())
+}
+
+func (f *front) answered(account uint64, a world.Arrival, at time.Duration, status int, body []byte, header http.Header, gaveUp bool) {
+	end := world.Errored
+	var retryAfter time.Duration
+	switch status {
+	case http.StatusOK:
+		end = world.Served
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		end = world.Rejected
+		if s, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil && s > 0 {
+			retryAfter = time.Duration(min(s, 60) * float64(time.Second))
+		}
+	}
+	f.r.mu.Lock()
+	f.r.ledger.Answered(at, account, end, end == world.Served && f.r.genuine(account, body))
+	f.r.mu.Unlock()
+	if !gaveUp {
+		f.again(a, end, retryAfter)
+	}
+}
+
+func requestText(a world.Arrival, c *world.Class, s *world.Spec, account uint64, patience time.Duration) string {
+	method, length := "POST", "Content-Length: 32\r\n"
+	body := "lapislab request body, 32 bytes."
+	if c.Safe {
+		method, length, body = "GET", "", ""
+	}
+	tenant := ""
+	if a.Tenant >= 0 {
+		tenant = "X-Tenant-Id: " + s.Tenants[a.Tenant].Name + "\r\n"
+	}
+	if a.Try > 0 {
+		tenant += "X-Retried: 1\r\n"
+	}
+	return fmt.Sprintf("%s /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %016x\r\nX-Priority-Class: %s\r\n%sX-Timeout-Ms: %d\r\n%s\r\n%s",
+		method, account, c.Name, tenant, patience.Milliseconds(), length, body)
+}
+
+// mostBody is the longest answer that is read.
+const mostBody = 64 << 10
+
+// ask sends a request and reads its answer whole.
+func (c *clientConn) ask(text string) (int, []byte, http.Header, error) {
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0, nil, nil, asUnread(err)
+	}
+	if _, err := c.in.Peek(1); err != nil {
+		return 0, nil, nil, asUnread(err)
+	}
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("reading the answer: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("reading the answer's body: %w", err)
+	}
+	if resp.Close {
+		resp.Header.Set("Connection", "close")
+	}
+	return resp.StatusCode, body, resp.Header, nil
+}
+
+// asUnread marks an error of a connection on which nothing has come, but for time-outs.
+func asUnread(err error) error {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errUnread, err)
+}
+
+// nuisance opens connections that say nothing, and others that take their time over a head. They are owed nothing
+// but that the others are served.
+func (f *front) nuisance(ctx context.Context) {
+	for i := range f.r.opts.HalfOpen {
+		c, err := net.DialTimeout("tcp4", f.r.proxies[i%len(f.r.proxies)].listen, dialWait)
+		if err != nil {
+			continue
+		}
+		f.mu.Lock()
+		f.rude = append(f.rude, c)
+		f.mu.Unlock()
+	}
+	var all sync.WaitGroup
+	for i := range f.r.opts.Slow {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				f.slow(ctx, i%len(f.r.proxies))
+			}
+		})
+	}
+	all.Wait()
+}
+
+// slow sends a head in pieces over two seconds, one that the proxy must answer with an error.
+func (f *front) slow(ctx context.Context, proxy int) {
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	c, err := net.DialTimeout("tcp4", f.r.proxies[proxy].listen, dialWait)
+	if err == nil {
+		defer c.Close()
+	}
+	for _, piece := range strings.SplitAfter("GET /api HTTP/1.1\r\nHost: x\r\nX-Priority-Class: none\r\n\r\n", "\n") {
+		pause.Reset(400 * time.Millisecond)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return
+		}
+		if err == nil {
+			if _, err = io.WriteString(c, piece); err != nil {
+				return
+			}
+		}
+	}
+	if err == nil {
+		c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		io.Copy(io.Discard, io.LimitReader(c, 512))
+	}
+}
--- /dev/null
+++ b/internal/lab/live/register.go
@@ -0,0 +1,148 @@
+package live
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"lapisspread/internal/lab/world"
+)
+
+// agent is the register's agent on one proxy's machine. It answers with whatever it has been sent.
+type agent struct {
+	r       *Run
+	proxy   int
+	server  *http.Server
+	addr    string
+	mu      sync.Mutex
+	version int
+	rows    []row // by node
+	changed chan struct{}
+}
+
+type row struct {
+	listing world.Listing
+	started time.Duration
+	since   int // the version in which it changed last
+	addr    string
+}
+
+// instance is a node as the register's protocol tells it.
+type instance struct {
+	ID        string  `json:"instanceId"`
+	Addr      string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Machine   string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	Started   int64   `json:"startedAtMs"`
+}
+
+type catalog struct {
+	Generation int        `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []instance `json:"instances"`
+}
+
+func newAgent(r *Run, proxy int) (*agent, error) {
+	a := &agent{r: r, proxy: proxy, version: 1, changed: make(chan struct{})}
+	for i, n := range r.nodes {
+		a.rows = append(a.rows, row{listing: world.Active, since: 1, addr: n.addr(proxy)})
+		r.ledger.Told(0, proxy, i, world.Active, 0)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("the register's agent of proxy %d: %w", proxy, err)
+	}
+	a.addr = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", a.members)
+	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	r.running.Go(func() { _ = a.server.Serve(l) })
+	return a, nil
+}
+
+func (a *agent) close() { a.server.Close() }
+
+// tell takes news from the register. From now on it counts as told. r.mu is held.
+func (a *agent) tell(now time.Duration, n world.News) {
+	a.r.ledger.Told(now, a.proxy, n.Node, n.Listing, n.Started)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version++
+	w := &a.rows[n.Node]
+	w.listing, w.since, w.addr = n.Listing, a.version, a.r.nodes[n.Node].addr(a.proxy)
+	w.started = max(w.started, n.Started)
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// catalog is the list, or what of it has changed since a version. It gives the channel that closes at the next change.
+func (a *agent) catalog(from int, full bool) (catalog, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := catalog{Generation: a.version, Reset: full, Instances: []instance{}}
+	for i, w := range a.rows {
+		if full && w.listing == world.Left || !full && w.since <= from {
+			continue
+		}
+		n := a.r.fleet.Nodes[i]
+		c.Instances = append(c.Instances, instance{ID: nodeName(n), Addr: w.addr, Zone: a.r.spec.Zones[n.Zone],
+			Machine: a.r.spec.Models[n.Model].Name, Cell: n.CellNo, Lifecycle: w.listing.String(), Weight: n.Weight, Started: a.r.unixMs(w.started)})
+	}
+	return c, a.changed
+}
+
+func nodeName(n *world.Node) string { return fmt.Sprintf("s-%08x", n.ID) }
+
+// mostHold is how long a watch may ask to be held.
+const mostHold = time.Minute
+
+func (a *agent) members(w http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	if !query.Has("from") {
+		c, _ := a.catalog(0, true)
+		writeJSON(w, c)
+		return
+	}
+	from, err := strconv.Atoi(query.Get("from"))
+	if err != nil {
+		http.Error(w, "from: not a version", http.StatusBadRequest)
+		return
+	}
+	hold, err := strconv.Atoi(query.Get("hold_ms"))
+	if err != nil || hold < 0 {
+		http.Error(w, "hold_ms: not a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(hold)*time.Millisecond, mostHold))
+	defer timer.Stop()
+	for {
+		c, changed := a.catalog(from, false)
+		if from > c.Generation { // a version that never was
+			c, changed = a.catalog(0, true)
+		}
+		if len(c.Instances) > 0 {
+			writeJSON(w, c)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			writeJSON(w, c)
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller is gone otherwise
+}
--- /dev/null
+++ b/internal/lab/live/run.go
@@ -0,0 +1,431 @@
+// Package live plays a world on loopback sockets, in real time, around real proxies that run as children of this
+// process. Nodes, register and clients are the world's; the wire is the platform's protocol.
+package live
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	mrand "math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lapisspread/internal/lab/judge"
+	"lapisspread/internal/lab/world"
+)
+
+// On sockets every limit of the rules is longer by this.
+const socketSlack = 50 * time.Millisecond
+
+// Options is how a run is carried out.
+type Options struct {
+	Binary   string        // the proxy's program
+	Args     []string      // its arguments
+	Env      []string      // further variables for it
+	HalfOpen int           // connections on which nothing ever comes
+	Slow     int           // clients that take two seconds over a head
+	Log      *slog.Logger  // what the laboratory does; nil is nowhere
+	Progress func(Glimpse) // told once a second; may be nil
+	MemoryMB int           // that a proxy is told it has; 64 if 0
+}
+
+// Glimpse is how a run stands.
+type Glimpse struct {
+	Now, Of             time.Duration
+	Asked, OK, Refused  int // in the last second, but for Asked: first tries so far
+	Failed, Open        int
+	Up, Draining, Down  int
+	Hanging, Cut        int
+	Late                time.Duration // of this machine, at the worst in that second
+	Proxies             int           // that serve
+	RulesBroken         int
+	Attempts, FirstTrys int
+}
+
+// Result is what a run has come to.
+type Result struct {
+	Verdict  judge.Verdict
+	Faults   []world.Step
+	Problems []string // what went wrong beside the rules: a proxy that ended by itself
+	Late     string   // why the machine was too slow for the run to count; empty if it was not
+	Partial  bool
+}
+
+// Run is a world on its way.
+type Run struct {
+	spec  *world.Spec
+	opts  Options
+	log   *slog.Logger
+	base  time.Time    // with the monotonic clock: a step of the machine's clock moves nothing
+	epoch atomic.Int64 // the run's clock starts so many nanoseconds after base
+	key   []byte
+
+	mu       sync.Mutex // guards all below
+	fleet    *world.Fleet
+	ledger   *judge.Ledger
+	registry *world.Registry
+	gen      *world.Generator
+	rng      *mrand.Rand
+	waiting  map[*world.Job]chan world.Answer
+	tries    map[uint64]int // attempts that came to nodes, by account
+	problems []string
+	lateness *hdrhistogram.Histogram // of this machine, in microseconds
+	worst    time.Duration
+	last     judge.Verdict
+
+	nodes   []*node
+	agents  []*agent
+	proxies []*child
+	wake    chan struct{}
+	running sync.WaitGroup
+	tmp     string
+}
+
+// now is the run's clock.
+func (r *Run) now() time.Duration { return time.Since(r.base) - time.Duration(r.epoch.Load()) }
+
+// unixMs is a time of the run as the protocol tells times of start.
+func (r *Run) unixMs(at time.Duration) int64 {
+	if at <= 0 {
+		return 0
+	}
+	return r.base.Add(time.Duration(r.epoch.Load()) + at).UnixMilli()
+}
+
+// mark is what only a node of this run can put into an answer.
+func (r *Run) mark(account uint64, node, attempt int) string {
+	m := hmac.New(sha256.New, r.key)
+	fmt.Fprintf(m, "%d/%d/%d", account, node, attempt)
+	return fmt.Sprintf("lapislab %016x %d %d %s\n", account, node, attempt, hex.EncodeToString(m.Sum(nil)[:12]))
+}
+
+// genuine tells whether an answer's body was made by a node of this run for that request.
+func (r *Run) genuine(account uint64, body []byte) bool {
+	var id uint64
+	var node, attempt int
+	var sum string
+	if _, err := fmt.Sscanf(string(body), "lapislab %x %d %d %s", &id, &node, &attempt, &sum); err != nil || id != account {
+		return false
+	}
+	return hmac.Equal([]byte(r.mark(account, node, attempt)), body)
+}
+
+// Play carries out a run. An error says why it could not be; whatever happens, no child, port or file is left.
+func Play(ctx context.Context, spec *world.Spec, opts Options) (res Result, err error) {
+	if err := spec.Check(); err != nil {
+		return res, err
+	}
+	if len(opts.Args) == 0 {
+		opts.Args = []string{"serve"}
+	}
+	if opts.MemoryMB == 0 {
+		opts.MemoryMB = 64
+	}
+	r := &Run{spec: spec, opts: opts, log: opts.Log, key: make([]byte, 32), fleet: world.Build(spec), registry: world.NewRegistry(spec),
+		gen: world.NewGenerator(spec), rng: spec.Stream(8), waiting: map[*world.Job]chan world.Answer{}, tries: map[uint64]int{},
+		lateness: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), wake: make(chan struct{}, 1)}
+	if r.log == nil {
+		r.log = slog.New(slog.DiscardHandler)
+	}
+	if _, err := rand.Read(r.key); err != nil {
+		return res, fmt.Errorf("a key for the answers: %w", err)
+	}
+	r.ledger = judge.New(judge.Settings{Classes: spec.Classes, Tenants: spec.Tenants, Proxies: spec.Proxies, Nodes: spec.Nodes,
+		Slack: judge.DefaultSlack + socketSlack, DrainGrace: judge.DefaultDrainGrace + socketSlack})
+	if r.tmp, err = os.MkdirTemp("", "lapislab-"); err != nil {
+		return res, fmt.Errorf("a folder for the proxies: %w", err)
+	}
+	defer os.RemoveAll(r.tmp)
+	inner, cancel := context.WithCancel(context.Background())
+	defer func() { // in this order: children, then sockets, then goroutines
+		var ends sync.WaitGroup
+		for _, c := range r.proxies {
+			ends.Go(c.end)
+		}
+		ends.Wait()
+		cancel()
+		for _, n := range r.nodes {
+			n.close()
+		}
+		for _, a := range r.agents {
+			a.close()
+		}
+		r.running.Wait()
+	}()
+	r.base = time.Now()
+	if err := r.open(); err != nil {
+		return res, err
+	}
+	if err := r.startProxies(ctx); err != nil {
+		return res, err
+	}
+	// What has passed so far was the start: the run's clock begins now.
+	r.mu.Lock()
+	r.epoch.Store(int64(time.Since(r.base)))
+	for _, c := range r.fleet.Cells {
+		c.Rewind()
+	}
+	r.mu.Unlock()
+	steps := world.Plan(spec, r.fleet)
+	r.running.Go(func() { r.drive(inner, slices.Clone(steps)) })
+	r.running.Go(func() { r.measure(inner) })
+	front := newFront(r)
+	r.running.Go(func() { front.watch(inner) })
+	if err := front.await(ctx, 10*time.Second); err != nil {
+		return res, err
+	}
+	r.running.Go(func() { front.nuisance(inner) })
+	if opts.Progress != nil {
+		r.running.Go(func() { r.glimpse(inner, front) })
+	}
+	front.load(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Finish()
+	v := r.ledger.Verdict(judge.UsualPrices)
+	return Result{Verdict: v, Faults: steps, Problems: slices.Clone(r.problems), Late: r.tooLate(front), Partial: ctx.Err() != nil}, nil
+}
+
+// open starts the nodes and the register's agents.
+func (r *Run) open() error {
+	for i := range r.fleet.Nodes {
+		n := newNode(r, i)
+		r.nodes = append(r.nodes, n)
+		if err := n.listen(); err != nil {
+			return err
+		}
+	}
+	for _, c := range r.fleet.Cells {
+		c.OnBegin = func(at time.Duration, n *world.Node, j *world.Job) {
+			r.ledger.Began(at, j.Request, r.number(n), int(j.Attempt))
+		}
+		c.OnFall = func(f world.Fall) {
+			no := r.number(f.Node)
+			r.ledger.Fell(f, no)
+			r.log.Info("a cold node was pushed over", "node", no)
+			r.nodes[no].fall()
+		}
+	}
+	for p := range r.spec.Proxies {
+		a, err := newAgent(r, p)
+		if err != nil {
+			return err
+		}
+		r.agents = append(r.agents, a)
+	}
+	return nil
+}
+
+func (r *Run) number(n *world.Node) int { return slices.Index(r.fleet.Nodes, n) }
+
+func (r *Run) problem(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.log.Error(text)
+	if len(r.problems) < 50 {
+		r.problems = append(r.problems, text)
+	}
+}
+
+// drive brings the world forward: nodes' work, faults, news. It ends with ctx.
+func (r *Run) drive(ctx context.Context, steps []world.Step) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-r.wake:
+		}
+		r.mu.Lock()
+		now := r.now()
+		for len(steps) > 0 && steps[0].At <= now {
+			r.apply(now, steps[0])
+			steps = steps[1:]
+		}
+		next := r.advance(now)
+		for _, n := range r.registry.Due(now) {
+			r.agents[n.Proxy].tell(now, n)
+		}
+		next = min(next, r.registry.Next())
+		if len(steps) > 0 {
+			next = min(next, steps[0].At)
+		}
+		r.ledger.Advance(now)
+		r.mu.Unlock()
+		timer.Reset(min(max(next-r.now(), 0), 50*time.Millisecond))
+	}
+}
+
+// advance plays all cells up to now, hands out what has ended and tells when something next does.
+func (r *Run) advance(now time.Duration) time.Duration {
+	next := world.Never
+	for _, c := range r.fleet.Cells {
+		for _, d := range c.Advance(now) {
+			if d.Answer == world.OK && d.Job.Kind == world.Request {
+				r.ledger.Made(d.Job.Request, r.number(d.Node), int(d.Job.Attempt))
+			}
+			if ch := r.waiting[d.Job]; ch != nil {
+				delete(r.waiting, d.Job)
+				ch <- d.Answer // it has room for one
+			}
+		}
+		next = min(next, c.Next())
+	}
+	return next
+}
+
+// kick has the world driven anew: something has come that changes when it next must be.
+func (r *Run) kick() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Run) apply(now time.Duration, s world.Step) {
+	r.advance(now)
+	switch s.Op {
+	case world.OpRegister:
+		r.registry.Stale(now, !s.Flag)
+	case world.OpHeavy:
+		share := s.Extra
+		if s.Size == 1 {
+			share = 0
+		}
+		r.gen.Heavy(s.Node, s.Size, share)
+	case world.OpSlow:
+		for _, c := range r.fleet.Cells {
+			c.Apply(now, nil, s)
+		}
+	case world.OpKillProxy:
+		r.ledger.ProxyDied(s.Node)
+		r.ledger.Forget(s.Node)
+		r.running.Go(func() { r.proxies[s.Node].killAndRestart() })
+	case world.OpUpgradeProxy:
+		r.running.Go(func() { r.proxies[s.Node].upgrade() })
+	default:
+		n, w := r.nodes[s.Node], r.fleet.Nodes[s.Node]
+		r.fleet.Cells[w.CellNo].Apply(now, w, s)
+		switch s.Op {
+		case world.OpDrain:
+			r.registry.Change(now, s.Node, world.Leaving, 0, false)
+		case world.OpKill:
+			r.registry.Change(now, s.Node, world.Left, 0, false)
+			n.kill()
+		case world.OpStart:
+			if err := n.listen(); err != nil {
+				r.problem("node %d cannot come back: %v", s.Node, err)
+				return
+			}
+			r.registry.Change(now, s.Node, world.Active, w.StartedAt, false)
+		case world.OpCut:
+			r.registry.Change(now, s.Node, world.Left, 0, true)
+			n.cutOff()
+		case world.OpUncut:
+			n.reconnect()
+			r.registry.Change(now, s.Node, world.Active, w.StartedAt, false)
+		}
+	}
+}
+
+// beat is how often this machine's lateness is measured.
+const beat = 5 * time.Millisecond
+
+// measure finds how late this machine wakes those that sleep.
+func (r *Run) measure(ctx context.Context) {
+	tick := time.NewTimer(beat)
+	defer tick.Stop()
+	for {
+		due := time.Now().Add(beat)
+		tick.Reset(beat)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		late := max(0, time.Since(due))
+		r.mu.Lock()
+		_ = r.lateness.RecordValue(max(1, int64(late/time.Microsecond)))
+		r.worst = max(r.worst, late)
+		r.mu.Unlock()
+	}
+}
+
+// How late the machine may be for a run to count. The slack of the rules on sockets is 50 ms.
+const (
+	lateUsual = 10 * time.Millisecond // for 99 of 100
+	lateWorst = 40 * time.Millisecond // for 9,999 of 10,000
+)
+
+// tooLate tells why the machine was too slow, if it was.
+func (r *Run) tooLate(f *front) string {
+	at := func(h *hdrhistogram.Histogram, q float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+	}
+	var why []string
+	if d := at(r.lateness, 99); d > lateUsual {
+		why = append(why, fmt.Sprintf("one wake-up in 100 came %v late or more; %v is the most", d, lateUsual))
+	}
+	if d := at(r.lateness, 99.99); d > lateWorst {
+		why = append(why, fmt.Sprintf("one wake-up in 10,000 came %v late or more; %v is the most", d, lateWorst))
+	}
+	if d := at(f.late, 99); d > 2*lateUsual {
+		why = append(why, fmt.Sprintf("one request in 100 was sent %v late or more: the machine cannot keep up with %.0f a second", d, r.spec.Load.Rate))
+	}
+	return strings.Join(why, "; ")
+}
+
+// glimpse tells of the run once a second.
+func (r *Run) glimpse(ctx context.Context, f *front) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		r.mu.Lock()
+		v := r.ledger.Verdict(judge.UsualPrices)
+		g := Glimpse{Now: r.now(), Of: r.spec.Duration, Asked: v.FirstTries, OK: v.OK - r.last.OK, Refused: v.Refused - r.last.Refused,
+			Failed: v.Failed - r.last.Failed, Open: len(r.waiting), Late: r.worst, RulesBroken: v.RulesBroken, Attempts: v.Attempts,
+			FirstTrys: v.FirstTries}
+		r.worst = 0
+		r.last = v
+		for _, n := range r.fleet.Nodes {
+			switch {
+			case n.Cut:
+				g.Cut++
+			case n.Hangs:
+				g.Hanging++
+			case n.Condition == world.Up:
+				g.Up++
+			case n.Condition == world.Draining:
+				g.Draining++
+			default:
+				g.Down++
+			}
+		}
+		r.mu.Unlock()
+		g.Proxies = f.serving()
+		r.opts.Progress(g)
+	}
+}
+
+// nodeAddr is where a node listens for one proxy: each pair has an address of its own within 127.0.0.0/8, so
+// that a node knows who sends.
+func nodeAddr(proxy, node int) net.IP {
+	return net.IPv4(127, byte(20+proxy%200), byte(1+node/250), byte(1+node%250))
+}
--- /dev/null
+++ b/internal/lab/report/text.go
@@ -0,0 +1,47 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+)
+
+// shownBreaches is how many breaches a text shows with their evidence.
+const shownBreaches = 5
+
+// Text is the summary for a terminal.
+func (s *Summary) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, %s, %s, seed %d: G %.3f (whole %.3f, worst 10 s %.3f, worst class %.3f, worst co-operative %.3f, prices %.3f)\n",
+		s.Name, s.Driver, s.Policy, s.Seed, s.Worth.G, s.Worth.Whole, s.Worth.WorstWindow, s.Worth.WorstClass, s.Worth.WorstTenant, s.Worth.Prices)
+	for _, c := range s.Classes {
+		fmt.Fprintf(&b, "  %-16s %6d asked, %5.1f%% of the worth served, %d refused, %d failed; p50 %.0f, p99 %.0f, most %.0f ms\n",
+			c.Name, c.Requests, 100*c.Share, c.Refused, c.Failed, c.P50, c.P99, c.Max)
+	}
+	fmt.Fprintf(&b, "  %d first tries, %d taken, %d attempts, %d probes, %d lost with killed proxies\n",
+		s.FirstTries, s.Taken, s.Attempts, s.Probes, s.Excused)
+	if !s.Scored {
+		fmt.Fprintf(&b, "  NOT SCORED, the machine was too slow: %s\n", s.Late)
+	}
+	if s.Partial {
+		b.WriteString("  broken off before its end\n")
+	}
+	for _, p := range s.Problems {
+		fmt.Fprintf(&b, "  problem: %s\n", p)
+	}
+	fmt.Fprintf(&b, "rules broken: %d", s.RulesBroken)
+	for _, r := range s.Broken() {
+		fmt.Fprintf(&b, ", %s %d", r, s.ByRule[r])
+	}
+	b.WriteByte('\n')
+	for i, x := range s.Breaches {
+		if i == shownBreaches {
+			fmt.Fprintf(&b, "  and %d more\n", s.RulesBroken-i)
+			break
+		}
+		fmt.Fprintf(&b, "  at %.3f s: %s: %s, request %s by proxy %d\n", x.AtMs/1000, x.Rule, x.What, x.Request, x.Proxy)
+		for _, e := range x.Evidence {
+			fmt.Fprintf(&b, "    %s\n", e)
+		}
+	}
+	return b.String()
+}
--- a/internal/lab/world/cell.go
+++ b/internal/lab/world/cell.go
@@ -352,3 +352,14 @@
 	}
 	c.rerate(now)
 }
+
+// Rewind sets the cell's clock back to the start of a run: what it has in hand goes on from there.
+func (c *Cell) Rewind() {
+	for _, n := range c.Nodes {
+		n.clockAt = 0
+	}
+	for _, j := range c.waits {
+		j.at = 0
+	}
+	c.check = 0
+}
