--- /dev/null
+++ b/cmd/lapislab/plain.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"lapisspread/internal/lab/plainproxy"
+	"lapisspread/internal/lab/rival"
+	"lapisspread/internal/proxy"
+)
+
+// plainProxyCommand is what run starts in the proxy's place for a policy other than the module.
+func plainProxyCommand() *cobra.Command {
+	var policy string
+	c := &cobra.Command{
+		Use:    "plain-proxy",
+		Short:  "Serve as a plain proxy, or a flawed one, with the configuration of a real one",
+		Hidden: true,
+		Args:   usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := rival.Named(policy); err != nil {
+				return err
+			}
+			cfg, err := proxy.LoadConfig(os.Getenv)
+			if err != nil {
+				return err
+			}
+			return plainproxy.New(policy, cfg).Run(cmd.Context())
+		},
+	}
+	c.Flags().StringVar(&policy, "policy", "reverse-proxy", "see lapislab list")
+	return c
+}
--- a/cmd/lapislab/run.go
+++ b/cmd/lapislab/run.go
@@ -29,6 +29,8 @@
 	policy   string
 	rate     float64
 	verbose  bool
+	profile  string
+	args     []string
 }
 
 func runCommand() *cobra.Command {
@@ -62,6 +64,7 @@
 	c.Flags().StringVar(&o.proxy, "proxy", "", "the proxy's program (default: lapisspread, built from this tree or beside this program)")
 	c.Flags().StringVar(&o.policy, "policy", rival.Module, "what decides: module is the real proxy, others a plain one; see lapislab list")
 	c.Flags().Float64Var(&o.rate, "rate", 0, "first tries a second")
+	c.Flags().StringVar(&o.profile, "cpu-profile", "", "have each proxy write a CPU profile to this file, with its name behind")
 	c.Flags().BoolVar(&o.verbose, "verbose", false, "tell what the laboratory does")
 	return c
 }
@@ -125,11 +128,18 @@
 			return nil, err
 		}
 		opts.Args = []string{"plain-proxy", "--policy", o.policy}
+		opts.Env = []string{"GOMAXPROCS=1"} // one core, as the proxy takes by its configuration
 	} else if opts.Binary == "" {
 		if opts.Binary, err = findProxy(ctx, tmp); err != nil {
 			return nil, err
 		}
 	}
+	if len(o.args) > 0 {
+		opts.Args = o.args
+	}
+	if o.profile != "" {
+		opts.Args = []string{"serve", "--cpu-profile", o.profile}
+	}
 	if o.verbose {
 		opts.Log = slog.New(slog.NewTextHandler(out, nil))
 	}
@@ -141,6 +151,9 @@
 	}
 	s := report.Summarise(f.Name, "run", o.policy, &spec, res.Verdict, res.Faults)
 	s.Partial, s.Problems, s.Late, s.Scored = res.Partial, res.Problems, res.Late, res.Late == ""
+	for _, u := range res.Usage {
+		s.Usage = append(s.Usage, report.Usage{CPU: u.CPU.Seconds(), RSSMB: float64(u.MaxRSS) / (1 << 20)})
+	}
 	return s, nil
 }
 
--- a/cmd/lapislab/selfcheck.go
+++ b/cmd/lapislab/selfcheck.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -29,16 +30,21 @@
 
 func selfCheckCommand() *cobra.Command {
 	var seed uint64
+	var sockets bool
+	var ledger int
 	c := &cobra.Command{
 		Use:   "self-check",
 		Short: "Try the judge: proxies with one flaw each must be convicted of its rule and no other, right ones acquitted",
 		Args:  usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := cmd.OutOrStdout()
+			if ledger > 0 {
+				return ledgerTrial(out, ledger)
+			}
 			convicted, acquitted, wrong := 0, 0, 0
 			right := append([]string{rival.Module}, rival.Baselines[:3]...)
 			for _, flaw := range rival.Flaws {
-				v, err := trial(cmd, flaw.Name, seed)
+				v, err := trial(cmd, flaw.Name, seed, sockets)
 				if err != nil {
 					return err
 				}
@@ -52,7 +58,7 @@
 				fmt.Fprintf(out, "%-18s guilty of %-10s %4d breaches: %s%s\n", flaw.Name, names(broken), v.RulesBroken, about(v), verdict(ok))
 			}
 			for _, name := range right {
-				v, err := trial(cmd, name, seed)
+				v, err := trial(cmd, name, seed, sockets)
 				if err != nil {
 					return err
 				}
@@ -71,15 +77,30 @@
 			return nil
 		},
 	}
+	c.Flags().IntVar(&ledger, "ledger", 0, "in place of all else, enter so many requests into a ledger and tell its memory")
+	c.Flags().BoolVar(&sockets, "sockets", false, "with real processes on sockets, four minutes, in place of virtual time")
 	c.Flags().Uint64Var(&seed, "seed", 1, "what chance comes from")
 	return c
 }
 
-func trial(cmd *cobra.Command, policy string, seed uint64) (judge.Verdict, error) {
+func trial(cmd *cobra.Command, policy string, seed uint64, sockets bool) (judge.Verdict, error) {
 	f, err := experiment.Parse("trial", []byte(trialDay))
 	if err != nil {
 		return judge.Verdict{}, err
 	}
+	if sockets {
+		s, err := playLive(cmd.Context(), io.Discard, f, runOptions{seed: seed, policy: policy}, 1)
+		if err != nil {
+			return judge.Verdict{}, fmt.Errorf("%s: %w", policy, err)
+		}
+		if !s.Scored {
+			return judge.Verdict{}, fmt.Errorf("%s: the machine was too slow: %s", policy, s.Late)
+		}
+		if len(s.Problems) > 0 {
+			return judge.Verdict{}, fmt.Errorf("%s: %s", policy, s.Problems[0])
+		}
+		return s.Verdict, nil
+	}
 	factory, err := rival.Named(policy)
 	if err != nil {
 		return judge.Verdict{}, err
--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -65,12 +65,15 @@
 }
 
 func serveCommand() *cobra.Command {
-	return &cobra.Command{
+	var profile string
+	c := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve clients until SIGTERM",
 		Args:  noArguments,
-		RunE:  func(*cobra.Command, []string) error { return serve() },
+		RunE:  func(*cobra.Command, []string) error { return serve(profile) },
 	}
+	c.Flags().StringVar(&profile, "cpu-profile", "", "write a CPU profile (pprof) to this file, with the proxy's name behind it, at the end")
+	return c
 }
 
 func configCommand() *cobra.Command {
--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 
 	"lapisspread/internal/proxy"
@@ -17,14 +19,26 @@
 // what it does not count, such as the sockets' buffers and the program itself.
 const memoryPart = 0.7
 
-// serve runs the proxy until SIGTERM. An error says why it could not serve.
-func serve() error {
+// serve runs the proxy until SIGTERM, and writes a CPU profile if a file for it is named. An error says why it
+// could not serve.
+func serve(profile string) error {
 	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
 	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := proxy.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
+	if profile != "" {
+		file, err := os.Create(profile + "." + cfg.Name)
+		if err != nil {
+			return fmt.Errorf("the profile: %w", err)
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return fmt.Errorf("the profile: %w", err)
+		}
+		defer pprof.StopCPUProfile()
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/internal/lab/judge/ledger_test.go
@@ -0,0 +1,191 @@
+package judge
+
+import (
+	"math"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"lapisspread/internal/lab/world"
+)
+
+const ms = time.Millisecond
+
+// scene is a ledger with one safe (0) and one unsafe (1) class, two proxies and three nodes.
+func scene() *Ledger {
+	return New(Settings{Proxies: 2, Nodes: 3, Tenants: []world.Tenant{{Name: "t"}}, Classes: []world.Class{
+		{Name: "safe", Aim: 100 * ms, GiveUp: time.Second, Safe: true, Worth: 2, Late: 0.5},
+		{Name: "payout", Aim: 100 * ms, GiveUp: time.Second, Worth: 10, Late: 0.25}}})
+}
+
+func ask(l *Ledger, class int, at time.Duration) uint64 {
+	a := world.Arrival{At: at, First: at, Class: class, Deadline: at + 500*ms, GiveUp: at + time.Second, Worth: l.set.Classes[class].Worth, Work: 10}
+	l.Asked(&a)
+	return l.Take(Try{Proxy: 1, Arrival: a})
+}
+
+// serve is an attempt that runs and serves.
+func serve(l *Ledger, id uint64, at time.Duration) {
+	l.Sent(at, id, 1, 0, 0)
+	l.Began(at, id, 0, 0)
+	l.Made(id, 0, 0)
+	l.Answered(at+20*ms, id, world.Served, true)
+}
+
+func TestRules(t *testing.T) {
+	const payout, safe = 1, 0
+	for _, k := range []struct {
+		name string
+		do   func(l *Ledger)
+		want []Rule // one breach of each
+	}{
+		{"served", func(l *Ledger) { serve(l, ask(l, payout, 0), ms) }, nil},
+		{"never answered", func(l *Ledger) { ask(l, safe, 0) }, []Rule{Lost}},
+		{"just in time", func(l *Ledger) { l.Answered(508*ms, ask(l, safe, 0), world.Errored, false) }, nil},
+		{"a microsecond too late", func(l *Ledger) { l.Answered(508*ms+time.Microsecond, ask(l, safe, 0), world.Errored, false) }, []Rule{Lost}},
+		{"answered twice", func(l *Ledger) {
+			id := ask(l, safe, 0)
+			l.Answered(ms, id, world.Errored, false)
+			l.Answered(2*ms, id, world.Errored, false)
+		}, []Rule{Lost}},
+		{"served what no node made", func(l *Ledger) { l.Answered(ms, ask(l, safe, 0), world.Served, true) }, []Rule{Lost}},
+		{"served with another's bytes", func(l *Ledger) {
+			id := ask(l, safe, 0)
+			l.Sent(ms, id, 1, 0, 0)
+			l.Made(id, 0, 0)
+			l.Answered(2*ms, id, world.Served, false)
+		}, []Rule{Lost}},
+		{"the client left", func(l *Ledger) { l.Departed(ask(l, safe, 0)) }, nil},
+		{"its proxy was killed", func(l *Ledger) { ask(l, payout, 0); l.ProxyDied(1) }, nil},
+		{"another proxy was killed", func(l *Ledger) { ask(l, payout, 0); l.ProxyDied(0) }, []Rule{Lost}},
+		{"its connection broke", func(l *Ledger) { l.Broke(ms, ask(l, safe, 0), "reset") }, []Rule{Lost}},
+		{"a payout repeated", func(l *Ledger) {
+			id := ask(l, payout, 0)
+			l.Sent(ms, id, 1, 0, 0)
+			serveOn(l, id, 1, 1)
+		}, []Rule{Duplicate}},
+		{"a payout repeated after proof", func(l *Ledger) {
+			id := ask(l, payout, 0)
+			l.Sent(ms, id, 1, 0, 0)
+			l.Proved(id, 0)
+			serveOn(l, id, 1, 1)
+		}, nil},
+		{"a safe one repeated", func(l *Ledger) {
+			id := ask(l, safe, 0)
+			l.Sent(ms, id, 1, 0, 0)
+			l.Began(ms, id, 0, 0)
+			serveOn(l, id, 1, 1)
+		}, nil},
+		{"a payout that ran twice", func(l *Ledger) {
+			id := ask(l, payout, 0)
+			serve(l, id, ms)
+			l.Began(30*ms, id, 1, 0)
+		}, []Rule{Duplicate}},
+		{"a payout called harmless", func(l *Ledger) {
+			id := ask(l, payout, 0)
+			l.Sent(ms, id, 1, 0, 0)
+			l.Answered(2*ms, id, world.Rejected, false)
+		}, []Rule{Duplicate}},
+		{"a payout refused unsent", func(l *Ledger) { l.Answered(ms, ask(l, payout, 0), world.Rejected, false) }, nil},
+		{"a send within the grace", func(l *Ledger) {
+			l.Told(0, 1, 0, world.Leaving, 0)
+			serve(l, ask(l, safe, 400*ms), 500*ms)
+		}, nil},
+		{"a send after the grace", func(l *Ledger) {
+			l.Told(0, 1, 0, world.Leaving, 0)
+			l.Told(300*ms, 1, 0, world.Left, 0) // the grace counts from the first word
+			serve(l, ask(l, safe, 400*ms), 501*ms)
+		}, []Rule{Drain}},
+		{"told another proxy", func(l *Ledger) {
+			l.Told(0, 0, 0, world.Leaving, 0)
+			serve(l, ask(l, safe, 400*ms), 600*ms)
+		}, nil},
+		{"back in the list", func(l *Ledger) {
+			l.Told(0, 1, 0, world.Left, 0)
+			l.Told(550*ms, 1, 0, world.Active, 500*ms)
+			serve(l, ask(l, safe, 400*ms), 600*ms)
+		}, nil},
+		{"pushed over by those told", func(l *Ledger) {
+			l.Fell(world.Fall{Sent: 90, Told: 70, Budget: 30, ByProxy: map[int32]float64{0: 20, 1: 70}}, 2)
+		}, []Rule{Cold}},
+		{"pushed over by those not told", func(l *Ledger) {
+			l.Fell(world.Fall{Sent: 90, Told: 50, Budget: 30, ByProxy: map[int32]float64{1: 90}}, 2)
+		}, nil},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			l := scene()
+			k.do(l)
+			l.Finish()
+			v := l.Verdict(UsualPrices)
+			if got := v.Broken(); !slices.Equal(got, k.want) || v.RulesBroken != len(k.want) {
+				t.Errorf("broken: %v, %d times; want %v\n%+v", got, v.RulesBroken, k.want, v.Breaches)
+			}
+			for _, b := range v.Breaches {
+				if len(b.Evidence) == 0 {
+					t.Errorf("%s: no evidence", b.What)
+				}
+			}
+		})
+	}
+}
+
+func serveOn(l *Ledger, id uint64, node, attempt int) {
+	l.Sent(3*ms, id, 1, node, attempt)
+	l.Began(3*ms, id, node, attempt)
+	l.Made(id, node, attempt)
+	l.Answered(20*ms, id, world.Served, true)
+}
+
+func TestWorth(t *testing.T) {
+	l := scene()
+	serve(l, ask(l, 1, 0), 10*ms)                                               // 10 of 10
+	serve(l, ask(l, 1, 0), 100*ms)                                              // past its aim: 2.5 of 10
+	l.Answered(400*ms, ask(l, 0, 0), world.Rejected, false)                     // 0 of 2, kept back without an attempt
+	l.Answered(15*time.Second, ask(l, 0, 15*time.Second), world.Errored, false) // 0 of 2, in another window
+	l.Finish()
+	w := l.Verdict(UsualPrices).Worth
+	near := func(name string, got, want float64) {
+		if math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+	near("whole", w.Whole, 12.5/24)
+	near("worst class", w.WorstClass, 0)
+	near("worst window", w.WorstWindow, 0)
+	near("late failures", w.LateFail, 0.05*9.5/24)
+	near("held back", w.HeldBack, 0.3*2/24)
+}
+
+// Ten million requests are a matter of the command line (self-check --ledger); here a tenth of that.
+func TestMemoryFollowsWhatIsOpen(t *testing.T) {
+	l := scene()
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	var early uint64
+	const n = 1_000_000
+	for i := range n {
+		at := time.Duration(i) * 100 * time.Microsecond
+		serve(l, ask(l, i%2, at), at+ms)
+		if i%100 == 0 {
+			l.Advance(at)
+		}
+		if i == n/4 {
+			early = heap()
+		}
+	}
+	if late := heap(); late > early+4<<20 {
+		t.Errorf("%d bytes after a quarter, %d at the end", early, late)
+	}
+	if l.Peak() > 50_000 {
+		t.Errorf("%d requests were held at once; 10,000 a second for 3.5 s come to 35,000", l.Peak())
+	}
+	l.Finish()
+	if v := l.Verdict(UsualPrices); v.OK != n || v.RulesBroken != 0 || v.Unjudged != 0 {
+		t.Errorf("%d ok, %d broken, %d unjudged", v.OK, v.RulesBroken, v.Unjudged)
+	}
+}
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -35,6 +35,7 @@
 	procs []*process // the last one is the newest
 	ended bool       // no more are started
 	deads int        // times its process was killed on purpose
+	usage Usage      // of those that have ended
 }
 
 type process struct {
@@ -177,8 +178,8 @@
 		}
 		c.r.running.Go(func() { p.read(out) })
 		p.err = p.cmd.Wait()
-		close(p.done)
 		c.over(p)
+		close(p.done)
 	})
 	if err := <-started; err != nil {
 		return nil, fmt.Errorf("proxy %d: starting %s: %w", c.no, c.r.opts.Binary, err)
@@ -187,6 +188,19 @@
 	return p, nil
 }
 
+func (c *child) used() Usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usage
+}
+
+// lives counts the deaths of the place's processes that were not an end in order.
+func (c *child) lives() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deads
+}
+
 func (c *child) newest() *process {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -197,6 +211,15 @@
 func (c *child) over(p *process) {
 	c.mu.Lock()
 	expected := p.expected || c.ended
+	if !expected {
+		c.deads++
+	}
+	if state := p.cmd.ProcessState; state != nil {
+		c.usage.CPU += state.UserTime() + state.SystemTime()
+		if u, ok := state.SysUsage().(*syscall.Rusage); ok {
+			c.usage.MaxRSS = max(c.usage.MaxRSS, u.Maxrss<<10) // Linux tells it in KiB
+		}
+	}
 	c.procs = slices.DeleteFunc(c.procs, func(o *process) bool { return o == p && len(c.procs) > 1 })
 	c.mu.Unlock()
 	if !expected {
@@ -247,11 +270,22 @@
 	c.r.ledger.ProxyDied(c.no) // what came while it died
 	c.r.mu.Unlock()
 	time.Sleep(proxyAway)
-	if _, err := c.start(); err != nil && !c.isOver() {
-		c.r.mu.Lock()
-		c.r.problem("proxy %d does not come back: %v", c.no, err)
-		c.r.mu.Unlock()
+	next, err := c.start()
+	if err != nil {
+		if !c.isOver() {
+			c.r.mu.Lock()
+			c.r.problem("proxy %d does not come back: %v", c.no, err)
+			c.r.mu.Unlock()
+		}
+		return
+	}
+	for until := time.Now().Add(upgradeWait); !ping(next.console) && time.Now().Before(until) && !c.isOver(); {
+		time.Sleep(10 * time.Millisecond)
 	}
+	// A socket that is held for the proxy goes on taking connections while nobody is there.
+	c.r.mu.Lock()
+	c.r.ledger.ProxyDied(c.no)
+	c.r.mu.Unlock()
 }
 
 func (c *child) isOver() bool {
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -277,6 +277,7 @@
 	a.At, a.Deadline = now, now+patience
 	account := r.ledger.Take(judge.Try{Proxy: proxy, Arrival: a})
 	r.mu.Unlock()
+	lives := r.proxies[proxy].lives()
 	text := requestText(a, class, r.spec, account, patience)
 	var gaveUp atomic.Bool
 	giveUp := time.AfterFunc(patience, func() { // the client's patience ends; the answer is still watched for
@@ -321,8 +322,8 @@
 				r.mu.Unlock()
 			}
 			return // the ledger sees that nothing has come
-		case errors.Is(err, errUnread) && used && !fresh:
-			continue // a close between requests has crossed it
+		case errors.Is(err, errUnread) && used && !fresh && lives == r.proxies[proxy].lives():
+			continue // a close between requests has crossed it; one by a death may have had it in hand
 		}
 		f.broke(account, proxy, now, err)
 		if giveUp.Stop() {
--- /dev/null
+++ b/internal/lab/live/live_test.go
@@ -0,0 +1,291 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lapisspread/internal/lab/world"
+)
+
+// program builds the proxy once for all tests of the package.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "live-test-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "lapisspread")
+	cmd := exec.Command("go", "build", "-o", path, "lapisspread/cmd/lapisspread")
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", &exec.Error{Name: string(text), Err: err}
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+func small() world.Spec {
+	s := world.Default()
+	s.Duration, s.Proxies, s.Nodes, s.Load.Rate = 4*time.Second, 2, 4, 40
+	return s
+}
+
+// children are the processes of this one that still live.
+func children(t *testing.T, of string) string {
+	t.Helper()
+	text, _ := exec.Command("pgrep", "-f", of).Output()
+	return strings.TrimSpace(string(text))
+}
+
+// A whole run around real proxies with every kind of trouble that a socket can show: nodes that die, drain, hang and
+// are cut off, a proxy that is killed and one that is upgraded.
+func TestARunAroundRealProxies(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := small()
+	s.Duration = 8 * time.Second
+	s.Faults = []world.Fault{
+		{Kind: world.Hang, At: time.Second, For: 2 * time.Second, Share: 0.25},
+		{Kind: world.RollingRestart, At: 500 * time.Millisecond, Share: 0.25},
+		{Kind: world.CutOff, At: 3 * time.Second, For: 2 * time.Second, Share: 0.25},
+		{Kind: world.KillProxy, At: 2 * time.Second, Share: 0.1},
+		{Kind: world.UpgradeProxy, At: 5 * time.Second, Share: 0.1},
+	}
+	res, err := Play(context.Background(), &s, Options{Binary: path, HalfOpen: 4, Slow: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := res.Verdict
+	if res.Late != "" {
+		t.Logf("the machine was too slow for the rules to count: %s", res.Late)
+	} else if v.RulesBroken > 0 {
+		t.Errorf("%d breaches, first %+v", v.RulesBroken, v.Breaches[0])
+	}
+	if len(res.Problems) > 0 {
+		t.Errorf("problems: %v", res.Problems)
+	}
+	if v.FirstTries < 200 || v.OK < v.FirstTries*6/10 {
+		t.Errorf("%d of %d served", v.OK, v.FirstTries)
+	}
+	if left := children(t, path); left != "" {
+		t.Errorf("left behind: %s", left)
+	}
+}
+
+// A proxy that dies at its start: its last lines are in the error, and nothing is left.
+func TestAChildThatDiesAtItsStart(t *testing.T) {
+	s := small()
+	script := filepath.Join(t.TempDir(), "dies")
+	if err := os.WriteFile(script, []byte("#!/bin/sh\necho the reason is this >&2\nexit 3\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Play(context.Background(), &s, Options{Binary: script})
+	if err == nil || !strings.Contains(err.Error(), "the reason is this") || !strings.Contains(err.Error(), "exit status 3") {
+		t.Errorf("got %v", err)
+	}
+	if _, err := Play(context.Background(), &s, Options{Binary: script + ".none"}); err == nil || !strings.Contains(err.Error(), "starting") {
+		t.Errorf("no program: %v", err)
+	}
+}
+
+// A proxy that ends by itself in the midst is a problem with its last lines, and the run goes on to its end.
+func TestAProxyThatEndsByItself(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := small()
+	s.Duration = 3 * time.Second
+	script := filepath.Join(t.TempDir(), "ends")
+	text := "#!/bin/sh\n" + path + " serve &\npid=$!\ntrap 'kill $pid; wait $pid; exit 0' TERM\nsleep 2 & wait $!\nkill -9 $pid\necho gone by itself\nexit 7\n"
+	if err := os.WriteFile(script, []byte(text), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	res, err := Play(context.Background(), &s, Options{Binary: script})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Problems) != 2 || !strings.Contains(res.Problems[0], "exit status 7") || !strings.Contains(res.Problems[0], "gone by itself") {
+		t.Errorf("problems: %q", res.Problems)
+	}
+	if left := children(t, path); left != "" {
+		t.Errorf("left behind: %s", left)
+	}
+}
+
+// Ctrl-C in the midst: what was seen is judged, and nothing is left.
+func TestBrokenOff(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := small()
+	s.Duration = time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	res, err := Play(ctx, &s, Options{Binary: path, Progress: func(g Glimpse) {
+		if g.Now > 1500*time.Millisecond {
+			cancel()
+		}
+	}})
+	cancel()
+	if err != nil || !res.Partial || res.Verdict.FirstTries == 0 || res.Verdict.FirstTries > 1000 {
+		t.Errorf("%v, partial %v, %d first tries", err, res.Partial, res.Verdict.FirstTries)
+	}
+	if left := children(t, path); left != "" {
+		t.Errorf("left behind: %s", left)
+	}
+}
+
+// stand is a run without proxies: nodes and register alone.
+func stand(t *testing.T) *Run {
+	t.Helper()
+	s := small()
+	r := newRun(&s, Options{})
+	t.Cleanup(func() {
+		for _, n := range r.nodes {
+			n.close()
+		}
+		for _, a := range r.agents {
+			a.close()
+		}
+		r.running.Wait()
+	})
+	if err := r.open(); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestCutOffNodesAreSilent(t *testing.T) {
+	r := stand(t)
+	n := r.nodes[0]
+	n.cutOff()
+	time.Sleep(200 * time.Millisecond) // its queues fill
+	if c, err := net.DialTimeout("tcp4", n.addr(0), 150*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("a connection to a node that is cut off came up")
+	} else if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+		t.Errorf("it was not silent: %v", err)
+	}
+	n.reconnect()
+	c, err := net.DialTimeout("tcp4", n.addr(0), 3*time.Second)
+	if err != nil {
+		t.Fatalf("once it is back: %v", err)
+	}
+	c.Close()
+}
+
+// A port that was taken while the node was dead: it comes back on another one.
+func TestATakenPort(t *testing.T) {
+	r := stand(t)
+	n := r.nodes[0]
+	old := n.addr(0)
+	n.kill()
+	thief, err := net.Listen("tcp4", old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer thief.Close()
+	if err := n.listen(); err != nil || n.addr(0) == old {
+		t.Errorf("%v, at %s", err, n.addr(0))
+	}
+}
+
+func TestTheRegister(t *testing.T) {
+	r := stand(t)
+	a := r.agents[0]
+	get := func(query string) (int, catalog) {
+		resp, err := http.Get("http://" + a.addr + "/catalog/members" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var c catalog
+		_ = json.NewDecoder(resp.Body).Decode(&c)
+		return resp.StatusCode, c
+	}
+	if _, c := get(""); !c.Reset || len(c.Instances) != 4 {
+		t.Errorf("whole list: %+v", c)
+	}
+	for _, bad := range []string{"?from=x&hold_ms=1", "?from=1", "?from=1&hold_ms=-1"} {
+		if status, _ := get(bad); status != http.StatusBadRequest {
+			t.Errorf("%s: status %d", bad, status)
+		}
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		r.mu.Lock()
+		a.tell(time.Second, world.News{Node: 2, Listing: world.Leaving})
+		r.mu.Unlock()
+	}()
+	if _, c := get("?from=1&hold_ms=5000"); c.Reset || len(c.Instances) != 1 || c.Instances[0].Lifecycle != "leaving" {
+		t.Errorf("watch: %+v", c)
+	}
+	if _, c := get("?from=2&hold_ms=10"); len(c.Instances) != 0 || c.Generation != 2 {
+		t.Errorf("nothing new: %+v", c)
+	}
+	if _, c := get("?from=99&hold_ms=10"); !c.Reset {
+		t.Errorf("a version that never was: %+v", c)
+	}
+}
+
+func TestOnlyANodesAnswerIsGenuine(t *testing.T) {
+	r := stand(t)
+	good := []byte(r.mark(7, 1, 0))
+	if !r.genuine(7, good) {
+		t.Error("a node's answer is not taken for one")
+	}
+	for name, body := range map[string][]byte{
+		"another request's": []byte(r.mark(8, 1, 0)), "changed": bytes.Replace(good, []byte(" 1 "), []byte(" 2 "), 1),
+		"cut off": good[:len(good)-3], "empty": nil, "more": append(good, 'x'),
+	} {
+		if r.genuine(7, body) {
+			t.Errorf("%s passes", name)
+		}
+	}
+}
+
+// Requests that no client has sent, or that can't be read.
+func TestANodeTurnsAwayWhatNoClientSent(t *testing.T) {
+	r := stand(t)
+	for text, want := range map[string]string{
+		"GET /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: zz\r\n\r\n": "HTTP/1.1 400",
+		"GET /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: 77\r\n\r\n": "HTTP/1.1 400",
+		"GET /api HTTP/1.1\r\nHost: x\r\n\r\n":                     "HTTP/1.1 404",
+		"GET /_load HTTP/1.1\r\nHost: x\r\n\r\n":                   "HTTP/1.1 404",
+		"nonsense\r\n\r\n":                                         "",
+	} {
+		c, err := net.Dial("tcp4", r.nodes[0].addr(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		c.Write([]byte(text))
+		got := make([]byte, len("HTTP/1.1 400"))
+		n, _ := c.Read(got)
+		if string(got[:n]) != want {
+			t.Errorf("%q: %q, want %q", text, got[:n], want)
+		}
+		c.Close()
+	}
+	if len(r.problems) != 2 {
+		t.Errorf("problems: %q", r.problems)
+	}
+}
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -28,7 +28,7 @@
 	listens []*net.TCPListener
 	conns   map[*nodeConn]bool
 	fillers []net.Conn
-	cut     bool
+	cut     chan struct{} // while it is cut off: closes when that ends; else nil
 }
 
 type nodeConn struct {
@@ -83,9 +83,10 @@
 		}
 		conn := &nodeConn{c, n, proxy}
 		n.mu.Lock()
-		if n.cut { // the last one that the kernel let in: nothing passes
+		if cut := n.cut; cut != nil { // the last one that the kernel let in; no more is taken, so that the queue fills
 			n.fillers = append(n.fillers, c)
 			n.mu.Unlock()
+			<-cut
 			continue
 		}
 		n.conns[conn] = true
@@ -102,9 +103,18 @@
 		l.Close()
 	}
 	n.listens = nil
+	n.passAgain()
 	n.reset()
 }
 
+// passAgain ends a cut-off for the accepting goroutines. n.mu is held.
+func (n *node) passAgain() {
+	if n.cut != nil {
+		close(n.cut)
+		n.cut = nil
+	}
+}
+
 // fall is a kill from within the world's own step, which must not wait.
 func (n *node) fall() { n.kill() }
 
@@ -114,6 +124,10 @@
 		c.SetLinger(0)
 		c.Close()
 	}
+	n.dropFillers()
+}
+
+func (n *node) dropFillers() {
 	for _, c := range n.fillers {
 		c.Close()
 	}
@@ -127,24 +141,43 @@
 func (n *node) cutOff() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut = true
+	if n.cut != nil {
+		return
+	}
+	n.cut = make(chan struct{})
 	for i, l := range n.listens {
 		setBacklog(l, 0)
 		addr := n.addrs[i].String()
-		for range 3 {
-			n.r.running.Go(func() {
-				d := net.Dialer{Timeout: 30 * time.Millisecond}
-				if c, err := d.DialContext(context.Background(), "tcp4", addr); err == nil {
-					n.mu.Lock()
-					if n.cut {
-						n.fillers = append(n.fillers, c)
-					} else {
-						c.Close()
-					}
-					n.mu.Unlock()
-				}
-			})
+		n.r.running.Go(func() { n.fill(addr) })
+	}
+}
+
+// Filling a queue: one after the other, for of several at once the kernel lets the first alone in, and tells the
+// others' ends so only later.
+const (
+	fillTries = 5
+	fillWait  = 20 * time.Millisecond
+	fillRest  = 3 * time.Millisecond
+)
+
+// fill connects to a node that is cut off until nothing comes up any more.
+func (n *node) fill(addr string) {
+	d := net.Dialer{Timeout: fillWait}
+	for range fillTries {
+		c, err := d.DialContext(context.Background(), "tcp4", addr)
+		n.mu.Lock()
+		if err == nil {
+			n.fillers = append(n.fillers, c)
+		}
+		over := n.cut == nil
+		if over {
+			n.dropFillers()
+		}
+		n.mu.Unlock()
+		if over {
+			return
 		}
+		time.Sleep(fillRest)
 	}
 }
 
@@ -152,7 +185,7 @@
 func (n *node) reconnect() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut = false
+	n.passAgain()
 	for _, l := range n.listens {
 		setBacklog(l, 512)
 	}
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -60,6 +60,13 @@
 	Problems []string // what went wrong beside the rules: a proxy that ended by itself
 	Late     string   // why the machine was too slow for the run to count; empty if it was not
 	Partial  bool
+	Usage    []Usage // of each proxy
+}
+
+// Usage is what the processes of a proxy's place have taken of the machine.
+type Usage struct {
+	CPU    time.Duration // user and system, of all together
+	MaxRSS int64         // bytes, of the largest
 }
 
 // Run is a world on its way.
@@ -121,6 +128,20 @@
 	return hmac.Equal([]byte(r.mark(account, node, attempt)), body)
 }
 
+func newRun(spec *world.Spec, opts Options) *Run {
+	r := &Run{spec: spec, opts: opts, log: opts.Log, key: make([]byte, 32), fleet: world.Build(spec), registry: world.NewRegistry(spec),
+		gen: world.NewGenerator(spec), rng: spec.Stream(8), waiting: map[*world.Job]chan world.Answer{}, tries: map[uint64]int{},
+		lateness: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), wake: make(chan struct{}, 1)}
+	if r.log == nil {
+		r.log = slog.New(slog.DiscardHandler)
+	}
+	rand.Read(r.key) // it never fails
+	r.ledger = judge.New(judge.Settings{Classes: spec.Classes, Tenants: spec.Tenants, Proxies: spec.Proxies, Nodes: spec.Nodes,
+		Slack: judge.DefaultSlack + socketSlack, DrainGrace: judge.DefaultDrainGrace + socketSlack})
+	r.base = time.Now()
+	return r
+}
+
 // Play carries out a run. An error says why it could not be; whatever happens, no child, port or file is left.
 func Play(ctx context.Context, spec *world.Spec, opts Options) (res Result, err error) {
 	if err := spec.Check(); err != nil {
@@ -132,28 +153,14 @@
 	if opts.MemoryMB == 0 {
 		opts.MemoryMB = 64
 	}
-	r := &Run{spec: spec, opts: opts, log: opts.Log, key: make([]byte, 32), fleet: world.Build(spec), registry: world.NewRegistry(spec),
-		gen: world.NewGenerator(spec), rng: spec.Stream(8), waiting: map[*world.Job]chan world.Answer{}, tries: map[uint64]int{},
-		lateness: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), wake: make(chan struct{}, 1)}
-	if r.log == nil {
-		r.log = slog.New(slog.DiscardHandler)
-	}
-	if _, err := rand.Read(r.key); err != nil {
-		return res, fmt.Errorf("a key for the answers: %w", err)
-	}
-	r.ledger = judge.New(judge.Settings{Classes: spec.Classes, Tenants: spec.Tenants, Proxies: spec.Proxies, Nodes: spec.Nodes,
-		Slack: judge.DefaultSlack + socketSlack, DrainGrace: judge.DefaultDrainGrace + socketSlack})
+	r := newRun(spec, opts)
 	if r.tmp, err = os.MkdirTemp("", "lapislab-"); err != nil {
 		return res, fmt.Errorf("a folder for the proxies: %w", err)
 	}
 	defer os.RemoveAll(r.tmp)
 	inner, cancel := context.WithCancel(context.Background())
 	defer func() { // in this order: children, then sockets, then goroutines
-		var ends sync.WaitGroup
-		for _, c := range r.proxies {
-			ends.Go(c.end)
-		}
-		ends.Wait()
+		r.endProxies()
 		cancel()
 		for _, n := range r.nodes {
 			n.close()
@@ -163,7 +170,6 @@
 		}
 		r.running.Wait()
 	}()
-	r.base = time.Now()
 	if err := r.open(); err != nil {
 		return res, err
 	}
@@ -191,10 +197,26 @@
 	}
 	front.load(ctx)
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.ledger.Finish()
-	v := r.ledger.Verdict(judge.UsualPrices)
-	return Result{Verdict: v, Faults: steps, Problems: slices.Clone(r.problems), Late: r.tooLate(front), Partial: ctx.Err() != nil}, nil
+	res = Result{Verdict: r.ledger.Verdict(judge.UsualPrices), Faults: steps, Late: r.tooLate(front), Partial: ctx.Err() != nil}
+	r.mu.Unlock()
+	r.endProxies()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res.Problems = slices.Clone(r.problems)
+	for _, c := range r.proxies {
+		res.Usage = append(res.Usage, c.used())
+	}
+	return res, nil
+}
+
+// endProxies ends all children, in order first.
+func (r *Run) endProxies() {
+	var ends sync.WaitGroup
+	for _, c := range r.proxies {
+		ends.Go(c.end)
+	}
+	ends.Wait()
 }
 
 // open starts the nodes and the register's agents.
--- a/internal/lab/report/summary.go
+++ b/internal/lab/report/summary.go
@@ -32,6 +32,7 @@
 	Late          string  `json:"late,omitempty"`
 	Faults        []Fault `json:"faults"`
 	judge.Verdict
+	Usage    []Usage  `json:"usage,omitempty"`    // on sockets: what each proxy took of the machine
 	Problems []string `json:"problems,omitempty"` // what went wrong beside the rules
 }
 
@@ -42,6 +43,21 @@
 	To   float64 `json:"to_s"`
 }
 
+// Usage is what a proxy took of the machine.
+type Usage struct {
+	CPU   float64 `json:"cpu_s"`
+	RSSMB float64 `json:"max_rss_mb"`
+}
+
+// PerRequest is the CPU time of all proxies for one request taken, in microseconds; 0 where it is not known.
+func (s *Summary) PerRequest() float64 {
+	var cpu float64
+	for _, u := range s.Usage {
+		cpu += u.CPU
+	}
+	return cpu * 1e6 / float64(max(1, s.Taken))
+}
+
 // Summarise makes the summary of a run.
 func Summarise(name, driver, policy string, s *world.Spec, v judge.Verdict, steps []world.Step) *Summary {
 	sum := &Summary{SchemaVersion: Schema, Name: name, Driver: driver, Policy: policy, Seed: s.Seed, Duration: s.Duration.Seconds(),
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -19,6 +19,13 @@
 	}
 	fmt.Fprintf(&b, "  %d first tries, %d taken, %d attempts, %d probes, %d lost with killed proxies\n",
 		s.FirstTries, s.Taken, s.Attempts, s.Probes, s.Excused)
+	if len(s.Usage) > 0 {
+		most := 0.0
+		for _, u := range s.Usage {
+			most = max(most, u.RSSMB)
+		}
+		fmt.Fprintf(&b, "  the proxies took %.0f us of CPU a request and %.0f MB at most\n", s.PerRequest(), most)
+	}
 	if !s.Scored {
 		fmt.Fprintf(&b, "  NOT SCORED, the machine was too slow: %s\n", s.Late)
 	}
--- a/internal/lab/world/cell.go
+++ b/internal/lab/world/cell.go
@@ -115,7 +115,7 @@
 		c.rerate(at)
 		for len(c.waits) > 0 && c.waits[0].at <= at {
 			j := heap.Pop(&c.waits).(*Job)
-			if j.node.Hangs { // nothing leaves a node that hangs
+			if j.node.Hangs && !(j.Kind == Probing && j.node.ProbesOK) { // nothing leaves a node that hangs
 				j.state = limbo
 				j.node.waits--
 				j.node.limbo = append(j.node.limbo, j)
