Add the pure parts of several services: a table of routes, and shared budgets

Dispatch and settlement shall be served from one process, each with its own pool. What that must decide is written first, as packages that do no I/O: internal/route compiles rules into a table whose precedence is total (ties are errors) and is held against a walk over all rules by random rules; internal/budget shares units and rates with minimums that are lent while idle. The properties found a minimum that was kept from its owner while two members asked at once, and a bucket that lost what came a moment late; both are mended. Not wired in yet.

--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,235 @@
+// Package budget shares what a process has among its services: requests in hand, bytes of bodies, connections
+// (Pool), and attempts a second (Rate). It is pure: no I/O, no goroutine, no clock; callers give the time and see to
+// it that one at a time calls.
+//
+// What a Pool promises, for members with a minimum, a weight and a cap:
+//
+//   - The total is never exceeded, nor a member's cap.
+//   - A member that asks finds at once what of its minimum is never lent.
+//   - A member that goes on asking has its whole minimum after the recall time, if nobody holds anything for longer
+//     than that. What of a minimum is idle is lent until its owner asks.
+//   - What is over all minimums goes by weight: who asks and is under its weighted share goes before who is over it.
+//     Nobody that asks waits for ever behind those that are over theirs, under the same condition.
+package budget
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// Share is what a member is promised.
+type Share struct {
+	Min    int64   // units that it has whenever it wants them
+	Cap    int64   // units that it may have at most; 0 is no cap but the total
+	Weight float64 // of what is over all minimums; 0 counts as 1
+}
+
+// Terms hold for all members of a pool.
+type Terms struct {
+	Total  int64         // units
+	Recall time.Duration // after which a member that asks has its minimum: the longest that anybody holds a unit
+	Lend   float64       // part of an idle minimum that is lent, 0 to 1
+}
+
+// Pool is units that members take and give back.
+type Pool struct {
+	terms   Terms
+	members map[string]*member
+	order   []*member
+	used    int64
+	weights float64
+	mins    int64
+}
+
+type member struct {
+	name  string
+	share Share
+	used  int64
+	wants time.Duration // it has asked in vain, and is kept room for until then; 0 is not
+	gone  bool          // no longer a member; what it holds comes back in its time
+}
+
+// NewPool makes a pool. Errors name the member or the field.
+func NewPool(terms Terms, shares map[string]Share) (*Pool, error) {
+	p := &Pool{members: map[string]*member{}}
+	if err := p.Change(terms, shares); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Change sets new terms and shares. Who holds more than it may now keeps it, and gets nothing new until it has
+// come down; members that are no longer named give back what they hold and get nothing. A bad change changes nothing.
+func (p *Pool) Change(terms Terms, shares map[string]Share) error {
+	var errs []error
+	switch {
+	case terms.Total < 0:
+		errs = append(errs, fmt.Errorf("total: %d is negative", terms.Total))
+	case terms.Recall < 0:
+		errs = append(errs, fmt.Errorf("recall: %v is negative", terms.Recall))
+	case !(terms.Lend >= 0 && terms.Lend <= 1):
+		errs = append(errs, fmt.Errorf("lend: %v is not within 0 and 1", terms.Lend))
+	}
+	var mins int64
+	for _, name := range sorted(shares) {
+		s := shares[name]
+		switch {
+		case s.Min < 0 || s.Cap < 0:
+			errs = append(errs, fmt.Errorf("%s: min %d or cap %d is negative", name, s.Min, s.Cap))
+		case s.Cap > 0 && s.Cap < s.Min:
+			errs = append(errs, fmt.Errorf("%s: cap %d is under min %d", name, s.Cap, s.Min))
+		case !(s.Weight >= 0) || math.IsInf(s.Weight, 0):
+			errs = append(errs, fmt.Errorf("%s: weight %v", name, s.Weight))
+		}
+		mins += max(0, s.Min)
+	}
+	if mins > terms.Total {
+		errs = append(errs, fmt.Errorf("the minimums come to %d, the total is %d", mins, terms.Total))
+	}
+	if len(errs) > 0 {
+		return errors.Join(errs...)
+	}
+	p.terms, p.mins = terms, mins
+	for _, m := range p.order {
+		if _, stays := shares[m.name]; !stays {
+			m.gone, m.share, m.wants = true, Share{}, 0
+		}
+	}
+	for _, name := range sorted(shares) {
+		s := shares[name]
+		if s.Weight == 0 {
+			s.Weight = 1
+		}
+		m := p.members[name]
+		if m == nil {
+			m = &member{name: name}
+			p.members[name] = m
+			p.order = append(p.order, m)
+		}
+		m.share, m.gone = s, false
+	}
+	p.forget()
+	return nil
+}
+
+// forget drops members that are gone and hold nothing.
+func (p *Pool) forget() {
+	keep := p.order[:0]
+	p.weights = 0
+	for _, m := range p.order {
+		if m.gone && m.used == 0 {
+			delete(p.members, m.name)
+			continue
+		}
+		keep = append(keep, m)
+		if !m.gone {
+			p.weights += m.share.Weight
+		}
+	}
+	clear(p.order[len(keep):])
+	p.order = keep
+}
+
+// Take gives a member n units, or tells that it may not have them now; then room is kept for it.
+func (p *Pool) Take(now time.Duration, name string, n int64) bool {
+	m := p.members[name]
+	if m == nil || m.gone || n < 0 {
+		return false
+	}
+	if n == 0 {
+		return true
+	}
+	if m.share.Cap > 0 && m.used+n > m.share.Cap || n > p.terms.Total {
+		return false // it would not help to wait for others
+	}
+	if !p.fits(now, m, n) {
+		m.wants = now + max(p.terms.Recall, 1)
+		return false
+	}
+	m.used += n
+	p.used += n
+	if m.used >= m.share.Min || m.wants <= now {
+		m.wants = 0
+	}
+	return true
+}
+
+// fits tells whether m may have n more.
+func (p *Pool) fits(now time.Duration, m *member, n int64) bool {
+	free := p.terms.Total - p.used
+	if n > free {
+		return false
+	}
+	within := m.used+n <= m.share.Min
+	for _, o := range p.order {
+		if o == m || o.gone {
+			continue
+		}
+		left := o.share.Min - o.used
+		wants := o.wants > now
+		if left > 0 {
+			// What is never lent stays, whatever o holds of the rest. A minimum that is asked for goes before what is
+			// over others' minimums, but not before these: they all fit together.
+			keep := left
+			if within || !wants {
+				unlent := o.share.Min - int64(p.terms.Lend*float64(o.share.Min))
+				keep = max(0, unlent-o.used)
+			}
+			free -= keep
+		}
+		// Over its own minimum m makes way for one that asks and is under its weighted part, if m is over its own.
+		if wants && !within && left <= 0 && float64(o.used) < p.part(o) && float64(m.used+n) > p.part(m) {
+			return false
+		}
+	}
+	return n <= free
+}
+
+// part is a member's weighted share: its minimum, and its part by weight of what is over all minimums.
+func (p *Pool) part(m *member) float64 {
+	return float64(m.share.Min) + float64(p.terms.Total-p.mins)*m.share.Weight/p.weights
+}
+
+// Give takes n units back from a member. What it does not hold it cannot give: that is told, and nothing changes.
+func (p *Pool) Give(name string, n int64) error {
+	m := p.members[name]
+	if m == nil || n < 0 || n > m.used {
+		return fmt.Errorf("%s gives back %d that it does not hold", name, n)
+	}
+	m.used -= n
+	p.used -= n
+	if m.gone && m.used == 0 {
+		p.forget()
+	}
+	return nil
+}
+
+// Use is how a member stands.
+type Use struct {
+	Share
+	Used  int64
+	Wants bool // it has asked in vain of late
+}
+
+// Used is how all members stand, those that are gone and still hold something too.
+func (p *Pool) Used(now time.Duration) map[string]Use {
+	out := map[string]Use{}
+	for _, m := range p.order {
+		out[m.name] = Use{m.share, m.used, m.wants > now}
+	}
+	return out
+}
+
+// Total is how many units there are, and how many are taken.
+func (p *Pool) Total() (total, used int64) { return p.terms.Total, p.used }
+
+func sorted(shares map[string]Share) []string {
+	names := make([]string, 0, len(shares))
+	for n := range shares {
+		names = append(names, n)
+	}
+	sortStrings(names)
+	return names
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,236 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func to(s string) []Target { return []Target{{s, 1}} }
+
+func TestPrecedence(t *testing.T) {
+	table, err := Compile([]Rule{
+		{Name: "any", To: to("a")},
+		{Name: "host", Host: "pay.example.org", To: to("b")},
+		{Name: "suffix", Host: "*.example.org", To: to("c")},
+		{Name: "longer suffix", Host: "*.kigali.example.org", To: to("d")},
+		{Name: "prefix", PathPrefix: "/v1", To: to("e")},
+		{Name: "longer prefix", PathPrefix: "/v1/pay", To: to("f")},
+		{Name: "path", Path: "/v1/pay", To: to("g")},
+		{Name: "class", PathPrefix: "/v1", Classes: []string{"payout", "close"}, To: to("h")},
+		{Name: "tenant", PathPrefix: "/v1", Tenants: []string{"moto"}, To: to("i")},
+		{Name: "tenant and method", PathPrefix: "/v1", Tenants: []string{"moto"}, Methods: []string{"POST"}, To: to("j")},
+		{Name: "host and path", Host: "pay.example.org", Path: "/x", To: to("k")},
+	}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range []struct {
+		q    Request
+		want string
+	}{
+		{Request{Path: "/"}, "any"},
+		{Request{Host: "PAY.example.org:8080", Path: "/"}, "host"},
+		{Request{Host: "pay.example.org.", Path: "/v1"}, "host"}, // the host goes before the path
+		{Request{Host: "a.example.org", Path: "/v1"}, "suffix"},
+		{Request{Host: "a.b.kigali.example.org", Path: "/"}, "longer suffix"},
+		{Request{Host: "example.org", Path: "/"}, "any"}, // a suffix asks for something before it
+		{Request{Host: "[::1]:80", Path: "/v1/x"}, "prefix"},
+		{Request{Path: "/v1/pay"}, "path"},
+		{Request{Path: "/v1/pay/"}, "longer prefix"},
+		{Request{Path: "/v1/pay/2"}, "longer prefix"},
+		{Request{Path: "/v1/payroll"}, "prefix"},
+		{Request{Path: "/v12"}, "any"},
+		{Request{Path: "/v1", Class: "close"}, "class"},
+		{Request{Path: "/v1", Class: "close", Tenant: "moto"}, "tenant"},
+		{Request{Path: "/v1", Class: "close", Tenant: "moto", Method: "POST"}, "tenant and method"},
+		{Request{Host: "pay.example.org", Path: "/x"}, "host and path"},
+	} {
+		r, v := table.Lookup(&k.q)
+		if v != Found || r.Name != k.want {
+			t.Errorf("%+v: %v %v, want %s", k.q, r, v, k.want)
+		}
+		if got := table.Explain(&k.q); got[0].Rule.Name != k.want {
+			t.Errorf("%+v: explained as %s", k.q, got[0].Rule.Name)
+		}
+	}
+}
+
+func TestMisses(t *testing.T) {
+	rules := []Rule{{Name: "a", Host: "a.org", PathPrefix: "/x", To: to("a")}}
+	table, err := Compile(rules, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range []struct {
+		host, path string
+		want       Verdict
+	}{
+		{"a.org", "/x/y", Found}, {"a.org", "/y", NoRoute}, {"b.org", "/x", WrongHost}, {"", "/x", WrongHost},
+		{"a.org", "/x/../y", Unclear}, {"a.org", "//x", Unclear}, {"a.org", "/x/./y", Unclear}, {"a.org", "*", Unclear}, {"a.org", "", Unclear},
+		{strings.Repeat("a", 300) + ".org", "/x", WrongHost},
+	} {
+		if _, v := table.Lookup(&Request{Host: k.host, Path: k.path}); v != k.want {
+			t.Errorf("%s %s: %v, want %v", k.host, k.path, v, k.want)
+		}
+	}
+	table, err = Compile(rules, "rest")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, v := table.Lookup(&Request{Host: "b.org", Path: "/"}); v != Found || r.Pick(1) != "rest" {
+		t.Errorf("default: %v %v", r, v)
+	}
+}
+
+func TestErrorsNameTheRule(t *testing.T) {
+	for _, k := range []struct {
+		rule Rule
+		want string
+	}{
+		{Rule{Name: "x", Host: "Pay.org", To: to("a")}, `route[1] "x": host: "Pay.org"`},
+		{Rule{Name: "x", Host: "*.", To: to("a")}, `host: "*."`},
+		{Rule{Name: "x", Host: "a..b", To: to("a")}, `host: "a..b"`},
+		{Rule{Name: "x", Path: "/a", PathPrefix: "/b", To: to("a")}, "both given"},
+		{Rule{Name: "x", Path: "a", To: to("a")}, `path: "a"`},
+		{Rule{Name: "x", PathPrefix: "/a/", To: to("a")}, `path_prefix: "/a/"`},
+		{Rule{Name: "x"}, "to: no service"},
+		{Rule{Name: "x", To: []Target{{"a", 0}}}, "all weights are 0"},
+		{Rule{Name: "x", To: []Target{{"a", -1}}}, "weight -1"},
+		{Rule{Name: "x", To: []Target{{"a", 1}, {"a", 1}}}, "there twice"},
+		{Rule{Name: "x", Classes: []string{"c", "c"}, To: to("a")}, "classes"},
+		{Rule{Name: "first", PathPrefix: "/other", To: to("a")}, "route[0] has it too"},
+		{Rule{Name: "x", Classes: []string{"b", "c"}, To: to("a")}, `route[1] "x": ties with route[0] "first"`},
+	} {
+		_, err := Compile([]Rule{{Name: "first", Classes: []string{"a", "b"}, To: to("s")}, k.rule}, "")
+		if err == nil || !strings.Contains(err.Error(), k.want) {
+			t.Errorf("%+v: %v, want %q", k.rule, err, k.want)
+		}
+	}
+}
+
+// drawn makes rules and requests out of few values, so that they meet.
+var (
+	hosts    = []string{"", "a.org", "*.org", "*.a.org", "b.a.org", "*.b.a.org", "c.b.a.org"}
+	pathsOf  = []string{"/", "/a", "/a/b", "/a/b/c", "/ab", "/a/", "/b"}
+	words    = []string{"x", "y", "z"}
+	askHosts = []string{"", "org", "a.org", "b.a.org", "c.b.a.org", "C.B.A.ORG:1", "d.org", "x.y.a.org."}
+)
+
+func drawRule(t *rapid.T, i int) Rule {
+	r := Rule{Name: fmt.Sprint(i), Host: rapid.SampledFrom(hosts).Draw(t, "host"), To: to(fmt.Sprint(i))}
+	path := rapid.SampledFrom(pathsOf).Draw(t, "path")
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		r.Path = path
+	case 1:
+		if path != "/a/" {
+			r.PathPrefix = path
+		}
+	}
+	some := rapid.SliceOfNDistinct(rapid.SampledFrom(words), 0, 2, rapid.ID[string])
+	r.Methods, r.Classes, r.Tenants = some.Draw(t, "methods"), some.Draw(t, "classes"), some.Draw(t, "tenants")
+	return r
+}
+
+// The table finds what a walk over all rules finds: the only one of the highest rank that matches.
+func TestLookupAgreesWithAWalkOverAllRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var rules []Rule
+		for i := range rapid.IntRange(0, 25).Draw(t, "rules") {
+			r := drawRule(t, i)
+			if _, err := Compile(append(rules, r), ""); err == nil { // one that ties is left out
+				rules = append(rules, r)
+			}
+		}
+		table, err := Compile(rules, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 20 {
+			q := Request{Host: rapid.SampledFrom(askHosts).Draw(t, "host"), Path: rapid.SampledFrom(pathsOf).Draw(t, "path"),
+				Method: rapid.SampledFrom(words).Draw(t, "method"), Class: rapid.SampledFrom(words).Draw(t, "class"),
+				Tenant: rapid.SampledFrom(words).Draw(t, "tenant")}
+			var want *Rule
+			tied := false
+			for i := range rules {
+				if r := &rules[i]; r.mismatch(&q) == "" {
+					if want == nil || compare(r, want) > 0 {
+						want, tied = r, false
+					} else if compare(r, want) == 0 {
+						tied = true
+					}
+				}
+			}
+			if tied {
+				t.Fatalf("%+v: two rules of one rank match, and they were compiled", q)
+			}
+			got, v := table.Lookup(&q)
+			if (want == nil) != (v != Found) || want != nil && got.Name != want.Name {
+				t.Fatalf("%+v: %v %v, want %v", q, got, v, want)
+			}
+		}
+	})
+}
+
+// As a weight grows, keys move to that service only; their shares follow the weights.
+func TestWeightsMoveKeysOneWay(t *testing.T) {
+	const n = 20000
+	rng := rand.New(rand.NewPCG(1, 1))
+	keys := make([]uint64, n)
+	for i := range keys {
+		keys[i] = rng.Uint64()
+	}
+	last := make([]string, n)
+	for _, w := range []float64{0, 0.1, 0.5, 1, 4} {
+		r := Rule{To: []Target{{"old", 1}, {"new", w}, {"other", 1}}}
+		got := map[string]int{}
+		for i, k := range keys {
+			s := r.Pick(k)
+			got[s]++
+			if last[i] != "" && s != last[i] && s != "new" {
+				t.Fatalf("at weight %v a key moved from %s to %s", w, last[i], s)
+			}
+			last[i] = s
+		}
+		if share, want := float64(got["new"])/n, w/(2+w); share < want-0.015 || share > want+0.015 {
+			t.Errorf("weight %v: share %.3f, want %.3f", w, share, want)
+		}
+	}
+}
+
+func many(n int) *Table {
+	rules := make([]Rule, n)
+	for i := range rules {
+		rules[i] = Rule{Name: fmt.Sprint(i), Host: fmt.Sprintf("h%d.example.org", i%(n/5+1)), PathPrefix: fmt.Sprintf("/v%d/pay", i/(n/5+1)), To: to("s")}
+	}
+	t, err := Compile(rules, "rest")
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func TestLookupAllocatesNothing(t *testing.T) {
+	table := many(1000)
+	q := Request{Host: "H7.example.org:8443", Path: "/v0/pay/x/y", Method: "POST", Class: "c", Tenant: "t"}
+	if n := testing.AllocsPerRun(100, func() { r, _ := table.Lookup(&q); r.Pick(1) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range []int{10, 1000, 100_000} {
+		table := many(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			q := Request{Host: "h1.example.org", Path: "/v0/pay/x", Method: "POST", Class: "c", Tenant: "t"}
+			for b.Loop() {
+				table.Lookup(&q)
+			}
+		})
+	}
+}
