Read and check a file of services, and explain its routes

The table of routes and the shared budgets need a configuration that people can write and check before it is used. deploy/services.toml has a strict, versioned schema (unknown keys name their line; ties, unknown services and minimums over the whole are errors); lapisspread routes check and routes explain tell what it means. Result: tests of 14 bad files and of the shipped one pass. serve does not read the file yet: one service, as the platform runs.

--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -60,7 +60,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(serveCommand(), configCommand(), versionCommand())
+	root.AddCommand(serveCommand(), configCommand(), routesCommand(), versionCommand())
 	return root
 }
 
@@ -86,12 +86,7 @@
 	c.AddCommand(&cobra.Command{
 		Use:   "check FILE",
 		Short: "Tell whether a configuration could be served, and if not, which field is wrong and why",
-		Args: func(_ *cobra.Command, args []string) error {
-			if len(args) != 1 {
-				return usageError{fmt.Errorf("config check takes one FILE, not %d", len(args))}
-			}
-			return nil
-		},
+		Args:  oneFile,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := proxy.CheckConfig(args[0], os.Getenv)
 			if err != nil {
--- /dev/null
+++ b/internal/services/services.go
@@ -0,0 +1,256 @@
+// Package services reads deploy/services.toml: which services one process serves, how requests are routed to them,
+// and how they share what the process has. The schema is File; it is strict, and an error names file, line where
+// there is one, and key.
+package services
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"lapisspread/internal/budget"
+	"lapisspread/internal/route"
+)
+
+// Version is the form of the file that this program reads.
+const Version = 1
+
+// Span is a time in the file: "500ms", "2s".
+type Span time.Duration
+
+// UnmarshalText reads a span.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no span of time such as \"500ms\"", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// File is the whole configuration.
+type File struct {
+	Version  int       `toml:"version"` // 1
+	Default  string    `toml:"default"` // the service that takes what no route matches; left out, that is answered 404 or 421
+	Services []Service `toml:"service"`
+	Routes   []Route   `toml:"route"`
+	Limits   Limits    `toml:"limits"`
+}
+
+// Service is a pool with decisions of its own.
+type Service struct {
+	Name      string   `toml:"name"`
+	Discovery string   `toml:"discovery"` // host:port; left out, the list of the process's own discovery is used
+	Kinds     []string `toml:"kinds"`     // of the list, only these kinds of machine; all if left out
+	Cells     []int    `toml:"cells"`     // and only these cells
+	Classes   []Class  `toml:"class"`     // left out, those of the process's settings
+	Share     Share    `toml:"share"`
+	Repeats   float64  `toml:"repeats"` // further attempts, as a share of first tries: 0 to 1; 0.1 if left out
+}
+
+// Class is a kind of request of a service.
+type Class struct {
+	Name   string  `toml:"name"`
+	Aim    Span    `toml:"aim"`     // an answer within it earns its whole worth
+	GiveUp Span    `toml:"give_up"` // how long clients wait
+	Effect string  `toml:"effect"`  // "safe" may be repeated, "unsafe" must never run twice
+	Worth  float64 `toml:"worth"`
+	Late   float64 `toml:"late"` // share of the worth that a later answer earns, 0 to 1
+}
+
+// Share is a service's part of the process's limits. Minimums are parts of the total, and all services' together
+// at most 1.
+type Share struct {
+	Min    float64 `toml:"min"`    // 0 to 1
+	Cap    float64 `toml:"cap"`    // 0 to 1; left out, 1
+	Weight float64 `toml:"weight"` // of what is over all minimums; left out, 1
+}
+
+// Limits are the process's own, shared by its services.
+type Limits struct {
+	InHand   int64   `toml:"in_hand"`  // requests
+	Bytes    int64   `toml:"bytes"`    // of bodies in hand
+	Attempts float64 `toml:"attempts"` // a second
+	Lend     float64 `toml:"lend"`     // part of an idle minimum that is lent; 0.75 if left out
+	Recall   Span    `toml:"recall"`   // within which what is lent comes back; 3s if left out
+}
+
+// Route is a rule: see package route for the order of precedence.
+type Route struct {
+	Name       string   `toml:"name"`
+	Host       string   `toml:"host"`
+	Path       string   `toml:"path"`
+	PathPrefix string   `toml:"path_prefix"`
+	Methods    []string `toml:"methods"`
+	Classes    []string `toml:"classes"`
+	Tenants    []string `toml:"tenants"`
+	Sticky     string   `toml:"sticky"` // what splits hold by: "key", "tenant" or "request"; "key" if left out
+	To         []Target `toml:"to"`
+}
+
+// Target is a service with its weight.
+type Target struct {
+	Service string   `toml:"service"`
+	Weight  *float64 `toml:"weight"` // 1 if left out
+}
+
+// Bounds on a file.
+const (
+	MostServices = 256
+	mostBytes    = 16 << 20 // of the file
+)
+
+// Config is a file that was read and found good.
+type Config struct {
+	File  *File
+	Table *route.Table
+}
+
+// Load reads a file and checks it whole.
+func Load(path string) (*Config, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the services: %w", err)
+	}
+	if info.Size() > mostBytes {
+		return nil, fmt.Errorf("%s: %d bytes; %d are the most", path, info.Size(), mostBytes)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the services: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads the text of a file.
+func Parse(path string, text []byte) (*Config, error) {
+	f := &File{Limits: Limits{Lend: 0.75, Recall: Span(3 * time.Second)}}
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			row, _ := strict.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(strict.Errors[0].Key(), "."))
+		}
+		var decode *toml.DecodeError
+		if errors.As(err, &decode) {
+			row, _ := decode.Position()
+			return nil, fmt.Errorf("%s:%d: %s", path, row, strings.TrimPrefix(decode.Error(), "toml: "))
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	table, err := f.check()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &Config{f, table}, nil
+}
+
+func (f *File) check() (*route.Table, error) {
+	var errs []error
+	bad := func(wrong bool, format string, args ...any) {
+		if wrong {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	if f.Version != Version {
+		return nil, fmt.Errorf("version: %d; this program reads %d", f.Version, Version)
+	}
+	bad(len(f.Services) == 0, "service: none is given")
+	bad(len(f.Services) > MostServices, "service: %d; %d are the most", len(f.Services), MostServices)
+	names := map[string]bool{}
+	for i := range f.Services {
+		s := &f.Services[i]
+		at := fmt.Sprintf("service[%d] %q", i, s.Name)
+		bad(!plainName(s.Name), "%s: name: wanted small letters, digits and dashes", at)
+		bad(names[s.Name], "%s: name: it is there twice", at)
+		names[s.Name] = true
+		bad(s.Discovery != "" && !strings.Contains(s.Discovery, ":"), "%s: discovery: %q is no host:port", at, s.Discovery)
+		bad(!(s.Repeats >= 0 && s.Repeats <= 1), "%s: repeats: %v is not within 0 and 1", at, s.Repeats)
+		if s.Share.Cap == 0 {
+			s.Share.Cap = 1
+		}
+		bad(!(s.Share.Min >= 0 && s.Share.Cap <= 1 && s.Share.Min <= s.Share.Cap), "%s: share: min %v and cap %v: wanted 0 <= min <= cap <= 1", at, s.Share.Min, s.Share.Cap)
+		bad(!(s.Share.Weight >= 0) || math.IsInf(s.Share.Weight, 0), "%s: share: weight: %v", at, s.Share.Weight)
+		classes := map[string]bool{}
+		for k, c := range s.Classes {
+			at := fmt.Sprintf("%s: class[%d] %q", at, k, c.Name)
+			bad(c.Name == "" || classes[c.Name], "%s: name: missing or there twice", at)
+			classes[c.Name] = true
+			bad(c.Aim <= 0 || c.GiveUp < c.Aim, "%s: aim %v and give_up %v: wanted 0 < aim <= give_up", at, time.Duration(c.Aim), time.Duration(c.GiveUp))
+			bad(c.Effect != "safe" && c.Effect != "unsafe", "%s: effect: %q is neither safe nor unsafe", at, c.Effect)
+			bad(!(c.Worth >= 0) || !(c.Late >= 0 && c.Late <= 1), "%s: worth %v or late %v is out of range", at, c.Worth, c.Late)
+		}
+	}
+	l := &f.Limits
+	bad(l.InHand < 0 || l.Bytes < 0 || !(l.Attempts >= 0), "limits: in_hand, bytes or attempts is negative")
+	bad(!(l.Lend >= 0 && l.Lend <= 1), "limits: lend: %v is not within 0 and 1", l.Lend)
+	bad(l.Recall <= 0, "limits: recall: %v must be above 0", time.Duration(l.Recall))
+	if sum := f.minimums(); sum > 1+1e-9 {
+		errs = append(errs, fmt.Errorf("share: the minimums of all services come to %.3f; 1 is all there is", sum))
+	}
+	bad(f.Default != "" && !names[f.Default], "default: there is no service %q", f.Default)
+	var rules []route.Rule
+	for i, r := range f.Routes {
+		at := fmt.Sprintf("route[%d] %q", i, r.Name)
+		rule := route.Rule{Name: r.Name, Host: r.Host, Path: r.Path, PathPrefix: r.PathPrefix, Methods: r.Methods, Classes: r.Classes, Tenants: r.Tenants}
+		for k, to := range r.To {
+			w := 1.0
+			if to.Weight != nil {
+				w = *to.Weight
+			}
+			bad(!names[to.Service], "%s: to[%d]: there is no service %q", at, k, to.Service)
+			rule.To = append(rule.To, route.Target{Service: to.Service, Weight: w})
+		}
+		bad(r.Sticky != "" && r.Sticky != "key" && r.Sticky != "tenant" && r.Sticky != "request", "%s: sticky: %q is none of key, tenant, request", at, r.Sticky)
+		rules = append(rules, rule)
+	}
+	bad(len(f.Routes) == 0 && f.Default == "", "route: neither routes nor a default: nothing would be served")
+	table, err := route.Compile(rules, f.Default)
+	if err != nil {
+		errs = append(errs, err)
+	}
+	return table, errors.Join(errs...)
+}
+
+func (f *File) minimums() float64 {
+	sum := 0.0
+	for _, s := range f.Services {
+		sum += max(0, s.Share.Min)
+	}
+	return sum
+}
+
+func plainName(name string) bool {
+	if name == "" || len(name) > 64 {
+		return false
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// Shares gives each service's part of so many units.
+func (f *File) Shares(total int64) map[string]budget.Share {
+	out := map[string]budget.Share{}
+	for _, s := range f.Services {
+		out[s.Name] = budget.Share{Min: int64(s.Share.Min * float64(total)), Cap: max(1, int64(math.Ceil(s.Share.Cap*float64(total)))),
+			Weight: s.Share.Weight}
+	}
+	return out
+}
+
+// Terms are the terms on which the services share so many units.
+func (f *File) Terms(total int64) budget.Terms {
+	return budget.Terms{Total: total, Recall: time.Duration(f.Limits.Recall), Lend: f.Limits.Lend}
+}
--- /dev/null
+++ b/internal/services/services_test.go
@@ -0,0 +1,107 @@
+package services
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lapisspread/internal/budget"
+	"lapisspread/internal/route"
+)
+
+const good = `version = 1
+default = "dispatch"
+
+[limits]
+in_hand = 300
+
+[[service]]
+name = "dispatch"
+share = { min = 0.5, weight = 3.0 }
+
+[[service]]
+name = "settlement"
+kinds = ["pay-1"]
+share = { min = 0.25, cap = 0.6 }
+
+[[service.class]]
+name = "driver-payout"
+aim = "500ms"
+give_up = "2s"
+effect = "unsafe"
+worth = 10.0
+
+[[route]]
+name = "payouts"
+host = "pay.kigali.example.org"
+to = [{ service = "settlement" }]
+
+[[route]]
+name = "moving"
+classes = ["trip-close"]
+sticky = "tenant"
+to = [{ service = "dispatch", weight = 9.0 }, { service = "settlement", weight = 1.0 }]
+`
+
+func TestAGoodFile(t *testing.T) {
+	c, err := Parse("services.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, v := c.Table.Lookup(&route.Request{Host: "pay.kigali.example.org", Path: "/x"})
+	if v != route.Found || r.Pick(7) != "settlement" {
+		t.Errorf("%v %v", r, v)
+	}
+	if r, _ := c.Table.Lookup(&route.Request{Host: "else", Path: "/x"}); r.Pick(7) != "dispatch" {
+		t.Errorf("default: %v", r)
+	}
+	p, err := budget.NewPool(c.File.Terms(300), c.File.Shares(300))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if u := p.Used(0)["settlement"]; u.Min != 75 || u.Cap != 180 {
+		t.Errorf("settlement's share: %+v", u)
+	}
+}
+
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	for _, k := range []struct{ from, to, want string }{
+		{"version = 1", "version = 2", "s.toml: version: 2"},
+		{"in_hand = 300", "in_hands = 300", `s.toml:5: unknown key "limits.in_hands"`},
+		{"in_hand = 300", "in_hand = 'many'", "s.toml:5: "},
+		{"in_hand = 300", "lend = 2.0", "limits: lend: 2"},
+		{`aim = "500ms"`, `aim = "soon"`, "s.toml:18: "},
+		{`aim = "500ms"`, `aim = "5s"`, `class[0] "driver-payout": aim 5s and give_up 2s`},
+		{`effect = "unsafe"`, `effect = "maybe"`, `effect: "maybe"`},
+		{"min = 0.5", "min = 0.9", "come to 1.150"},
+		{`name = "settlement"`, `name = "dispatch"`, "it is there twice"},
+		{`name = "settlement"`, `name = "Pay Out"`, "name: wanted small letters"},
+		{`default = "dispatch"`, `default = "none"`, `default: there is no service "none"`},
+		{`{ service = "settlement" }`, `{ service = "setlement" }`, `route[0] "payouts": to[0]: there is no service "setlement"`},
+		{`sticky = "tenant"`, `sticky = "luck"`, `sticky: "luck"`},
+		{`classes = ["trip-close"]`, `host = "pay.kigali.example.org"`, `route[1] "moving": ties with route[0] "payouts"`},
+	} {
+		_, err := Parse("s.toml", []byte(strings.Replace(good, k.from, k.to, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), "s.toml") || !strings.Contains(err.Error(), k.want) {
+			t.Errorf("%s: %v, want %q", k.to, err, k.want)
+		}
+	}
+	if _, err := Parse("s.toml", []byte("version = 1\n")); err == nil || !strings.Contains(err.Error(), "nothing would be served") {
+		t.Errorf("an empty file: %v", err)
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a missing file was read")
+	}
+}
+
+// The file that is shipped as an example must be good.
+func TestTheShippedFileIsGood(t *testing.T) {
+	path := filepath.Join("..", "..", "deploy", "services.toml")
+	if _, err := os.Stat(path); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err != nil {
+		t.Error(err)
+	}
+}
