--- a/internal/proxy/loop.go
+++ b/internal/engine/engine.go
@@ -1,25 +1,22 @@
-package proxy
+package engine
 
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"time"
 
 	"lapisspread/decision"
-	"lapisspread/internal/figures"
-	"lapisspread/internal/handover"
 )
 
 const (
 	eventBuffer = 256
-	// How long after a request's deadline the loop itself ends it, should the module not have.
+	// How long after a request's deadline the engine itself ends it, should the module not have.
 	backstop = 5 * time.Millisecond
 	// How soon a timer whose event failed comes again at the earliest.
 	timerAgain = 100 * time.Millisecond
@@ -30,46 +27,15 @@
 	moveSpread = 500 * time.Millisecond
 )
 
-// answer is a request's one final answer.
-type answer struct {
-	status     int
-	retryAfter time.Duration
-	body       []byte
-	stream     *download // in place of body, for a long one
-}
-
-// request is one that was taken and is not yet forgotten.
-type request struct {
-	id       decision.RequestID
-	message  *message
-	class    int
-	tenant   int
-	key      uint64
-	cost     time.Duration
-	repeat   bool
-	deadline time.Duration
-	answer   chan answer // holds one
-	attempts []*attempt
-	out      int
-	ended    bool
-	timedOut bool // the last attempt
-	expiry   *timer
-	timeout  time.Duration // from the last byte to the deadline
-	stream   *download     // its answer, if that is a long one
-}
-
-// came is when the request's last byte did. It holds for requests that are answered.
-func (r *request) came() time.Duration { return r.deadline - r.timeout }
-
-// uploading tells whether the request's body is on its way yet.
-func (r *request) uploading() bool { return r.deadline == 0 }
-
 type attempt struct {
 	to    decision.BackendID
 	sent  time.Duration
 	ctx   context.Context
 	give  context.CancelCauseFunc
 	timer *time.Timer // its time-out; nil while its body is on its way
+
+	result decision.Result
+	over   bool // and result is how it ended
 }
 
 // cancel ends the attempt, and what its time-out holds.
@@ -85,22 +51,18 @@
 	a.timer = time.AfterFunc(d, func() { a.give(context.DeadlineExceeded) })
 }
 
-// loop is the one goroutine that calls the module. All state of requests is its own; everything else posts
+// Engine is the one goroutine that calls the module. All state of requests is its own; everything else posts
 // events to it.
-type loop struct {
-	cfg       *Config
-	clock     clock
-	log       *slog.Logger
-	module    *decision.Balancer
-	pool      *pool
-	discovery *discovery
-	next      *discovery // where it moves to soon, if not nil
-	move      *timer
-	rng       *rand.Rand
-	figures   *figures.Figures
-	store     *handover.Store
-	roster    *roster
-	out       map[string]bool // backends that the module was told are out by hand
+type Engine struct {
+	opts   Options
+	clock  Clock
+	log    *slog.Logger
+	module module
+	source Source
+	next   Source // where it moves to soon, if not nil
+	move   *timer
+	rng    *rand.Rand
+	out    map[string]bool // backends that the module was told are out by hand
 
 	events  chan func()
 	done    chan struct{}
@@ -111,24 +73,44 @@
 	timerSeq  uint64
 	set       map[uint64]int // timers that the module has set, by token
 	deferred  []func()       // follow the event being handled
-	requests  map[decision.RequestID]*request
+	requests  map[decision.RequestID]*Exchange
 	lastID    decision.RequestID
 	version   uint32 // of the list
-	listKnown bool   // it is from the discovery that is asked now, or from the start
+	listKnown bool   // it is from the source that is asked now, or from the start
 	stopWatch context.CancelFunc
 	watches   int // begun so far
 	zones     map[string]int
 	kinds     map[string]int
 }
 
-func newLoop(cfg *Config, log *slog.Logger, p *pool, d *discovery) (*loop, error) {
-	l := &loop{cfg: cfg, clock: newClock(), log: log, pool: p, discovery: d, events: make(chan func(), eventBuffer),
-		done: make(chan struct{}), listKnown: true, set: map[uint64]int{}, requests: map[decision.RequestID]*request{}, stopWatch: func() {},
-		zones: numbers(cfg.Zones), kinds: numbers(cfg.Kinds), figures: figures.New(nil), store: handover.Open("", ""), roster: newRoster(),
-		rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
-	var err error
-	l.module, err = decision.New(cfg.Module, cfg.Seed, host{l})
-	return l, err
+// module is the decisions as the engine calls them.
+type module interface {
+	Start(now time.Duration)
+	Membership(now time.Duration, m decision.Membership)
+	Request(now time.Duration, q decision.Request)
+	Outcome(now time.Duration, o decision.Outcome)
+	FirstByte(now time.Duration, f decision.FirstByte)
+	Whole(now time.Duration, id decision.RequestID, deadline time.Duration)
+	Probed(now time.Duration, p decision.ProbeResult)
+	Gone(now time.Duration, id decision.RequestID)
+	Timer(now time.Duration, token uint64)
+	Detach(now time.Duration, id decision.BackendID)
+	Attach(now time.Duration, id decision.BackendID)
+	Census() (known, excluded int)
+}
+
+// New makes an engine. An error names the setting of the module that makes no sense.
+func New(opts Options) (*Engine, error) {
+	opts.fill()
+	l := &Engine{opts: opts, clock: NewClock(), log: opts.Log, source: opts.Source, events: make(chan func(), eventBuffer),
+		done: make(chan struct{}), listKnown: true, set: map[uint64]int{}, requests: map[decision.RequestID]*Exchange{}, stopWatch: func() {},
+		zones: numbers(opts.Zones), kinds: numbers(opts.Kinds), rng: rand.New(rand.NewPCG(opts.Seed, 1))}
+	m, err := decision.New(opts.Module, opts.Seed, host{l})
+	if err != nil {
+		return nil, err
+	}
+	l.module = m
+	return l, nil
 }
 
 func numbers(names []string) map[string]int {
@@ -139,17 +121,20 @@
 	return m
 }
 
-// run handles events until ctx ends, and then waits for all that it has started.
-func (l *loop) run(ctx context.Context) {
+// Clock is the time that deadlines go by.
+func (l *Engine) Clock() Clock { return l.clock }
+
+// Run handles events until ctx ends, and then waits for all that it has started.
+func (l *Engine) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	l.ctx = ctx
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
 	l.handle(func() {
-		l.module.Start(l.clock.now())
+		l.module.Start(l.clock.Now())
 		l.obey() // before the list, so that nothing is sent to a backend that is out
-		l.list(l.cfg.Known, decision.ListCached)
-		if !l.cfg.Module.OnRequest { // the module takes pushed lists as they come and asks for none
+		l.list(l.opts.Known, decision.ListCached)
+		if !l.opts.Module.OnRequest { // the module takes pushed lists as they come and asks for none
 			host{l}.Watch(true)
 		}
 		l.watchCensus()
@@ -157,15 +142,15 @@
 	for ctx.Err() == nil {
 		l.fire()
 		if len(l.timers) > 0 {
-			wake.Reset(l.timers[0].at - l.clock.now())
+			wake.Reset(l.timers[0].at - l.clock.Now())
 		}
 		select { // orders go before all else
-		case <-l.roster.wake:
+		case <-l.opts.Wake:
 			l.handle(l.obey)
 		default:
 		}
 		select {
-		case <-l.roster.wake:
+		case <-l.opts.Wake:
 			l.handle(l.obey)
 		case event := <-l.events:
 			l.handle(event)
@@ -176,14 +161,14 @@
 	cancel()
 	close(l.done)
 	l.workers.Wait()
-	l.discovery.close()
+	l.source.Close()
 	if l.next != nil {
-		l.next.close()
+		l.next.Close()
 	}
 }
 
-// post hands an event to the loop; after its end they are dropped.
-func (l *loop) post(event func()) {
+// Post hands an event to the loop; after its end they are dropped.
+func (l *Engine) Post(event func()) {
 	select {
 	case l.events <- event:
 	case <-l.done:
@@ -192,7 +177,7 @@
 
 // handle runs an event and what follows from it. Danger: a panic in the decisions would take all requests
 // in hand with it; so it ends that event alone, and its request at the latest at its deadline.
-func (l *loop) handle(event func()) {
+func (l *Engine) handle(event func()) {
 	l.guard(event)
 	for len(l.deferred) > 0 {
 		next := l.deferred[0]
@@ -201,7 +186,7 @@
 	}
 }
 
-func (l *loop) guard(event func()) (ok bool) {
+func (l *Engine) guard(event func()) (ok bool) {
 	defer func() {
 		if v := recover(); v != nil {
 			l.log.Error("an event failed", "panic", v, "stack", string(debug.Stack()))
@@ -212,7 +197,7 @@
 }
 
 // start runs work that may wait in a goroutine of its own.
-func (l *loop) start(work func()) {
+func (l *Engine) start(work func()) {
 	l.workers.Add(1)
 	go func() {
 		defer l.workers.Done()
@@ -252,7 +237,7 @@
 	return last
 }
 
-func (l *loop) at(when time.Duration, event func()) *timer {
+func (l *Engine) at(when time.Duration, event func()) *timer {
 	l.timerSeq++
 	t := &timer{at: when, seq: l.timerSeq, event: event}
 	heap.Push(&l.timers, t)
@@ -260,15 +245,15 @@
 }
 
 // drop takes a timer back, with all that its event holds.
-func (l *loop) drop(t *timer) {
+func (l *Engine) drop(t *timer) {
 	if t != nil && t.place >= 0 {
 		heap.Remove(&l.timers, t.place)
 	}
 }
 
 // fire runs the timers that are due; those that they set wait for the next round.
-func (l *loop) fire() {
-	now, newest := l.clock.now(), l.timerSeq
+func (l *Engine) fire() {
+	now, newest := l.clock.Now(), l.timerSeq
 	for len(l.timers) > 0 && l.timers[0].at <= now && l.timers[0].seq <= newest {
 		l.handle(heap.Pop(&l.timers).(*timer).event)
 	}
@@ -276,9 +261,9 @@
 
 // ---- requests ----
 
-// take enters a request that a client has sent.
-func (l *loop) take(r *request) {
-	now := l.clock.now()
+// Take enters a request that a client has sent.
+func (l *Engine) Take(r *Exchange) {
+	now := l.clock.Now()
 	for {
 		l.lastID++
 		if _, used := l.requests[l.lastID]; !used {
@@ -287,98 +272,100 @@
 	}
 	r.id = l.lastID
 	l.requests[r.id] = r
-	deadline := r.deadline
-	if r.uploading() { // as if its last byte had come; Whole tells
-		deadline = now + r.timeout
-	} else if now >= r.deadline {
-		l.end(r, answer{status: http.StatusGatewayTimeout})
+	deadline := r.Deadline
+	if r.Uploading() { // as if its last byte had come; Whole tells
+		deadline = now + r.Timeout
+	} else if now >= r.Deadline {
+		l.end(r, Result{End: Failed, TimedOut: true})
 		return
 	} else {
-		r.expiry = l.at(r.deadline+backstop, func() { l.expire(r) })
+		r.expiry = l.at(r.Deadline+backstop, func() { l.expire(r) })
 	}
-	l.module.Request(now, decision.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, Cost: r.cost,
-		Deadline: deadline, Repeat: r.repeat, Streamed: r.uploading()})
+	l.module.Request(now, decision.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Cost: r.Cost,
+		Deadline: deadline, Repeat: r.Repeat, Streamed: r.Uploading()})
 }
 
-// whole notes that the last byte of a streamed body has been read: the request's time counts from there.
-func (l *loop) whole(r *request, at time.Duration) {
-	if r.ended || !r.uploading() {
+// Whole notes that the last byte of a streamed body has been read: the request's time counts from there.
+func (l *Engine) Whole(r *Exchange, at time.Duration) {
+	if r.ended || !r.Uploading() {
 		return
 	}
-	r.deadline = at + r.timeout
-	r.expiry = l.at(r.deadline+backstop, func() { l.expire(r) })
-	now := l.clock.now()
+	r.Deadline = at + r.Timeout
+	r.expiry = l.at(r.Deadline+backstop, func() { l.expire(r) })
+	now := l.clock.Now()
 	for _, a := range r.attempts {
 		if a.timer == nil {
-			a.limit(r.deadline - now)
+			a.limit(r.Deadline - now)
 		}
 	}
-	l.module.Whole(now, r.id, r.deadline)
+	l.module.Whole(now, r.id, r.Deadline)
 }
 
 // firstByte takes a long answer that has begun: it is the final one.
-func (l *loop) firstByte(r *request, n int, d *download) {
+func (l *Engine) firstByte(r *Exchange, n int, d Stream) {
 	if r.ended {
 		l.log.Info("a long answer is not wanted any more", "attempt", n, "streaming", r.stream != nil)
-		d.end(errGone)
+		d.End(ErrGone)
 		return
 	}
 	a := r.attempts[n]
 	r.stream = d
-	l.end(r, answer{status: http.StatusOK, stream: d})
-	now := l.clock.now()
+	l.end(r, Result{End: Served, Stream: d})
+	now := l.clock.Now()
 	l.module.FirstByte(now, decision.FirstByte{ID: r.id, Attempt: n, Backend: a.to, Took: now - a.sent})
 }
 
 // expire ends a request that is still open after its deadline: an answer is owed whatever went wrong.
-func (l *loop) expire(r *request) {
+func (l *Engine) expire(r *Exchange) {
 	if r.ended {
 		return
 	}
 	l.log.Warn("a request was still open at its deadline", "attempts", len(r.attempts))
-	l.end(r, answer{status: http.StatusGatewayTimeout})
-	l.module.Gone(l.clock.now(), r.id)
+	l.end(r, Result{End: Failed, TimedOut: true})
+	l.module.Gone(l.clock.Now(), r.id)
 }
 
-// gone notes that the client has left.
-func (l *loop) gone(r *request) {
+// Gone notes that the client has left.
+func (l *Engine) Gone(r *Exchange) {
 	if r.stream != nil {
-		r.stream.end(errGone)
+		r.stream.End(ErrGone)
 	}
 	if r.ended || r.id == 0 {
 		return
 	}
-	l.end(r, answer{})
-	l.module.Gone(l.clock.now(), r.id)
+	l.end(r, Result{End: Failed, Gone: true})
+	l.module.Gone(l.clock.Now(), r.id)
 }
 
 // end gives the final answer, once.
-func (l *loop) end(r *request, a answer) {
+func (l *Engine) end(r *Exchange, a Result) {
 	if r.ended {
 		return
 	}
 	r.ended = true
-	r.answer <- a
+	a.MayHaveRun = r.mayHaveRun()
+	r.result <- a
 	l.drop(r.expiry)
 	l.forget(r)
 }
 
-func (l *loop) forget(r *request) {
+func (l *Engine) forget(r *Exchange) {
 	if r.ended && r.out == 0 {
 		delete(l.requests, r.id)
-		r.message = nil
+		r.Message = nil
 	}
 }
 
 // outcome takes the end of an attempt.
-func (l *loop) outcome(r *request, n int, result decision.Result, body []byte) {
-	now, a := l.clock.now(), r.attempts[n]
+func (l *Engine) outcome(r *Exchange, n int, result decision.Result, body any) {
+	now, a := l.clock.Now(), r.attempts[n]
 	a.cancel()
+	a.result, a.over = result, true
 	r.out--
 	r.timedOut = result == decision.Timeout
-	spent := result != decision.OK && r.message != nil && r.message.upload.isSpent()
+	spent := result != decision.OK && r.Message != nil && r.Message.Spent()
 	if result == decision.OK {
-		l.end(r, answer{status: http.StatusOK, body: body})
+		l.end(r, Result{End: Served, Answer: body})
 	}
 	l.forget(r)
 	l.module.Outcome(now, decision.Outcome{ID: r.id, Attempt: n, Backend: a.to, Result: result,
@@ -388,27 +375,27 @@
 // ---- the list ----
 
 // list hands a list to the pool and to the module, in this order: what the module sends next goes by it.
-func (l *loop) list(list List, kind decision.ListKind) {
+func (l *Engine) list(list List, kind decision.ListKind) {
 	l.version = list.Version
 	if kind != decision.ListDelta {
 		list.Full = true
 	}
-	l.pool.update(list)
-	l.roster.add(list)
+	l.opts.Upstream.Update(list)
+	l.opts.Listed(list)
 	m := decision.Membership{Kind: kind, Version: list.Version}
 	for _, e := range list.Members {
-		l.log.Info("listed", "backend", backendID(e.ID), "name", e.ID, "addr", e.Addr, "state", stateNames[e.State])
-		m.Backends = append(m.Backends, decision.Backend{ID: backendID(e.ID), Zone: l.number(l.zones, e.Zone),
+		l.log.Info("listed", "backend", BackendID(e.ID), "name", e.ID, "addr", e.Addr, "state", stateNames[e.State])
+		m.Backends = append(m.Backends, decision.Backend{ID: BackendID(e.ID), Zone: l.number(l.zones, e.Zone),
 			Kind: l.number(l.kinds, e.Kind), Cell: e.Cell, State: e.State, Weight: e.Weight, Started: e.Started})
 	}
-	l.module.Membership(l.clock.now(), m)
+	l.module.Membership(l.clock.Now(), m)
 }
 
 var stateNames = map[decision.State]string{decision.Ready: "ready", decision.Draining: "draining",
 	decision.Gone: "gone"}
 
 // number is a name's place in the settings; names that these lack share the place after the last.
-func (l *loop) number(of map[string]int, name string) int {
+func (l *Engine) number(of map[string]int, name string) int {
 	if n, known := of[name]; known {
 		return n
 	}
@@ -417,7 +404,7 @@
 }
 
 // listed takes an answer of discovery. One that crosses a newer list is dropped.
-func (l *loop) listed(list List) {
+func (l *Engine) listed(list List) {
 	switch {
 	case list.Full:
 		l.listKnown = true
@@ -427,48 +414,48 @@
 	}
 }
 
-// moveTo turns to another discovery a little later. Danger: where a fleet's configurations are replaced together,
+// MoveTo turns to another discovery a little later. Danger: where a fleet's configurations are replaced together,
 // all proxies would ask for the whole list in the same moment.
-func (l *loop) moveTo(d *discovery) {
+func (l *Engine) MoveTo(d Source) {
 	if l.next != nil {
-		l.next.close()
+		l.next.Close()
 	}
 	l.next = d
 	l.drop(l.move)
-	l.move = l.at(l.clock.now()+time.Duration(l.rng.Int64N(int64(moveSpread))), func() {
+	l.move = l.at(l.clock.Now()+time.Duration(l.rng.Int64N(int64(moveSpread))), func() {
 		l.next = nil
 		l.ask(d)
 	})
 }
 
-// target is the discovery that is asked, or is going to be.
-func (l *loop) target() *discovery {
+// Source is the discovery that is asked, or is going to be.
+func (l *Engine) Source() Source {
 	if l.next != nil {
 		return l.next
 	}
-	return l.discovery
+	return l.source
 }
 
 // ask turns to another discovery. Backends, their health and all requests in hand live on; the old service's
 // calls end, and what they may still bring counts no more. The new one's versions are its own, so it is asked
 // for the whole list first.
-func (l *loop) ask(d *discovery) {
-	old := l.discovery
-	l.log.Info("discovery has moved", "from", old.addr, "to", d.addr)
-	l.discovery, l.listKnown = d, false
+func (l *Engine) ask(d Source) {
+	old := l.source
+	l.log.Info("discovery has moved", "from", old.Addr(), "to", d.Addr())
+	l.source, l.listKnown = d, false
 	host{l}.Watch(true)
-	old.close()
+	old.Close()
 }
 
-func (l *loop) listFailed(err error) {
+func (l *Engine) listFailed(err error) {
 	l.log.Warn("a call for the list failed", "err", err)
-	l.module.Membership(l.clock.now(), decision.Membership{Kind: decision.ListFailed})
+	l.module.Membership(l.clock.Now(), decision.Membership{Kind: decision.ListFailed})
 }
 
 // ---- the module's host ----
 
 // host carries out the module's actions. None of its methods blocks, and what they cause comes as later events.
-type host struct{ *loop }
+type host struct{ *Engine }
 
 var _ decision.Host = host{}
 
@@ -479,66 +466,59 @@
 		h.log.Warn("an attempt for a request that is over")
 		return
 	}
-	n, now := len(r.attempts), h.clock.now()
-	if r.uploading() {
-		until = now + r.timeout // what is told to the backend; its time-out is set once the body is whole
-	} else if until <= 0 || until > r.deadline {
-		until = r.deadline
+	n, now := len(r.attempts), h.clock.Now()
+	if r.Uploading() {
+		until = now + r.Timeout // what is told to the backend; its time-out is set once the body is whole
+	} else if until <= 0 || until > r.Deadline {
+		until = r.Deadline
 	}
 	a := &attempt{to: to, sent: now}
 	a.ctx, a.give = context.WithCancelCause(h.ctx)
 	r.attempts = append(r.attempts, a)
 	r.out++
-	b := h.pool.find(to)
-	if r.ended || b == nil || now >= until || n >= h.cfg.Module.Caps.MaxAttempts ||
-		r.out > 1 && !h.cfg.Module.Caps.SecondCopies {
+	b := h.opts.Upstream.Find(to)
+	if r.ended || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
+		r.out > 1 && !h.opts.Module.Caps.SecondCopies {
 		h.deferred = append(h.deferred, func() { h.outcome(r, n, decision.Moot, nil) })
 		return
 	}
-	if !r.uploading() {
+	if !r.Uploading() {
 		a.limit(until - now)
 	}
-	m := *r.message
-	m.begin = func(d *download) bool {
+	t := Attempt{Message: r.Message, Timeout: until - now, Begin: func(d Stream) bool {
 		if a.ctx.Err() != nil {
 			return false
 		}
-		h.post(func() {
+		h.Post(func() {
 			if a.timer != nil {
 				a.timer.Stop()
 			}
 			if a.ctx.Err() != nil { // its time ran out meanwhile
-				h.log.Info("a long answer came too late", "cause", context.Cause(a.ctx), "uploading", r.uploading())
-				d.end(errGone)
+				h.log.Info("a long answer came too late", "cause", context.Cause(a.ctx), "uploading", r.Uploading())
+				d.End(ErrGone)
 				return
 			}
 			h.firstByte(r, n, d)
 		})
 		return true
-	}
-	m.header = m.header.Clone()
-	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, (until-now).Milliseconds()), 10))
+	}}
 	h.start(func() {
-		result, body := h.pool.exchange(a.ctx, b, &m)
-		h.post(func() { h.outcome(r, n, result, body) })
+		result, body := b.Exchange(a.ctx, t)
+		h.Post(func() { h.outcome(r, n, result, body) })
 	})
 }
 
 // Refuse says that coming again is harmless, and when.
 func (h host) Refuse(id decision.RequestID, retryAfter time.Duration) {
 	if r := h.requests[id]; r != nil {
-		h.end(r, answer{status: http.StatusServiceUnavailable, retryAfter: retryAfter})
+		h.end(r, Result{End: Refused, RetryAfter: retryAfter})
 	}
 }
 
 // Fail promises nothing.
 func (h host) Fail(id decision.RequestID) {
 	if r := h.requests[id]; r != nil {
-		status := http.StatusBadGateway
-		if r.timedOut {
-			status = http.StatusGatewayTimeout
-		}
-		h.end(r, answer{status: status})
+		h.end(r, Result{End: Failed, TimedOut: r.timedOut})
 	}
 }
 
@@ -551,9 +531,9 @@
 
 // Probe checks a backend.
 func (h host) Probe(to decision.BackendID) {
-	sent, b := h.clock.now(), h.pool.find(to)
+	sent, b := h.clock.Now(), h.opts.Upstream.Find(to)
 	report := func(result decision.Result) {
-		now := h.clock.now()
+		now := h.clock.Now()
 		h.module.Probed(now, decision.ProbeResult{Backend: to, Result: result, Took: now - sent})
 	}
 	if b == nil {
@@ -561,14 +541,14 @@
 		return
 	}
 	h.start(func() {
-		result := h.pool.probe(h.ctx, b)
-		h.post(func() { report(result) })
+		result := b.Probe(h.ctx)
+		h.Post(func() { report(result) })
 	})
 }
 
 // Release closes a backend's idle connections.
 func (h host) Release(b decision.BackendID) {
-	h.start(func() { h.pool.release(b) })
+	h.start(func() { h.opts.Upstream.Release(b) })
 }
 
 // Watch begins a watch in place of the one before, or ends it.
@@ -581,7 +561,7 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	h.stopWatch = cancel
 	known, from, mine := h.listKnown, h.version, h.watches
-	asked := h.discovery
+	asked := h.source
 	current := func(event func()) func() {
 		return func() {
 			if mine == h.watches {
@@ -591,32 +571,32 @@
 	}
 	h.start(func() {
 		defer cancel()
-		tell := func(list List) { h.post(current(func() { h.listed(list) })) }
+		tell := func(list List) { h.Post(current(func() { h.listed(list) })) }
 		var err error
 		if !known {
 			var list List
-			if list, err = asked.fetch(ctx); err == nil {
+			if list, err = asked.Fetch(ctx); err == nil {
 				from = list.Version
 				tell(list)
 			}
 		}
 		if err == nil {
-			err = asked.watch(ctx, from, tell)
+			err = asked.Watch(ctx, from, tell)
 		}
 		if ctx.Err() == nil {
-			h.post(current(func() { h.listFailed(err) }))
+			h.Post(current(func() { h.listFailed(err) }))
 		}
 	})
 }
 
 // Fetch asks once for the whole list.
 func (h host) Fetch() {
-	asked := h.discovery
+	asked := h.source
 	h.start(func() {
-		list, err := asked.fetch(h.ctx)
-		h.post(func() {
+		list, err := asked.Fetch(h.ctx)
+		h.Post(func() {
 			switch {
-			case asked != h.discovery: // a late answer of one that is asked no more
+			case asked != h.source: // a late answer of one that is asked no more
 			case err != nil:
 				h.listFailed(err)
 			case !h.listKnown || list.Version >= h.version:
@@ -635,12 +615,12 @@
 // health, or at what waits. So if the module had not set that timer anew by then, it comes again.
 func (h host) After(d time.Duration, token uint64) {
 	h.set[token]++
-	h.at(h.clock.now()+max(d, 0), func() {
+	h.at(h.clock.Now()+max(d, 0), func() {
 		if h.set[token]--; h.set[token] == 0 {
 			delete(h.set, token)
 		}
 		before := h.set[token]
-		if !h.guard(func() { h.module.Timer(h.clock.now(), token) }) && h.set[token] <= before {
+		if !h.guard(func() { h.module.Timer(h.clock.Now(), token) }) && h.set[token] <= before {
 			h.After(max(d, timerAgain), token)
 		}
 	})
@@ -648,3 +628,36 @@
 
 // Log writes a line of the module's.
 func (h host) Log(line string) { h.log.Info(fmt.Sprintf("module: %s", line)) }
+
+// ---- orders by hand ----
+
+// obey brings the module to the orders as they are written down.
+func (l *Engine) obey() {
+	now := l.clock.Now()
+	out := map[string]bool{}
+	for _, name := range l.opts.Out() {
+		out[name] = true
+		if !l.out[name] {
+			l.module.Detach(now, BackendID(name))
+		}
+	}
+	for name := range l.out {
+		if !out[name] {
+			l.module.Attach(now, BackendID(name))
+		}
+	}
+	l.out = out
+	l.census()
+}
+
+// census publishes what the module says of the list.
+func (l *Engine) census() { l.opts.Census(l.module.Census()) }
+
+// watchCensus publishes it now and then: health changes without a word.
+func (l *Engine) watchCensus() {
+	l.census()
+	l.at(l.clock.Now()+censusEvery, l.watchCensus)
+}
+
+// ErrGone says that nobody wants an answer any more.
+var ErrGone = errors.New("nobody wants the answer any more")
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,208 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// nowhere is an upstream with one server at which nothing ever ends, and a source that never tells.
+type nowhere struct{}
+
+func (nowhere) Update(List)                {}
+func (nowhere) Release(decision.BackendID) {}
+func (nowhere) Find(id decision.BackendID) Peer {
+	if id == BackendID("a") {
+		return nowhere{}
+	}
+	return nil
+}
+func (nowhere) Exchange(ctx context.Context, _ Attempt) (decision.Result, any) {
+	<-ctx.Done()
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return decision.Timeout, nil
+	}
+	return decision.Cancelled, nil
+}
+func (nowhere) Probe(ctx context.Context) decision.Result { <-ctx.Done(); return decision.Cancelled }
+func (nowhere) Addr() string                              { return "nowhere" }
+func (nowhere) Close()                                    {}
+func (nowhere) Fetch(ctx context.Context) (List, error)   { <-ctx.Done(); return List{}, ctx.Err() }
+func (nowhere) Watch(ctx context.Context, _ uint32, _ func(List)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+type message struct{}
+
+func (message) Spent() bool { return false }
+
+func testConfig() decision.Config {
+	return decision.Config{Instances: 1, Tick: 5 * time.Millisecond, Goal: decision.Goal{Whole: 1},
+		Classes: []decision.Class{{Name: "fetch", Aim: 8 * time.Second, GiveUp: 20 * time.Second, Effect: decision.Safe, Value: 1},
+			{Name: "hand-in", Aim: 8 * time.Second, GiveUp: 20 * time.Second, Value: 1}},
+		Caps: decision.Caps{Cancel: true, RetryAfter: true, ConnectTimeout: 250 * time.Millisecond, ConnIdle: time.Minute, MaxAttempts: 6, MaxRetryAfter: time.Second}}
+}
+
+// testEngine is an engine that does not run: its events are handled by the test.
+func testEngine(t *testing.T) *Engine {
+	t.Helper()
+	l, err := New(Options{Module: testConfig(), Seed: 1, Upstream: nowhere{}, Source: nowhere{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.ctx = t.Context()
+	l.module.Start(l.clock.Now())
+	return l
+}
+
+func testRequest(l *Engine) *Exchange {
+	x := &Exchange{Class: 1, Deadline: l.clock.Now() + time.Minute, Message: message{}}
+	x.Open()
+	return x
+}
+
+func within[T any](t *testing.T, from <-chan T, missing string) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatal(missing)
+		panic("unreachable")
+	}
+}
+
+// The module may fail to end a request; the loop ends it at its deadline.
+func TestBackstop(t *testing.T) {
+	l := testEngine(t)
+	r := testRequest(l)
+	l.handle(func() { l.requests[1] = r; r.id = 1; l.expire(r) })
+	if a := within(t, r.result, "no answer"); a.End != Failed {
+		t.Errorf("ended as %v", a.End)
+	}
+	l.handle(func() { host{l}.Refuse(1, 0); host{l}.Fail(1); l.expire(r); l.Gone(r) })
+	if len(r.result) != 0 || len(l.requests) != 0 {
+		t.Error("a second answer, or a request that was not forgotten")
+	}
+}
+
+// What may not be sent any more ends as Moot, in a later event, and nothing goes out.
+func TestMootSends(t *testing.T) {
+	l := testEngine(t)
+	for name, send := range map[string]func(*Exchange){
+		"unknown backend": func(r *Exchange) { host{l}.Send(1, BackendID("b"), 0) },
+		"past time":       func(r *Exchange) { host{l}.Send(1, BackendID("a"), l.clock.Now()-1) },
+		"request over":    func(r *Exchange) { r.ended, r.out = true, 1; host{l}.Send(1, BackendID("a"), 0) },
+		"second copy":     func(r *Exchange) { r.out = 1; host{l}.Send(1, BackendID("a"), 0) },
+	} {
+		r := testRequest(l)
+		r.id = 1
+		l.requests[1] = r
+		send(r)
+		if len(l.deferred) != 1 {
+			t.Errorf("%s: %d events follow, want one", name, len(l.deferred))
+		}
+		l.deferred = nil
+		r.attempts[0].cancel()
+	}
+}
+
+func TestPanicEndsOneEventOnly(t *testing.T) {
+	l := testEngine(t)
+	ran := false
+	l.handle(func() { panic("the decisions failed") })
+	l.handle(func() { ran = true })
+	if !ran {
+		t.Error("no event was handled after a panic")
+	}
+}
+
+// A timer of the module's whose event fails comes again, and one that was set anew does not come twice.
+func TestTimerSurvivesAPanic(t *testing.T) {
+	l := testEngine(t)
+	module := l.module
+	fire := func() (fired int) {
+		due := l.timers
+		l.timers = nil
+		for _, timer := range due {
+			fired++
+			l.handle(timer.event)
+		}
+		return fired
+	}
+	if fire(); len(l.timers) == 0 {
+		t.Fatal("the module sets no timers")
+	}
+	sets := len(l.timers)
+	l.module = nil // each event fails
+	for range 3 {
+		if fire(); len(l.timers) != sets {
+			t.Fatalf("%d timers after a failure, want %d", len(l.timers), sets)
+		}
+	}
+	l.module = module
+	before := l.timerSeq
+	if fire(); l.timerSeq == before {
+		t.Error("the module's timers were not set anew after the failures")
+	}
+}
+
+// A request that has ended leaves nothing behind, whatever its deadline.
+func TestEndedRequestsAreForgotten(t *testing.T) {
+	l := testEngine(t)
+	r := testRequest(l)
+	r.Deadline = l.clock.Now() + time.Hour
+	timers := len(l.timers)
+	l.Take(r)
+	host{l}.Refuse(r.id, 0)
+	l.Gone(r)
+	if len(l.requests) != 0 || r.Message != nil || r.expiry.place >= 0 {
+		t.Errorf("%d requests are held, message %v, expiry's place %d", len(l.requests), r.Message, r.expiry.place)
+	}
+	for _, timer := range l.timers[min(timers, len(l.timers)):] {
+		if timer.at > l.clock.Now()+time.Minute {
+			t.Error("a timer waits for the deadline of a request that has ended")
+		}
+	}
+}
+
+func TestTimersComeInOrderAndNeverEarly(t *testing.T) {
+	l := testEngine(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() { l.Run(ctx); close(ended) }()
+	type firing struct{ wanted, at time.Duration }
+	fired := make(chan firing, 8)
+	l.Post(func() {
+		for _, ms := range []time.Duration{40, 10, 0, 25} {
+			wanted := l.Clock().Now() + ms*time.Millisecond
+			l.at(wanted, func() { fired <- firing{wanted, l.clock.Now()} })
+		}
+	})
+	last := time.Duration(0)
+	for range 4 {
+		f := within(t, fired, "a timer did not fire")
+		if f.at < f.wanted || f.wanted < last {
+			t.Errorf("wanted at %v after %v, fired at %v", f.wanted, last, f.at)
+		}
+		last = f.wanted
+	}
+	cancel()
+	within(t, ended, "the loop did not end")
+}
+
+func TestClock(t *testing.T) {
+	c := NewClock()
+	a := c.Now()
+	b := c.Now()
+	if b < a || a < time.Duration(time.Now().Add(-time.Hour).UnixNano()) {
+		t.Errorf("the clock shows %v, then %v", a, b)
+	}
+	if d := c.Time(a + time.Second).Sub(c.Time(a)); d != time.Second {
+		t.Errorf("a second on the clock is %v", d)
+	}
+}
--- /dev/null
+++ b/internal/engine/exchange.go
@@ -0,0 +1,180 @@
+// Package engine holds requests between a front end and the servers, and knows no protocol. A front end hands in an
+// Exchange and gets exactly one Result; an Upstream carries out the attempts that the decision module orders. Each
+// Engine is one service: a goroutine, a module instance, a list of servers, timers.
+//
+// The rules that it keeps whatever its neighbours do: one result per exchange, at the latest a moment after its
+// deadline; a panic in one event ends that event alone; what comes after the end changes nothing.
+package engine
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// List is what discovery says of the servers: all of them, or those that changed.
+type List struct {
+	Version uint32
+	Full    bool
+	Members []Member
+}
+
+// Member is a server as discovery names it.
+type Member struct {
+	ID         string
+	Addr       string
+	Zone, Kind string
+	Cell       int
+	State      decision.State
+	Weight     float64
+	Started    time.Duration
+}
+
+// BackendID comes from the name alone, so that it is the same at every proxy and after every restart: keys find
+// their servers by it.
+func BackendID(name string) decision.BackendID {
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	return decision.BackendID(h.Sum32())
+}
+
+// Source is where the list comes from. Its methods are called from goroutines of their own.
+type Source interface {
+	Addr() string
+	Fetch(ctx context.Context) (List, error)                       // the whole list, once
+	Watch(ctx context.Context, from uint32, tell func(List)) error // each change, until it fails or ctx ends
+	Close()                                                        // ends all calls
+}
+
+// Upstream carries out attempts at servers. Update and Find are called by the engine's goroutine and must not
+// block; Release may.
+type Upstream interface {
+	Update(List)                   // takes in a list, ahead of the module
+	Find(decision.BackendID) Peer  // nil if there is none
+	Release(id decision.BackendID) // gives idle connections back
+}
+
+// Peer is a server. Its methods block until the attempt is over or given up by ctx; context.Cause tells a time-out
+// (context.DeadlineExceeded) from a cancel.
+type Peer interface {
+	// Exchange carries out one attempt and tells how it ended, with the answer if that is decision.OK and was not
+	// handed to Begin.
+	Exchange(ctx context.Context, a Attempt) (decision.Result, any)
+	Probe(ctx context.Context) decision.Result
+}
+
+// Attempt is one send of an exchange's message.
+type Attempt struct {
+	Message Message
+	Timeout time.Duration     // how long it will be waited for, to be told to the server
+	Begin   func(Stream) bool // takes a long answer that has begun, or tells that it comes too late
+}
+
+// Message is what a front end hands in for its upstream. The engine asks it one thing only.
+type Message interface {
+	Spent() bool // its body has passed by: there can be no further attempt
+}
+
+// Stream is a long answer on its way. Whoever is handed one says by End how it went; nil is whole.
+type Stream interface{ End(err error) }
+
+// End is how an exchange ends.
+type End uint8
+
+// The ends.
+const (
+	Failed  End = iota // nothing is promised
+	Refused            // coming again is harmless
+	Served
+)
+
+func (e End) String() string { return [...]string{"failed", "refused", "served"}[e] }
+
+// Result is the one end of an exchange.
+type Result struct {
+	End        End
+	RetryAfter time.Duration // Refused: when to come back; 0 is not told
+	TimedOut   bool          // Failed: its last attempt ran out of time
+	MayHaveRun bool          // an attempt may have run, or may yet
+	Gone       bool          // the client had left; nobody waits for this
+	Answer     any           // Served: as the upstream gave it, or
+	Stream     Stream        // a long one
+}
+
+// Exchange is a request between a front end and the engine. A front end fills in the exported fields, hands it to
+// Take by Post, and reads Result once.
+type Exchange struct {
+	Message       Message
+	Class, Tenant int
+	Key           uint64
+	Cost          time.Duration
+	Repeat        bool
+	Timeout       time.Duration // from the last byte of the request to its deadline
+	Deadline      time.Duration // by the engine's clock; 0 while the body is on its way
+
+	id       decision.RequestID
+	result   chan Result // holds one
+	attempts []*attempt
+	out      int
+	ended    bool
+	timedOut bool // the last attempt
+	expiry   *timer
+	stream   Stream // its answer, if that is a long one
+}
+
+// Open readies an exchange for its result.
+func (x *Exchange) Open() { x.result = make(chan Result, 1) }
+
+// Result gives the one result.
+func (x *Exchange) Result() <-chan Result { return x.result }
+
+// Came is when the request's last byte did. It holds for exchanges that have their result.
+func (x *Exchange) Came() time.Duration { return x.Deadline - x.Timeout }
+
+// Uploading tells whether the request's body is on its way yet.
+func (x *Exchange) Uploading() bool { return x.Deadline == 0 }
+
+func (x *Exchange) mayHaveRun() bool {
+	for _, a := range x.attempts {
+		if !a.over || !a.result.NeverRan() {
+			return true
+		}
+	}
+	return false
+}
+
+// Options are what an engine works with.
+type Options struct {
+	Module   decision.Config
+	Seed     uint64
+	Known    List // the servers as last known
+	Zones    []string
+	Kinds    []string
+	Upstream Upstream
+	Source   Source
+	Log      *slog.Logger
+
+	Out    func() []string           // the servers that are out by hand, by name; nil is none
+	Wake   <-chan struct{}           // says that Out has changed
+	Listed func(List)                // is told each list; may be nil
+	Census func(known, excluded int) // is told how many servers are listed and how many of them avoided; may be nil
+}
+
+func (o *Options) fill() {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Out == nil {
+		o.Out = func() []string { return nil }
+	}
+	if o.Listed == nil {
+		o.Listed = func(List) {}
+	}
+	if o.Census == nil {
+		o.Census = func(int, int) {}
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -11,11 +11,13 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"lapisspread/decision"
+	"lapisspread/internal/engine"
 )
 
 const (
@@ -65,9 +67,9 @@
 		most: most, backends: map[decision.BackendID]*backend{}, limit: connIdle / idlePart, soon: soon, attempts: new(atomic.Int64)}
 }
 
-// update takes in a list. A backend that drains or is gone, or has another address, loses its idle
+// Update takes in a list. A backend that drains or is gone, or has another address, loses its idle
 // connections, and attempts that wait for a connection to it are not sent any more.
-func (p *pool) update(list List) {
+func (p *pool) Update(list List) {
 	var stale []*conn
 	p.mu.Lock()
 	named := map[decision.BackendID]bool{}
@@ -119,15 +121,41 @@
 	}
 }
 
-// find is the backend of that id, or nil.
+// Find is the backend of that id, or nil.
+func (p *pool) Find(id decision.BackendID) engine.Peer {
+	if b := p.find(id); b != nil {
+		return peer{p, b}
+	}
+	return nil // not a peer without a backend
+}
+
 func (p *pool) find(id decision.BackendID) *backend {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.backends[id]
 }
 
-// release closes a backend's idle connections.
-func (p *pool) release(id decision.BackendID) {
+// peer is a backend as the engine sees it.
+type peer struct {
+	pool *pool
+	b    *backend
+}
+
+// Exchange sends a request's message once.
+func (p peer) Exchange(ctx context.Context, a engine.Attempt) (decision.Result, any) {
+	m := *a.Message.(*message)
+	m.begin = func(d *download) bool { return a.Begin(d) }
+	m.header = m.header.Clone()
+	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, a.Timeout.Milliseconds()), 10))
+	result, body := p.pool.exchange(ctx, p.b, &m)
+	return result, body
+}
+
+// Probe asks the backend whether it is well.
+func (p peer) Probe(ctx context.Context) decision.Result { return p.pool.probe(ctx, p.b) }
+
+// Release closes a backend's idle connections.
+func (p *pool) Release(id decision.BackendID) {
 	p.mu.Lock()
 	var stale []*conn
 	if b := p.backends[id]; b != nil {
@@ -164,7 +192,7 @@
 		case now := <-tick.C:
 			p.retire(now)
 		case <-ctx.Done():
-			p.update(List{Full: true})
+			p.Update(List{Full: true})
 			return
 		}
 	}
@@ -314,6 +342,9 @@
 	begin  func(*download) bool // takes a long answer, or tells that it comes too late; nil takes none
 }
 
+// Spent tells whether there can be no further attempt.
+func (m *message) Spent() bool { return m.upload.isSpent() }
+
 // request is the message for one attempt, on a connection to addr.
 func (m *message) request(addr string) *http.Request {
 	u := m.url
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -59,8 +59,8 @@
 func testPool(t *testing.T, addr string) (*pool, *backend) {
 	t.Helper()
 	p := newPool(16, patience, 2*patience)
-	p.update(List{Members: []Member{{ID: "a", Addr: addr, State: decision.Ready}}})
-	t.Cleanup(func() { p.update(List{Full: true}) })
+	p.Update(List{Members: []Member{{ID: "a", Addr: addr, State: decision.Ready}}})
+	t.Cleanup(func() { p.Update(List{Full: true}) })
 	return p, p.find(backendID("a"))
 }
 
@@ -300,7 +300,7 @@
 	if n := conns.Load(); n != 2 {
 		t.Errorf("%d connections, want a second one", n)
 	}
-	p.release(backendID("a"))
+	p.Release(backendID("a"))
 	if p.open != 0 {
 		t.Errorf("%d connections after the idle ones were released", p.open)
 	}
@@ -394,7 +394,7 @@
 		}
 	}
 	// Both are idle now, and make room for one to another backend.
-	p.update(List{Members: []Member{{ID: "b", State: decision.Ready, Addr: rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+	p.Update(List{Members: []Member{{ID: "b", State: decision.Ready, Addr: rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
 		readWhole(in)
 		say(c, served)
 	})}}})
@@ -424,7 +424,7 @@
 		for _, c := range conns {
 			p.putIdle(b, c)
 		}
-		p.update(List{Members: []Member{{ID: "b", State: decision.Ready, Addr: rawBackend(t, serveAll)}}})
+		p.Update(List{Members: []Member{{ID: "b", State: decision.Ready, Addr: rawBackend(t, serveAll)}}})
 		if result, _ := p.exchange(t.Context(), p.find(backendID("b")), testMessage("GET", nil)); result != decision.OK {
 			t.Errorf("%d idle: result %v", idle, result)
 		}
@@ -500,7 +500,7 @@
 		done <- result
 	}()
 	within(t, came, "no request came")
-	p.update(List{Full: true, Members: []Member{{ID: "new", Addr: addr, State: decision.Ready}}})
+	p.Update(List{Full: true, Members: []Member{{ID: "new", Addr: addr, State: decision.Ready}}})
 	leave <- true
 	if result := within(t, done, "no answer"); result != decision.OK {
 		t.Errorf("what was in hand: result %v", result)
@@ -531,7 +531,7 @@
 			}))
 			dial := p.dialer
 			p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-				defer p.update(List{Members: []Member{change}})
+				defer p.Update(List{Members: []Member{change}})
 				return dial(ctx, network, addr)
 			}
 			if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.ConnectFailed {
@@ -551,7 +551,7 @@
 		}
 	}))
 	p.exchange(t.Context(), b, testMessage("GET", nil))
-	p.update(List{Members: []Member{{ID: "a", State: decision.Draining}}})
+	p.Update(List{Members: []Member{{ID: "a", State: decision.Draining}}})
 	if p.open != 0 {
 		t.Errorf("%d connections to a draining backend", p.open)
 	}
--- /dev/null
+++ b/internal/proxy/conformance_test.go
@@ -0,0 +1,129 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+	"lapisspread/internal/engine"
+	"lapisspread/internal/engine/enginetest"
+	"lapisspread/internal/figures"
+)
+
+func TestHTTPFrontEndConforms(t *testing.T) {
+	enginetest.FrontEnd{
+		Start: func(t *testing.T, e *engine.Engine) enginetest.Client {
+			cfg := Config{MemoryMB: 64, Sockets: 1024, Module: enginetest.Config()}
+			f := newFrontend(e, &cfg, figures.New([]string{"safe", "unsafe"}), slog.New(slog.DiscardHandler), newClientConns(512))
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go f.serve(l)
+			t.Cleanup(func() { f.server.Close() })
+			return func(ctx context.Context, id, class string, timeout time.Duration) (engine.End, []byte, error) {
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr().String()+"/api", strings.NewReader("body"))
+				if err != nil {
+					return 0, nil, err
+				}
+				req.Header = http.Header{"X-Request-Id": {id}, "X-Priority-Class": {class}, "X-Timeout-Ms": {fmt.Sprint(timeout.Milliseconds())}}
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+				resp, err := client.Do(req)
+				if err != nil {
+					return 0, nil, err
+				}
+				defer resp.Body.Close()
+				body, err := io.ReadAll(resp.Body)
+				switch {
+				case err != nil:
+					return 0, nil, err
+				case resp.StatusCode == http.StatusOK:
+					return engine.Served, body, nil
+				case resp.StatusCode == http.StatusServiceUnavailable:
+					return engine.Refused, nil, nil
+				}
+				return engine.Failed, nil, nil
+			}
+		},
+		Answer: func(body []byte) any { return body },
+		Stream: func(body []byte, broken bool) engine.Stream {
+			return newDownload(int64(len(body)), enginetest.Broken(body, broken))
+		},
+	}.Test(t)
+}
+
+func TestHTTPUpstreamConforms(t *testing.T) {
+	answers := map[enginetest.Behaviour]string{
+		enginetest.Serves:       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nthe answer",
+		enginetest.ServesSlowly: "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nthe answer",
+		enginetest.SaysTooMuch:  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nthe answerHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+		enginetest.Errs:         "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+		enginetest.TurnsAway:    "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+		enginetest.ClosesMidway: "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nthe",
+		enginetest.Spoils:       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nContent-Length: 3\r\n\r\nthe answer",
+	}
+	enginetest.Upstream{
+		Start: func(t *testing.T, b enginetest.Behaviour) (engine.Upstream, engine.List) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.Close() })
+			if b == enginetest.Refuses {
+				l.Close()
+			}
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go behave(c, b, answers[b])
+				}
+			}()
+			p := newPool(64, 2*time.Second, time.Minute)
+			t.Cleanup(func() { p.Update(List{Full: true}) })
+			return p, List{Version: 1, Full: true, Members: []Member{{ID: "a", Addr: l.Addr().String(), State: decision.Ready}}}
+		},
+		Message: func() engine.Message { return testMessage("POST", []byte("body")) },
+		Body: func(answer any) []byte {
+			b, _ := answer.([]byte)
+			return bytes.Clone(b)
+		},
+	}.Test(t)
+}
+
+// behave is a server's side of a connection.
+func behave(c net.Conn, b enginetest.Behaviour, answer string) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		switch b {
+		case enginetest.ClosesFirst:
+			return
+		case enginetest.Stalls:
+			in.Peek(1) // until the other side closes
+			return
+		case enginetest.ServesSlowly:
+			time.Sleep(20 * time.Millisecond)
+		}
+		io.WriteString(c, answer)
+		if b == enginetest.ClosesMidway {
+			return
+		}
+	}
+}
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"time"
 
 	"lapisspread/decision"
+	"lapisspread/internal/engine"
 )
 
 const (
@@ -20,31 +20,13 @@
 	listBytes = 4 << 20 // a longer list is not believed
 )
 
-// List is what discovery says of the backends: all of them, or those that changed.
-type List struct {
-	Version uint32
-	Full    bool
-	Members []Member
-}
-
-// Member is a backend as discovery names it.
-type Member struct {
-	ID         string
-	Addr       string
-	Zone, Kind string
-	Cell       int
-	State      decision.State
-	Weight     float64
-	Started    time.Duration
-}
+// List and Member are the servers as the engine knows them.
+type (
+	List   = engine.List
+	Member = engine.Member
+)
 
-// backendID comes from the name alone, so that it is the same at every proxy and after every restart:
-// keys find their backends by it.
-func backendID(name string) decision.BackendID {
-	h := fnv.New32a()
-	io.WriteString(h, name)
-	return decision.BackendID(h.Sum32())
-}
+func backendID(name string) decision.BackendID { return engine.BackendID(name) }
 
 // parseList reads discovery's JSON. One odd entry voids the whole list.
 func parseList(text []byte) (List, error) {
@@ -103,8 +85,11 @@
 	}}
 }
 
-// fetch asks once for the whole list.
-func (d *discovery) fetch(ctx context.Context) (List, error) {
+// Addr is the address that is asked.
+func (d *discovery) Addr() string { return d.addr }
+
+// Fetch asks once for the whole list.
+func (d *discovery) Fetch(ctx context.Context) (List, error) {
 	list, err := d.call(ctx, "", fetchWait)
 	if err == nil && !list.Full {
 		err = errors.New("discovery: changes in place of the whole list")
@@ -112,8 +97,8 @@
 	return list, err
 }
 
-// watch tells of each answer, one call right after the other, until one fails or ctx ends.
-func (d *discovery) watch(ctx context.Context, from uint32, tell func(List)) error {
+// Watch tells of each answer, one call right after the other, until one fails or ctx ends.
+func (d *discovery) Watch(ctx context.Context, from uint32, tell func(List)) error {
 	for {
 		list, err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", from, watchHold.Milliseconds()), watchHold+callSlack)
 		if err != nil {
@@ -151,8 +136,8 @@
 	return list, nil
 }
 
-// close ends all calls and connections.
-func (d *discovery) close() {
+// Close ends all calls and connections.
+func (d *discovery) Close() {
 	d.end()
 	d.client.CloseIdleConnections()
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
 )
 
@@ -42,7 +43,10 @@
 
 // frontend takes clients' requests and gives each its one answer.
 type frontend struct {
-	loop    *loop
+	engine  *engine.Engine
+	cfg     *Config
+	clock   engine.Clock
+	figures *figures.Figures
 	log     *slog.Logger
 	server  *http.Server
 	classes map[string]int
@@ -57,14 +61,14 @@
 	bodyTimeout, writeTimeout time.Duration
 }
 
-func newFrontend(l *loop, log *slog.Logger, conns *clientConns) *frontend {
-	f := &frontend{loop: l, log: log, classes: map[string]int{}, tenants: map[string]int{},
-		conns: conns, open: map[string]bool{}, mostBytes: int64(inHandPart * float64(l.cfg.MemoryMB) * (1 << 20)),
+func newFrontend(e *engine.Engine, cfg *Config, fig *figures.Figures, log *slog.Logger, conns *clientConns) *frontend {
+	f := &frontend{engine: e, cfg: cfg, clock: e.Clock(), figures: fig, log: log, classes: map[string]int{}, tenants: map[string]int{},
+		conns: conns, open: map[string]bool{}, mostBytes: int64(inHandPart * float64(cfg.MemoryMB) * (1 << 20)),
 		bodyTimeout: bodyTimeout, writeTimeout: writeTimeout}
-	for i, c := range l.cfg.Module.Classes {
+	for i, c := range cfg.Module.Classes {
 		f.classes[c.Name] = i
 	}
-	for i, t := range l.cfg.Module.Tenants {
+	for i, t := range cfg.Module.Tenants {
 		f.tenants[t.Name] = i
 	}
 	// Danger: the server's ReadTimeout and WriteTimeout go on while a request is in hand. One that waits for
@@ -88,10 +92,10 @@
 // while yet, unless a later process takes them from the same socket; then the idle ones are closed, and it waits
 // for what was taken.
 func (f *frontend) drain(listener net.Listener, succeeded bool) {
-	f.conns.setDraining(f.loop.clock.now() + acceptOn)
+	f.conns.setDraining(f.clock.Now() + acceptOn)
 	began := time.Now()
 	most := drainRoom
-	for _, c := range f.loop.cfg.Module.Classes {
+	for _, c := range f.cfg.Module.Classes {
 		most = max(most, min(c.GiveUp, lastCall)+drainRoom)
 	}
 	if succeeded {
@@ -111,7 +115,7 @@
 }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	taken := f.loop.clock.now()
+	taken := f.clock.Now()
 	if err := checkFraming(r); err != nil {
 		f.reject(w, err)
 		return
@@ -146,31 +150,31 @@
 	if u != nil {
 		defer func() {
 			if u.stop() {
-				f.loop.figures.InFlight.Add(-1)
+				f.figures.InFlight.Add(-1)
 			}
 		}()
 	} else {
-		req.deadline = f.loop.clock.now() + req.timeout
+		req.Deadline = f.clock.Now() + req.Timeout
 		if r.ContentLength == 0 {
-			req.deadline = taken + req.timeout
+			req.Deadline = taken + req.Timeout
 		}
-		f.loop.figures.InFlight.Add(1)
-		defer f.loop.figures.InFlight.Add(-1)
+		f.figures.InFlight.Add(1)
+		defer f.figures.InFlight.Add(-1)
 	}
-	f.loop.post(func() { f.loop.take(req) })
+	f.engine.Post(func() { f.engine.Take(&req.Exchange) })
 	var failed chan error
 	if u != nil {
 		failed = u.failed
 	}
 	select {
-	case a := <-req.answer:
+	case a := <-req.Result():
 		f.answer(w, req, u, a)
 	case err := <-failed:
-		f.loop.post(func() { f.loop.gone(req) })
+		f.engine.Post(func() { f.engine.Gone(&req.Exchange) })
 		u.stop()
 		f.turnAway(w, req, unread(err))
 	case <-r.Context().Done():
-		f.loop.post(func() { f.loop.gone(req) })
+		f.engine.Post(func() { f.engine.Gone(&req.Exchange) })
 	}
 }
 
@@ -215,9 +219,9 @@
 		limit: deadlines.SetReadDeadline, failed: make(chan error, 1)}
 	u.whole = func() {
 		deadlines.SetReadDeadline(time.Time{})
-		now := f.loop.clock.now()
-		f.loop.figures.InFlight.Add(1)
-		go f.loop.post(func() { f.loop.whole(req, now) }) // Danger: the loop may ask for the lock that is held here
+		now := f.clock.Now()
+		f.figures.InFlight.Add(1)
+		go f.engine.Post(func() { f.engine.Whole(&req.Exchange, now) }) // Danger: the engine may ask for the lock that is held here
 	}
 	req.message.upload = u
 	return nil
@@ -236,7 +240,7 @@
 }
 
 // answer gives the client the final answer.
-func (f *frontend) answer(w http.ResponseWriter, req *request, u *upload, a answer) {
+func (f *frontend) answer(w http.ResponseWriter, req *request, u *upload, a engine.Result) {
 	f.closing(w)
 	c := http.NewResponseController(w)
 	if u != nil {
@@ -245,32 +249,34 @@
 			c.SetReadDeadline(time.Now().Add(rejectDrain))
 		}
 	}
-	if a.stream == nil {
-		f.loop.figures.Ended(req.class, outcomeOf(a.status))
+	stream, long := a.Stream.(*download)
+	if !long {
+		plain := worded(a)
+		f.figures.Ended(req.Class, outcomeOf(plain.status))
 		c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
-		write(w, a)
+		write(w, plain)
 		return
 	}
 	// Danger: of what comes late in a drain a long answer may be cut off by the process's end, and be lost.
-	if f.conns.endsSoon(req.came()) {
-		a.stream.end(errGone)
-		f.loop.figures.Ended(req.class, figures.Failed)
+	if f.conns.endsSoon(req.Came()) {
+		stream.End(errGone)
+		f.figures.Ended(req.Class, figures.Failed)
 		write(w, answer{status: http.StatusBadGateway})
 		return
 	}
-	err := pass(w, a.stream, f.writeTimeout)
-	a.stream.end(err)
+	err := pass(w, stream, f.writeTimeout)
+	stream.End(err)
 	if err != nil {
-		f.loop.figures.Ended(req.class, figures.Failed)
+		f.figures.Ended(req.Class, figures.Failed)
 		f.log.Warn("a long answer broke off", "err", err)
 		panic(http.ErrAbortHandler) // the client must be able to tell
 	}
-	f.loop.figures.Ended(req.class, figures.Served)
+	f.figures.Ended(req.Class, figures.Served)
 }
 
 // turnAway rejects a request whose class is known.
 func (f *frontend) turnAway(w http.ResponseWriter, req *request, err error) {
-	f.loop.figures.Ended(req.class, outcomeOf(f.reject(w, err)))
+	f.figures.Ended(req.Class, outcomeOf(f.reject(w, err)))
 }
 
 // closing has the connection closed after this answer while the proxy ends, which it tells.
@@ -317,7 +323,7 @@
 	c.EnableFullDuplex()
 	c.SetReadDeadline(time.Now().Add(rejectDrain))
 	c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
-	if caps := &f.loop.cfg.Module.Caps; status == http.StatusServiceUnavailable && caps.RetryAfter {
+	if caps := &f.cfg.Module.Caps; status == http.StatusServiceUnavailable && caps.RetryAfter {
 		setRetryAfter(w.Header(), min(time.Second, caps.MaxRetryAfter))
 	}
 	w.Header().Set("Connection", "close")
@@ -398,10 +404,12 @@
 		return nil, malformed("%s %q is not for a proxy of this kind", r.Method, r.RequestURI)
 	}
 	timeout := min(time.Duration(ms)*time.Millisecond, longTimeout)
-	return &request{class: class, tenant: f.tenants[plain(h.Get("X-Tenant-Id"))], key: keyHash(r.URL.Query().Get("key")),
-		cost: hint(h.Get("X-Cost")), repeat: h.Get("X-Retried") == "1", answer: make(chan answer, 1),
-		timeout: timeout - min(answerRoom, timeout/roomPart),
-		message: &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}}, nil
+	m := &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}
+	req := &request{message: m, Exchange: engine.Exchange{Message: m, Class: class, Tenant: f.tenants[plain(h.Get("X-Tenant-Id"))],
+		Key: keyHash(r.URL.Query().Get("key")), Cost: hint(h.Get("X-Cost")), Repeat: h.Get("X-Retried") == "1",
+		Timeout: timeout - min(answerRoom, timeout/roomPart)}}
+	req.Open()
+	return req, nil
 }
 
 // hint is the guess at a request's work; one that makes no sense counts as none.
@@ -447,6 +455,33 @@
 	return out
 }
 
+// request is an exchange with the message that it carries.
+type request struct {
+	engine.Exchange
+	message *message
+}
+
+// answer is a request's final answer in HTTP.
+type answer struct {
+	status     int
+	retryAfter time.Duration
+	body       []byte
+}
+
+// worded puts a result into HTTP.
+func worded(r engine.Result) answer {
+	switch {
+	case r.End == engine.Served:
+		body, _ := r.Answer.([]byte)
+		return answer{status: http.StatusOK, body: body}
+	case r.End == engine.Refused:
+		return answer{status: http.StatusServiceUnavailable, retryAfter: r.RetryAfter}
+	case r.TimedOut:
+		return answer{status: http.StatusGatewayTimeout}
+	}
+	return answer{status: http.StatusBadGateway}
+}
+
 // setRetryAfter says when to come back, if there is anything to say.
 func setRetryAfter(h http.Header, after time.Duration) {
 	if after > 0 {
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -74,35 +74,3 @@
 	o.roster.wakeLoop()
 	return nil
 }
-
-// obey brings the module to the orders as they are written down.
-func (l *loop) obey() {
-	now := l.clock.now()
-	out := map[string]bool{}
-	for _, name := range l.store.Out() {
-		out[name] = true
-		if !l.out[name] {
-			l.module.Detach(now, backendID(name))
-		}
-	}
-	for name := range l.out {
-		if !out[name] {
-			l.module.Attach(now, backendID(name))
-		}
-	}
-	l.out = out
-	l.census()
-}
-
-// census publishes what the module says of the list.
-func (l *loop) census() {
-	known, excluded := l.module.Census()
-	l.figures.BackendsKnown.Store(int64(known))
-	l.figures.BackendsExcluded.Store(int64(excluded))
-}
-
-// watchCensus publishes it now and then: health changes without a word.
-func (l *loop) watchCensus() {
-	l.census()
-	l.at(l.clock.now()+censusEvery, l.watchCensus)
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lapisspread/internal/console"
+	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
 	"lapisspread/internal/handover"
 )
@@ -59,14 +60,14 @@
 	p.figures.ReloadsFailed.Add(1)
 }
 
-// takeReloads hands new configurations to the loop until ctx ends.
-func (p *Proxy) takeReloads(ctx context.Context, l *loop) {
+// takeReloads hands new configurations to the engine until ctx ends.
+func (p *Proxy) takeReloads(ctx context.Context, e *engine.Engine) {
 	for {
 		select {
 		case cfg := <-p.reloads:
-			l.post(func() {
-				if cfg.Discovery != l.target().addr {
-					l.moveTo(newDiscovery(cfg.Discovery))
+			e.Post(func() {
+				if cfg.Discovery != e.Source().Addr() {
+					e.MoveTo(newDiscovery(cfg.Discovery))
 				}
 			})
 		case <-ctx.Done():
@@ -150,20 +151,24 @@
 	pool := newPool(p.cfg.Sockets-spareSockets-clientPlaces(&p.cfg), p.cfg.Module.Caps.ConnectTimeout, p.cfg.Module.Caps.ConnIdle)
 	p.cfg.Module.Caps.MaxOpen = int(openSockets * float64(p.cfg.Sockets))
 	pool.attempts = &p.figures.Attempts
-	loop, err := newLoop(&p.cfg, p.log, pool, newDiscovery(p.cfg.Discovery))
+	e, err := engine.New(engine.Options{Module: p.cfg.Module, Seed: p.cfg.Seed, Known: p.cfg.Known, Zones: p.cfg.Zones, Kinds: p.cfg.Kinds,
+		Upstream: pool, Source: newDiscovery(p.cfg.Discovery), Log: p.log, Out: p.store.Out, Wake: p.roster.wake, Listed: p.roster.add,
+		Census: func(known, excluded int) {
+			p.figures.BackendsKnown.Store(int64(known))
+			p.figures.BackendsExcluded.Store(int64(excluded))
+		}})
 	if err != nil {
 		listener.Close()
 		return fmt.Errorf("settings: %w", err)
 	}
-	loop.figures, loop.store, loop.roster = p.figures, p.store, p.roster
-	f := newFrontend(loop, p.log, p.conns)
+	f := newFrontend(e, &p.cfg, p.figures, p.log, p.conns)
 	p.log.Info("serving", "listen", listener.Addr().String(), "backends", len(p.cfg.Known.Members))
 
 	inner, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { loop.run(inner) })
+	running.Go(func() { e.Run(inner) })
 	running.Go(func() { pool.runRetire(inner) })
-	running.Go(func() { p.takeReloads(inner, loop) })
+	running.Go(func() { p.takeReloads(inner, e) })
 	running.Go(func() { p.conns.runLameDuck(inner) })
 	running.Go(func() { p.watchShare(inner, pool) })
 	running.Go(func() {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"lapisspread/decision"
+	"lapisspread/internal/engine"
+	"lapisspread/internal/figures"
 )
 
 // settings are those of a site with a safe and an unsafe class. Discovery is asked.
@@ -303,118 +305,19 @@
 	}
 }
 
-// The module may fail to end a request; the loop ends it at its deadline.
-func TestBackstop(t *testing.T) {
-	l := testLoop(t)
-	r := testRequest(l)
-	l.handle(func() { l.requests[1] = r; r.id = 1; l.expire(r) })
-	if a := within(t, r.answer, "no answer"); a.status != http.StatusGatewayTimeout {
-		t.Errorf("status %d", a.status)
-	}
-	l.handle(func() { host{l}.Refuse(1, 0); host{l}.Fail(1); l.expire(r); l.gone(r) })
-	if len(r.answer) != 0 || len(l.requests) != 0 {
-		t.Error("a second answer, or a request that was not forgotten")
-	}
-}
-
-func testLoop(t *testing.T) *loop {
+// testEngine is an engine that does not run yet, before the servers of a list.
+func testEngine(t *testing.T, known List) (*engine.Engine, *Config) {
 	t.Helper()
 	cfg, err := parseConfig(configText(listText(1, true)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := newLoop(&cfg, slog.New(slog.DiscardHandler), newPool(8, time.Second, 2*time.Second), newDiscovery("127.0.0.1:1"))
+	e, err := engine.New(engine.Options{Module: cfg.Module, Seed: cfg.Seed, Known: known, Zones: cfg.Zones, Kinds: cfg.Kinds,
+		Upstream: newPool(8, time.Second, 2*time.Second), Source: newDiscovery("127.0.0.1:1")})
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.ctx = t.Context()
-	l.module.Start(l.clock.now())
-	return l
-}
-
-func testRequest(l *loop) *request {
-	return &request{class: 1, answer: make(chan answer, 1), deadline: l.clock.now() + time.Minute, message: testMessage("POST", nil)}
-}
-
-// What may not be sent any more ends as Moot, in a later event, and nothing goes out.
-func TestMootSends(t *testing.T) {
-	l := testLoop(t)
-	l.pool.update(List{Members: []Member{{ID: "a", Addr: "127.0.0.1:1", State: decision.Ready}}})
-	for name, send := range map[string]func(*request){
-		"unknown backend": func(r *request) { host{l}.Send(1, backendID("b"), 0) },
-		"past time":       func(r *request) { host{l}.Send(1, backendID("a"), l.clock.now()-1) },
-		"request over":    func(r *request) { r.ended, r.out = true, 1; host{l}.Send(1, backendID("a"), 0) },
-		"second copy":     func(r *request) { r.out = 1; host{l}.Send(1, backendID("a"), 0) },
-	} {
-		r := testRequest(l)
-		r.id = 1
-		l.requests[1] = r
-		send(r)
-		if len(l.deferred) != 1 {
-			t.Errorf("%s: %d events follow, want one", name, len(l.deferred))
-		}
-		l.deferred = nil
-		r.attempts[0].cancel()
-	}
-}
-
-func TestPanicEndsOneEventOnly(t *testing.T) {
-	l := testLoop(t)
-	ran := false
-	l.handle(func() { panic("the decisions failed") })
-	l.handle(func() { ran = true })
-	if !ran {
-		t.Error("no event was handled after a panic")
-	}
-}
-
-// A timer of the module's whose event fails comes again, and one that was set anew does not come twice.
-func TestTimerSurvivesAPanic(t *testing.T) {
-	l := testLoop(t)
-	module := l.module
-	fire := func() (fired int) {
-		due := l.timers
-		l.timers = nil
-		for _, timer := range due {
-			fired++
-			l.handle(timer.event)
-		}
-		return fired
-	}
-	if fire(); len(l.timers) == 0 {
-		t.Fatal("the module sets no timers")
-	}
-	sets := len(l.timers)
-	l.module = nil // each event fails
-	for range 3 {
-		if fire(); len(l.timers) != sets {
-			t.Fatalf("%d timers after a failure, want %d", len(l.timers), sets)
-		}
-	}
-	l.module = module
-	before := l.timerSeq
-	if fire(); l.timerSeq == before {
-		t.Error("the module's timers were not set anew after the failures")
-	}
-}
-
-// A request that has ended leaves nothing behind, whatever its deadline.
-func TestEndedRequestsAreForgotten(t *testing.T) {
-	l := testLoop(t)
-	r := testRequest(l)
-	r.deadline = l.clock.now() + time.Hour
-	timers := len(l.timers)
-	l.take(r)
-	host{l}.Refuse(r.id, 0)
-	l.gone(r)
-	if len(l.requests) != 0 || r.message != nil || r.expiry.place >= 0 {
-		t.Errorf("%d requests are held, message %v, expiry's place %d", len(l.requests), r.message, r.expiry.place)
-	}
-	for _, timer := range l.timers[min(timers, len(l.timers)):] {
-		if timer.at > l.clock.now()+time.Minute {
-			t.Error("a timer waits for the deadline of a request that has ended")
-		}
-	}
+	return e, &cfg
 }
 
 // A new configuration names another discovery. What the old one still says counts no more; the new one's
@@ -471,31 +374,6 @@
 	mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
 }
 
-func TestTimersComeInOrderAndNeverEarly(t *testing.T) {
-	l := testLoop(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan bool)
-	go func() { l.run(ctx); close(ended) }()
-	type firing struct{ wanted, at time.Duration }
-	fired := make(chan firing, 8)
-	l.post(func() {
-		for _, ms := range []time.Duration{40, 10, 0, 25} {
-			wanted := l.clock.now() + ms*time.Millisecond
-			l.at(wanted, func() { fired <- firing{wanted, l.clock.now()} })
-		}
-	})
-	last := time.Duration(0)
-	for range 4 {
-		f := within(t, fired, "a timer did not fire")
-		if f.at < f.wanted || f.wanted < last {
-			t.Errorf("wanted at %v after %v, fired at %v", f.wanted, last, f.at)
-		}
-		last = f.wanted
-	}
-	cancel()
-	within(t, ended, "the loop did not end")
-}
-
 // The client leaves: the attempt is called off, and the request is forgotten.
 func TestClientGone(t *testing.T) {
 	came, closed := make(chan bool, 1), make(chan bool, 1)
@@ -848,7 +726,8 @@
 
 // A rejection comes at once, also if its body is never sent, and bodies in hand are bounded in all.
 func TestBodiesInHandAreBounded(t *testing.T) {
-	f := newFrontend(testLoop(t), slog.New(slog.DiscardHandler), newClientConns(8))
+	e, cfg := testEngine(t, List{})
+	f := newFrontend(e, cfg, figures.New(nil), slog.New(slog.DiscardHandler), newClientConns(8))
 	f.mostBytes = 100
 	if err := f.enter("a", 60); err != nil {
 		t.Fatal(err)
@@ -886,18 +765,6 @@
 	}
 }
 
-func TestClock(t *testing.T) {
-	c := newClock()
-	a := c.now()
-	b := c.now()
-	if b < a || a < time.Duration(time.Now().Add(-time.Hour).UnixNano()) {
-		t.Errorf("the clock shows %v, then %v", a, b)
-	}
-	if d := c.time(a + time.Second).Sub(c.time(a)); d != time.Second {
-		t.Errorf("a second on the clock is %v", d)
-	}
-}
-
 func TestIDsComeFromTheText(t *testing.T) {
 	// Fixed values: other proxies, and this one after a restart, must find the same.
 	if id := backendID("s-5be2a07c"); id != 0x4caec46a {
@@ -1054,21 +921,20 @@
 			say(c, served)
 		}
 	})
-	l := testLoop(t)
 	list, err := parseList([]byte(listText(1, true, memberText("a", addr, "active"))))
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.cfg.Known = list
+	e, cfg := testEngine(t, list)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan bool)
-	go func() { l.run(ctx); close(ended) }()
+	go func() { e.Run(ctx); close(ended) }()
 	defer func() { cancel(); <-ended }()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFrontend(l, slog.New(slog.DiscardHandler), newClientConns(8))
+	f := newFrontend(e, cfg, figures.New(nil), slog.New(slog.DiscardHandler), newClientConns(8))
 	f.bodyTimeout, f.writeTimeout = short, short
 	go f.serve(listener)
 	defer f.server.Close()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"lapisspread/internal/engine"
 )
 
 const (
@@ -29,7 +31,7 @@
 	errEarly  = errors.New("the backend has answered before the body's end")
 	errClient = errors.New("reading the body")
 	errSpent  = errors.New("the body has passed by")
-	errGone   = errors.New("nobody wants the answer any more")
+	errGone   = engine.ErrGone
 )
 
 // upload is a long body on its way: what was read ahead of it can be sent again, the rest only once.
@@ -190,7 +192,8 @@
 	return &download{length: length, rest: rest, close: func() {}, ended: make(chan error, 1)}
 }
 
-func (d *download) end(err error) {
+// End says how the reading of the answer went.
+func (d *download) End(err error) {
 	select {
 	case d.ended <- err:
 	default:
