Serve several services from one process, by routes and with shared limits

SIGHUP installs a file in one step: services that stay keep what they know, those that go end with their last request, a bad file changes nothing. Without the flag there is one service, as the platform runs it. A test lost requests whose leaving service got no more connections; it now keeps a share until it has ended.

--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -65,13 +65,14 @@
 }
 
 func serveCommand() *cobra.Command {
-	var profile string
+	var profile, services string
 	c := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve clients until SIGTERM",
 		Args:  noArguments,
-		RunE:  func(*cobra.Command, []string) error { return serve(profile) },
+		RunE:  func(*cobra.Command, []string) error { return serve(profile, services) },
 	}
+	c.Flags().StringVar(&services, "services", "", "serve the services of this file in place of a single one; SIGHUP reads it again")
 	c.Flags().StringVar(&profile, "cpu-profile", "", "write a CPU profile (pprof) to this file, with the proxy's name behind it, at the end")
 	return c
 }
--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -19,15 +19,17 @@
 // what it does not count, such as the sockets' buffers and the program itself.
 const memoryPart = 0.7
 
-// serve runs the proxy until SIGTERM, and writes a CPU profile if a file for it is named. An error says why it
+// serve runs the proxy until SIGTERM, with the services of a file if one is named, and writes a CPU profile
+// likewise. An error says why it
 // could not serve.
-func serve(profile string) error {
+func serve(profile, services string) error {
 	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
 	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := proxy.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
+	cfg.Services = services
 	if profile != "" {
 		file, err := os.Create(profile + "." + cfg.Name)
 		if err != nil {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -74,3 +74,31 @@
 	}
 	return text, nil
 }
+
+// Sum gives the figures of several services: their sums in the form of one, and beside them each service's own and
+// how they share the process's limits. Reloads are the process's.
+func Sum(own *Figures, services map[string]*Figures, limits map[string]any) ([]byte, error) {
+	sums := map[string]any{"reloads_ok": own.ReloadsOK.Load(), "reloads_failed": own.ReloadsFailed.Load(), "services": services, "limits": limits}
+	for o, name := range map[Outcome]string{Served: "served", Refused: "refused", Failed: "failed"} {
+		by := map[string]int64{}
+		for _, f := range services {
+			for i, class := range f.classes {
+				by[class] += f.ended[o][i].Load()
+			}
+		}
+		sums[name] = by
+	}
+	var attempts, inFlight, known, excluded int64
+	for _, f := range services {
+		attempts += f.Attempts.Load()
+		inFlight += f.InFlight.Load()
+		known += f.BackendsKnown.Load()
+		excluded += f.BackendsExcluded.Load()
+	}
+	sums["attempts"], sums["in_flight"], sums["backends_known"], sums["backends_excluded"] = attempts, inFlight, known, excluded
+	text, err := json.Marshal(sums)
+	if err != nil {
+		return nil, fmt.Errorf("figures: %w", err)
+	}
+	return text, nil
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -52,6 +52,7 @@
 	soon    time.Duration
 
 	attempts *atomic.Int64 // counts the requests written whole
+	share    *share        // of all services' connections; nil is all of them
 }
 
 // backend is one backend's address and idle connections. The pool's lock guards it.
@@ -293,6 +294,9 @@
 		evicted = from.idle[0] // not in one statement with Delete, which clears the place it is read from
 		from.idle = slices.Delete(from.idle, 0, 1)
 	}
+	if p.share != nil && !p.share.take() {
+		return false
+	}
 	p.open++
 	return true
 }
@@ -300,6 +304,9 @@
 func (p *pool) unreserve() {
 	p.mu.Lock()
 	p.open--
+	if p.share != nil {
+		p.share.give()
+	}
 	p.mu.Unlock()
 }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -19,6 +19,7 @@
 
 	Console      string // the second address; none if empty
 	PassedSocket string // the descriptor of the clients' listening socket; none if empty
+	Services     string // the file of several services; there is one if empty
 	StateDir     string // what outlives this process is kept there; nothing is if empty
 
 	Seed     uint64
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -41,17 +41,14 @@
 	drainLook = 10 * time.Millisecond
 )
 
-// frontend takes clients' requests and gives each its one answer.
+// frontend takes clients' requests and gives each its one answer, by the service that it is routed to.
 type frontend struct {
-	engine  *engine.Engine
-	cfg     *Config
-	clock   engine.Clock
-	figures *figures.Figures
-	log     *slog.Logger
-	server  *http.Server
-	classes map[string]int
-	tenants map[string]int
-	conns   *clientConns
+	services *services
+	cfg      *Config
+	clock    engine.Clock
+	log      *slog.Logger
+	server   *http.Server
+	conns    *clientConns
 
 	mu        sync.Mutex
 	open      map[string]bool // the ids of requests in hand
@@ -61,16 +58,9 @@
 	bodyTimeout, writeTimeout time.Duration
 }
 
-func newFrontend(e *engine.Engine, cfg *Config, fig *figures.Figures, log *slog.Logger, conns *clientConns) *frontend {
-	f := &frontend{engine: e, cfg: cfg, clock: e.Clock(), figures: fig, log: log, classes: map[string]int{}, tenants: map[string]int{},
-		conns: conns, open: map[string]bool{}, mostBytes: int64(inHandPart * float64(cfg.MemoryMB) * (1 << 20)),
-		bodyTimeout: bodyTimeout, writeTimeout: writeTimeout}
-	for i, c := range cfg.Module.Classes {
-		f.classes[c.Name] = i
-	}
-	for i, t := range cfg.Module.Tenants {
-		f.tenants[t.Name] = i
-	}
+func newFrontend(s *services, cfg *Config, log *slog.Logger, conns *clientConns) *frontend {
+	f := &frontend{services: s, cfg: cfg, clock: engine.NewClock(), log: log, conns: conns, open: map[string]bool{},
+		mostBytes: int64(inHandPart * float64(cfg.MemoryMB) * (1 << 20)), bodyTimeout: bodyTimeout, writeTimeout: writeTimeout}
 	// Danger: the server's ReadTimeout and WriteTimeout go on while a request is in hand. One that waits for
 	// longer than they allow would be taken for gone, or its answer be lost. ServeHTTP sets its own.
 	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
@@ -95,9 +85,7 @@
 	f.conns.setDraining(f.clock.Now() + acceptOn)
 	began := time.Now()
 	most := drainRoom
-	for _, c := range f.cfg.Module.Classes {
-		most = max(most, min(c.GiveUp, lastCall)+drainRoom)
-	}
+	most = max(most, min(f.services.longest(), lastCall)+drainRoom)
 	if succeeded {
 		listener.Close()
 	}
@@ -115,7 +103,7 @@
 }
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	taken := f.clock.Now()
+	taken := time.Now()
 	if err := checkFraming(r); err != nil {
 		f.reject(w, err)
 		return
@@ -128,7 +116,13 @@
 		io.WriteString(w, "ok\n")
 		return
 	}
-	req, err := f.parse(r)
+	svc, err := f.services.route(r)
+	if err != nil {
+		f.reject(w, err)
+		return
+	}
+	defer svc.leave()
+	req, err := f.parse(r, svc)
 	if err != nil {
 		f.reject(w, err)
 		return
@@ -142,6 +136,11 @@
 		return
 	}
 	defer f.leave(id, bytes)
+	if !f.services.limits.take(svc.name, bytes) {
+		f.turnAway(w, req, &rejection{http.StatusServiceUnavailable, "the service's share of this proxy is taken"})
+		return
+	}
+	defer f.services.limits.give(svc.name, bytes)
 	if err := f.readAhead(w, r, req); err != nil {
 		f.turnAway(w, req, err)
 		return
@@ -150,18 +149,18 @@
 	if u != nil {
 		defer func() {
 			if u.stop() {
-				f.figures.InFlight.Add(-1)
+				svc.figures.InFlight.Add(-1)
 			}
 		}()
 	} else {
-		req.Deadline = f.clock.Now() + req.Timeout
+		req.Deadline = svc.clock.Now() + req.Timeout
 		if r.ContentLength == 0 {
-			req.Deadline = taken + req.Timeout
+			req.Deadline -= time.Since(taken)
 		}
-		f.figures.InFlight.Add(1)
-		defer f.figures.InFlight.Add(-1)
+		svc.figures.InFlight.Add(1)
+		defer svc.figures.InFlight.Add(-1)
 	}
-	f.engine.Post(func() { f.engine.Take(&req.Exchange) })
+	svc.engine.Post(func() { svc.engine.Take(&req.Exchange) })
 	var failed chan error
 	if u != nil {
 		failed = u.failed
@@ -170,11 +169,11 @@
 	case a := <-req.Result():
 		f.answer(w, req, u, a)
 	case err := <-failed:
-		f.engine.Post(func() { f.engine.Gone(&req.Exchange) })
+		svc.engine.Post(func() { svc.engine.Gone(&req.Exchange) })
 		u.stop()
 		f.turnAway(w, req, unread(err))
 	case <-r.Context().Done():
-		f.engine.Post(func() { f.engine.Gone(&req.Exchange) })
+		svc.engine.Post(func() { svc.engine.Gone(&req.Exchange) })
 	}
 }
 
@@ -217,11 +216,12 @@
 	deadlines.EnableFullDuplex() // an answer may come before the body's end
 	u := &upload{ahead: body, length: r.ContentLength, began: began, rest: r.Body, read: int64(len(body)),
 		limit: deadlines.SetReadDeadline, failed: make(chan error, 1)}
+	svc := req.service
 	u.whole = func() {
 		deadlines.SetReadDeadline(time.Time{})
-		now := f.clock.Now()
-		f.figures.InFlight.Add(1)
-		go f.engine.Post(func() { f.engine.Whole(&req.Exchange, now) }) // Danger: the engine may ask for the lock that is held here
+		now := svc.clock.Now()
+		svc.figures.InFlight.Add(1)
+		go svc.engine.Post(func() { svc.engine.Whole(&req.Exchange, now) }) // Danger: the engine may ask for the lock that is held here
 	}
 	req.message.upload = u
 	return nil
@@ -252,31 +252,31 @@
 	stream, long := a.Stream.(*download)
 	if !long {
 		plain := worded(a)
-		f.figures.Ended(req.Class, outcomeOf(plain.status))
+		req.service.figures.Ended(req.Class, outcomeOf(plain.status))
 		c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
 		write(w, plain)
 		return
 	}
 	// Danger: of what comes late in a drain a long answer may be cut off by the process's end, and be lost.
-	if f.conns.endsSoon(req.Came()) {
+	if f.conns.endsSoon(f.clock.Now() - req.service.clock.Now() + req.Came()) {
 		stream.End(errGone)
-		f.figures.Ended(req.Class, figures.Failed)
+		req.service.figures.Ended(req.Class, figures.Failed)
 		write(w, answer{status: http.StatusBadGateway})
 		return
 	}
 	err := pass(w, stream, f.writeTimeout)
 	stream.End(err)
 	if err != nil {
-		f.figures.Ended(req.Class, figures.Failed)
+		req.service.figures.Ended(req.Class, figures.Failed)
 		f.log.Warn("a long answer broke off", "err", err)
 		panic(http.ErrAbortHandler) // the client must be able to tell
 	}
-	f.figures.Ended(req.Class, figures.Served)
+	req.service.figures.Ended(req.Class, figures.Served)
 }
 
 // turnAway rejects a request whose class is known.
 func (f *frontend) turnAway(w http.ResponseWriter, req *request, err error) {
-	f.figures.Ended(req.Class, outcomeOf(f.reject(w, err)))
+	req.service.figures.Ended(req.Class, outcomeOf(f.reject(w, err)))
 }
 
 // closing has the connection closed after this answer while the proxy ends, which it tells.
@@ -382,7 +382,7 @@
 }
 
 // parse makes a request of a head, or says what is wrong with it. The body is yet to be read.
-func (f *frontend) parse(r *http.Request) (*request, error) {
+func (f *frontend) parse(r *http.Request, svc *service) (*request, error) {
 	h := r.Header
 	for _, name := range []string{"X-Request-Id", "X-Priority-Class", "X-Timeout-Ms"} {
 		if len(h[name]) != 1 {
@@ -392,7 +392,7 @@
 	if id := h.Get("X-Request-Id"); id == "" || len(id) > idBytes {
 		return nil, malformed("no X-Request-ID, or a very long one")
 	}
-	class, known := f.classes[plain(h.Get("X-Priority-Class"))]
+	class, known := svc.classes[plain(h.Get("X-Priority-Class"))]
 	if !known {
 		return nil, malformed("unknown X-Priority-Class %q", h.Get("X-Priority-Class"))
 	}
@@ -405,7 +405,7 @@
 	}
 	timeout := min(time.Duration(ms)*time.Millisecond, longTimeout)
 	m := &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}
-	req := &request{message: m, Exchange: engine.Exchange{Message: m, Class: class, Tenant: f.tenants[plain(h.Get("X-Tenant-Id"))],
+	req := &request{message: m, service: svc, Exchange: engine.Exchange{Message: m, Class: class, Tenant: svc.tenants[plain(h.Get("X-Tenant-Id"))],
 		Key: keyHash(r.URL.Query().Get("key")), Cost: hint(h.Get("X-Cost")), Repeat: h.Get("X-Retried") == "1",
 		Timeout: timeout - min(answerRoom, timeout/roomPart)}}
 	req.Open()
@@ -459,6 +459,7 @@
 type request struct {
 	engine.Exchange
 	message *message
+	service *service
 }
 
 // answer is a request's final answer in HTTP.
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -53,7 +53,7 @@
 type operator struct{ *Proxy }
 
 func (o operator) Serving() bool           { return o.ready.Load() }
-func (o operator) Figures() json.Marshaler { return o.figures }
+func (o operator) Figures() json.Marshaler { return o.services.figures() }
 func (o operator) LameDuck()               { o.conns.setLameDuck(true) }
 func (o operator) Rejoin()                 { o.conns.setLameDuck(false) }
 func (o operator) Detach(id string) error  { return o.order(id, true) }
@@ -61,7 +61,7 @@
 
 // order writes down that a backend is out by hand, or no more, and has the loop look.
 func (o operator) order(id string, out bool) error {
-	known := o.roster.listed(id)
+	known := o.services.listed(id)
 	for _, name := range o.store.Out() { // by the process before, which may have known it alone
 		known = known || name == id
 	}
@@ -71,6 +71,6 @@
 	if err := o.store.Change(id, out); err != nil { // it holds here all the same
 		o.log.Error("an order that the next process will not know", "backend", id, "err", err)
 	}
-	o.roster.wakeLoop()
+	o.services.wake()
 	return nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"lapisspread/internal/console"
-	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
 	"lapisspread/internal/handover"
 )
@@ -21,12 +20,13 @@
 type Proxy struct {
 	cfg     Config
 	log     *slog.Logger
-	reloads chan Config // holds the newest that was not taken in yet
-	figures *figures.Figures
+	reloads chan Config      // holds the newest that was not taken in yet
+	own     *figures.Figures // of the only service, and of the process where there are several
 	store   *handover.Store
-	roster  *roster
 	conns   *clientConns
-	ready   atomic.Bool // it takes clients
+
+	services *services
+	ready    atomic.Bool // it takes clients
 
 	// Shared is told whether another process of this proxy lives beside this one, at the start and at each change:
 	// the limits are for both together. It may be nil.
@@ -39,8 +39,10 @@
 	for i, c := range cfg.Module.Classes {
 		classes[i] = c.Name
 	}
-	return &Proxy{cfg: cfg, log: log, reloads: make(chan Config, 1), figures: figures.New(classes),
-		store: handover.Open(cfg.StateDir, cfg.Name), roster: newRoster(), conns: newClientConns(clientPlaces(&cfg))}
+	p := &Proxy{cfg: cfg, log: log, reloads: make(chan Config, 1), own: figures.New(classes),
+		store: handover.Open(cfg.StateDir, cfg.Name), conns: newClientConns(clientPlaces(&cfg))}
+	p.services = newServices(p)
+	return p
 }
 
 // Reload has the proxy take in a new configuration, whether it serves yet, serves or ends. Only discovery can
@@ -51,25 +53,24 @@
 	default:
 	}
 	p.reloads <- cfg
-	p.figures.ReloadsOK.Add(1)
+	p.own.ReloadsOK.Add(1)
 }
 
 // ReloadFailed notes that there was a new configuration that could not be read.
 func (p *Proxy) ReloadFailed(err error) {
 	p.log.Error("the old configuration stays", "err", err)
-	p.figures.ReloadsFailed.Add(1)
+	p.own.ReloadsFailed.Add(1)
 }
 
-// takeReloads hands new configurations to the engine until ctx ends.
-func (p *Proxy) takeReloads(ctx context.Context, e *engine.Engine) {
+// takeReloads hands new configurations to the services until ctx ends.
+func (p *Proxy) takeReloads(ctx context.Context) {
 	for {
 		select {
 		case cfg := <-p.reloads:
-			e.Post(func() {
-				if cfg.Discovery != e.Source().Addr() {
-					e.MoveTo(newDiscovery(cfg.Discovery))
-				}
-			})
+			if err := p.services.reload(ctx, &cfg); err != nil {
+				p.log.Error("the old services stay", "err", err)
+				p.own.ReloadsFailed.Add(1)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -84,8 +85,7 @@
 )
 
 // watchShare has the process keep to its part while it shares the proxy's limits, until ctx ends.
-func (p *Proxy) watchShare(ctx context.Context, pool *pool) {
-	all := pool.most
+func (p *Proxy) watchShare(ctx context.Context) {
 	shared := false
 	look := func(first bool) {
 		now := !p.store.Alone() || p.store.Succeeded()
@@ -93,11 +93,7 @@
 			return
 		}
 		shared = now
-		if shared {
-			pool.limitOpen(all / 2)
-		} else {
-			pool.limitOpen(all)
-		}
+		p.services.halve(shared)
 		if p.Shared != nil {
 			p.Shared(shared)
 		}
@@ -148,34 +144,26 @@
 	if _, err := p.store.Refresh(); err != nil {
 		p.log.Error("what the process before left can't be read", "err", err)
 	}
-	pool := newPool(p.cfg.Sockets-spareSockets-clientPlaces(&p.cfg), p.cfg.Module.Caps.ConnectTimeout, p.cfg.Module.Caps.ConnIdle)
 	p.cfg.Module.Caps.MaxOpen = int(openSockets * float64(p.cfg.Sockets))
-	pool.attempts = &p.figures.Attempts
-	e, err := engine.New(engine.Options{Module: p.cfg.Module, Seed: p.cfg.Seed, Known: p.cfg.Known, Zones: p.cfg.Zones, Kinds: p.cfg.Kinds,
-		Upstream: pool, Source: newDiscovery(p.cfg.Discovery), Log: p.log, Out: p.store.Out, Wake: p.roster.wake, Listed: p.roster.add,
-		Census: func(known, excluded int) {
-			p.figures.BackendsKnown.Store(int64(known))
-			p.figures.BackendsExcluded.Store(int64(excluded))
-		}})
-	if err != nil {
+	inner, cancel := context.WithCancel(context.Background())
+	if err := p.services.start(inner, &p.cfg); err != nil {
+		cancel()
 		listener.Close()
 		return fmt.Errorf("settings: %w", err)
 	}
-	f := newFrontend(e, &p.cfg, p.figures, p.log, p.conns)
+	f := newFrontend(p.services, &p.cfg, p.log, p.conns)
 	p.log.Info("serving", "listen", listener.Addr().String(), "backends", len(p.cfg.Known.Members))
 
-	inner, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { e.Run(inner) })
-	running.Go(func() { pool.runRetire(inner) })
-	running.Go(func() { p.takeReloads(inner, e) })
+	running.Go(func() { p.takeReloads(inner) })
 	running.Go(func() { p.conns.runLameDuck(inner) })
-	running.Go(func() { p.watchShare(inner, pool) })
+	running.Go(func() { p.watchShare(inner) })
 	running.Go(func() {
-		p.store.Follow(inner, followEvery, p.roster.wakeLoop, func(err error) {
+		p.store.Follow(inner, followEvery, p.services.wake, func(err error) {
 			p.log.Error("what the other process has written can't be read", "err", err)
 		})
 	})
+	var err error
 	served := make(chan error, 1)
 	go func() { served <- f.serve(listener) }()
 	p.ready.Store(true)
@@ -192,5 +180,6 @@
 	}
 	cancel()
 	running.Wait()
+	p.services.wait()
 	return err
 }
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -51,7 +51,6 @@
 	Cells     []int    `toml:"cells"`     // and only these cells
 	Classes   []Class  `toml:"class"`     // left out, those of the process's settings
 	Share     Share    `toml:"share"`
-	Repeats   float64  `toml:"repeats"` // further attempts, as a share of first tries: 0 to 1; 0.1 if left out
 }
 
 // Class is a kind of request of a service.
@@ -74,11 +73,10 @@
 
 // Limits are the process's own, shared by its services.
 type Limits struct {
-	InHand   int64   `toml:"in_hand"`  // requests
-	Bytes    int64   `toml:"bytes"`    // of bodies in hand
-	Attempts float64 `toml:"attempts"` // a second
-	Lend     float64 `toml:"lend"`     // part of an idle minimum that is lent; 0.75 if left out
-	Recall   Span    `toml:"recall"`   // within which what is lent comes back; 3s if left out
+	InHand int64   `toml:"in_hand"` // requests
+	Bytes  int64   `toml:"bytes"`   // of bodies in hand
+	Lend   float64 `toml:"lend"`    // part of an idle minimum that is lent; 0.75 if left out
+	Recall Span    `toml:"recall"`  // within which what is lent comes back; 3s if left out
 }
 
 // Route is a rule: see package route for the order of precedence.
@@ -173,7 +171,6 @@
 		bad(names[s.Name], "%s: name: it is there twice", at)
 		names[s.Name] = true
 		bad(s.Discovery != "" && !strings.Contains(s.Discovery, ":"), "%s: discovery: %q is no host:port", at, s.Discovery)
-		bad(!(s.Repeats >= 0 && s.Repeats <= 1), "%s: repeats: %v is not within 0 and 1", at, s.Repeats)
 		if s.Share.Cap == 0 {
 			s.Share.Cap = 1
 		}
@@ -190,7 +187,7 @@
 		}
 	}
 	l := &f.Limits
-	bad(l.InHand < 0 || l.Bytes < 0 || !(l.Attempts >= 0), "limits: in_hand, bytes or attempts is negative")
+	bad(l.InHand < 0 || l.Bytes < 0, "limits: in_hand or bytes is negative")
 	bad(!(l.Lend >= 0 && l.Lend <= 1), "limits: lend: %v is not within 0 and 1", l.Lend)
 	bad(l.Recall <= 0, "limits: recall: %v must be above 0", time.Duration(l.Recall))
 	if sum := f.minimums(); sum > 1+1e-9 {
