Let experiments have several services, machines of a kind, and a register that moves

Several services could be tested but not measured beside a run alone, and the register's move by SIGHUP was not among the faults. Experiments now name hosts by class, kinds of machine, faults of one kind, calm variants and a file of services by variant; differences are told by class too. move-register gives each agent another address under load. A machine that wakes late is tested to be told.

--- a/cmd/lapislab/experiment.go
+++ b/cmd/lapislab/experiment.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -35,6 +36,8 @@
 	Whole       []float64              `json:"whole"`
 	RulesBroken int                    `json:"rules_broken"`
 	NotScored   int                    `json:"not_scored"`
+	P99         map[string][]float64   `json:"p99_ms"`                     // by class and seed
+	Share       map[string][]float64   `json:"class_share"`                // of the worth, by class and seed
 	CPU         []float64              `json:"cpu_us_a_request,omitempty"` // on sockets, by seed
 	Against     *experiment.Difference `json:"g_against_first,omitempty"`
 	WholeDiff   *experiment.Difference `json:"whole_against_first,omitempty"`
@@ -105,7 +108,7 @@
 		res.Driver = "run"
 	}
 	for _, v := range f.Variants {
-		res.Variants = append(res.Variants, variantOutcome{Name: v.Name})
+		res.Variants = append(res.Variants, variantOutcome{Name: v.Name, P99: map[string][]float64{}, Share: map[string][]float64{}})
 	}
 	begun := time.Now()
 	for n, seed := range f.Seeds {
@@ -134,6 +137,10 @@
 			if !s.Scored {
 				v.NotScored++
 			}
+			for _, c := range s.Classes {
+				v.P99[c.Name] = append(v.P99[c.Name], c.P99)
+				v.Share[c.Name] = append(v.Share[c.Name], c.Share)
+			}
 			if len(s.Usage) > 0 {
 				v.CPU = append(v.CPU, s.PerRequest())
 			}
@@ -182,6 +189,19 @@
 			line += fmt.Sprintf("; %d runs do not count, the machine was too slow", v.NotScored)
 		}
 		fmt.Fprintln(out, line)
+		if i == 0 {
+			continue
+		}
+		for _, class := range slices.Sorted(maps.Keys(v.P99)) {
+			ratio := func(mine, first []float64) float64 {
+				if len(first) != len(mine) || median(first) == 0 {
+					return 0
+				}
+				return median(mine) / median(first)
+			}
+			fmt.Fprintf(out, "    %-18s p99 %.2f and worth %.3f times that of %s\n", class, ratio(v.P99[class], res.Variants[0].P99[class]),
+				ratio(v.Share[class], res.Variants[0].Share[class]), res.Variants[0].Name)
+		}
 	}
 	return res, nil
 }
@@ -198,6 +218,23 @@
 	if policy == "" {
 		policy = rival.Module
 	}
+	if v.Calm {
+		calm := *f
+		calm.Faults = nil
+		f = &calm
+	}
+	if v.Services != "" && sockets {
+		dir, err := os.MkdirTemp("", "lapislab-services-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		path := filepath.Join(dir, "services.toml")
+		if err := os.WriteFile(path, []byte(v.Services), 0o600); err != nil {
+			return nil, err
+		}
+		v.Args = []string{"serve", "--services", path}
+	}
 	if sockets {
 		s, err = playLive(ctx, io.Discard, f, runOptions{seed: seed, policy: policy, proxy: v.Binary, args: v.Args}, v.Load)
 	} else {
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -38,6 +38,7 @@
 	Curve    []Point   `toml:"curve"` // factors on the rate over time, linear between
 	Faults   []Fault   `toml:"fault"`
 	Classes  []Class   `toml:"class"` // replace the usual ones, all or none
+	Models   []Model   `toml:"model"` // likewise
 	Variants []Variant `toml:"variant"`
 }
 
@@ -72,6 +73,7 @@
 	Extra float64 `toml:"extra"`
 	Zone  string  `toml:"zone"`
 	Every Span    `toml:"every"`
+	Model string  `toml:"model"` // only nodes of this model
 }
 
 // Class is a kind of request. Work and wait are means in milliseconds.
@@ -85,6 +87,14 @@
 	Safe   bool    `toml:"safe"`
 	Worth  float64 `toml:"worth"`
 	Late   float64 `toml:"late"`
+	Host   string  `toml:"host"` // on sockets: what its requests name
+}
+
+// Model is a kind of machine, of one core.
+type Model struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Speed float64 `toml:"speed"`
 }
 
 // Variant is one way to run the experiment. The first is what the others are held against.
@@ -94,6 +104,9 @@
 	Binary string   `toml:"binary"` // on sockets: the proxy's program; the one of this tree if left out
 	Args   []string `toml:"args"`   // its arguments; ["serve"] if left out
 	Load   float64  `toml:"load"`   // times the experiment's rate; 1 if left out
+	Calm   bool     `toml:"calm"`   // without the faults
+	// Services is a file of several services, for the proxy to serve; its text stands here. On sockets only.
+	Services string `toml:"services"`
 }
 
 // Load reads an experiment's file.
@@ -192,7 +205,16 @@
 		for _, c := range f.Classes {
 			s.Classes = append(s.Classes, world.Class{Name: c.Name, Share: c.Share, Work: world.Range{Lo: c.Work, Hi: c.Work},
 				CV: world.Range{Lo: 0.5, Hi: 0.5}, Wait: world.Range{Lo: c.Wait, Hi: c.Wait}, Aim: time.Duration(c.Aim),
-				GiveUp: time.Duration(c.GiveUp), Safe: c.Safe, Worth: c.Worth, Late: c.Late})
+				GiveUp: time.Duration(c.GiveUp), Safe: c.Safe, Worth: c.Worth, Late: c.Late, Host: c.Host})
+		}
+	}
+	if len(f.Models) > 0 {
+		usual := s.Models[0]
+		s.Models = nil
+		for _, m := range f.Models {
+			k := usual
+			k.Name, k.Share, k.Speed = m.Name, m.Share, world.Range{Lo: m.Speed, Hi: m.Speed}
+			s.Models = append(s.Models, k)
 		}
 	}
 	if w.Rate != 0 {
@@ -215,7 +237,7 @@
 	}
 	for _, t := range f.Faults {
 		s.Faults = append(s.Faults, world.Fault{Kind: t.Kind, At: time.Duration(t.At), For: time.Duration(t.For), Share: t.Share, Size: t.Size,
-			Class: t.Class, Extra: t.Extra, Zone: t.Zone, Every: time.Duration(t.Every)})
+			Class: t.Class, Extra: t.Extra, Zone: t.Zone, Every: time.Duration(t.Every), Model: t.Model})
 	}
 	return s
 }
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -120,7 +120,7 @@
 func (c *child) config() (string, error) {
 	r := c.r
 	known, _ := r.agents[c.no].catalog(0, true)
-	v := map[string]any{"name": fmt.Sprintf("n%d", c.no), "listen": c.listen, "discovery": r.agents[c.no].addr,
+	v := map[string]any{"name": fmt.Sprintf("n%d", c.no), "listen": c.listen, "discovery": r.agents[c.no].at(),
 		"seed":   fmt.Sprintf("%x", r.spec.Seed*1000003+uint64(c.no)<<8+uint64(c.deads)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": r.opts.MemoryMB, "sockets": 1024},
 		"known":  known, "settings": settings(r.spec, c.no)}
@@ -129,7 +129,23 @@
 		return "", err
 	}
 	path := filepath.Join(r.tmp, fmt.Sprintf("config-%d.json", c.no))
-	return path, os.WriteFile(path, text, 0o600)
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return path, err
+	}
+	return path, os.Rename(path+".new", path) // whoever reads it reads all of it
+}
+
+// reload writes the configuration anew and has the processes read it.
+func (c *child) reload() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, err := c.config(); err != nil {
+		return err
+	}
+	for _, p := range c.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGHUP) // it may have ended
+	}
+	return nil
 }
 
 // start starts a process in the place.
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -382,8 +382,12 @@
 	if a.Try > 0 {
 		tenant += "X-Retried: 1\r\n"
 	}
-	return fmt.Sprintf("%s /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %016x\r\nX-Priority-Class: %s\r\n%sX-Timeout-Ms: %d\r\n%s\r\n%s",
-		method, account, c.Name, tenant, patience.Milliseconds(), length, body)
+	host := c.Host
+	if host == "" {
+		host = "service.internal"
+	}
+	return fmt.Sprintf("%s /api HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %016x\r\nX-Priority-Class: %s\r\n%sX-Timeout-Ms: %d\r\n%s\r\n%s",
+		method, host, account, c.Name, tenant, patience.Milliseconds(), length, body)
 }
 
 // mostBody is the longest answer that is read.
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -66,6 +66,7 @@
 		{Kind: world.RollingRestart, At: 500 * time.Millisecond, Share: 0.25},
 		{Kind: world.CutOff, At: 3 * time.Second, For: 2 * time.Second, Share: 0.25},
 		{Kind: world.KillProxy, At: 2 * time.Second, Share: 0.1},
+		{Kind: world.MoveRegister, At: 1500 * time.Millisecond},
 		{Kind: world.UpgradeProxy, At: 5 * time.Second, Share: 0.1},
 	}
 	res, err := Play(context.Background(), &s, Options{Binary: path, HalfOpen: 4, Slow: 1})
@@ -289,3 +290,23 @@
 		t.Errorf("problems: %q", r.problems)
 	}
 }
+
+// A run on a machine that wakes late does not count.
+func TestALateMachineIsNotScored(t *testing.T) {
+	r := stand(t)
+	f := newFront(r)
+	for range 1000 {
+		_ = r.lateness.RecordValue(900)
+		_ = f.late.RecordValue(900)
+	}
+	if why := r.tooLate(f); why != "" {
+		t.Errorf("a machine that is in time: %s", why)
+	}
+	for range 20 {
+		_ = r.lateness.RecordValue(15_000)
+		_ = f.late.RecordValue(30_000)
+	}
+	if why := r.tooLate(f); !strings.Contains(why, "one wake-up in 100") || !strings.Contains(why, "cannot keep up") {
+		t.Errorf("a late one: %q", why)
+	}
+}
--- a/internal/lab/live/register.go
+++ b/internal/lab/live/register.go
@@ -55,19 +55,40 @@
 		a.rows = append(a.rows, row{listing: world.Active, since: 1, addr: n.addr(proxy)})
 		r.ledger.Told(0, proxy, i, world.Active, 0)
 	}
+	_, err := a.move()
+	return a, err
+}
+
+// move opens another address, and gives the server of the one before, if there was one.
+func (a *agent) move() (old *http.Server, err error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("the register's agent of proxy %d: %w", proxy, err)
+		return nil, fmt.Errorf("the register's agent of proxy %d: %w", a.proxy, err)
 	}
-	a.addr = l.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog/members", a.members)
-	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	r.running.Go(func() { _ = a.server.Serve(l) })
-	return a, nil
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	a.mu.Lock()
+	old, a.server, a.addr = a.server, s, l.Addr().String()
+	a.mu.Unlock()
+	a.r.running.Go(func() { _ = s.Serve(l) })
+	return old, nil
 }
 
-func (a *agent) close() { a.server.Close() }
+// at is the agent's address.
+func (a *agent) at() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.addr
+}
+
+func (a *agent) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.server != nil {
+		a.server.Close()
+	}
+}
 
 // tell takes news from the register. From now on it counts as told. r.mu is held.
 func (a *agent) tell(now time.Duration, n world.News) {
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -328,9 +328,18 @@
 		}
 		r.gen.Heavy(s.Node, s.Size, share)
 	case world.OpSlow:
+		if s.Node >= 0 {
+			n := r.fleet.Nodes[s.Node]
+			r.fleet.Cells[n.CellNo].Apply(now, n, s)
+			return
+		}
 		for _, c := range r.fleet.Cells {
 			c.Apply(now, nil, s)
 		}
+	case world.OpMoveRegister:
+		for no := range r.proxies {
+			r.running.Go(func() { r.moveRegister(no) })
+		}
 	case world.OpKillProxy:
 		r.ledger.ProxyDied(s.Node)
 		r.ledger.Forget(s.Node)
@@ -362,6 +371,25 @@
 	}
 }
 
+// oldRegister is how long an address that the register has left still answers.
+const oldRegister = 1500 * time.Millisecond
+
+// moveRegister gives a proxy's agent another address and tells the proxy by its configuration and SIGHUP.
+func (r *Run) moveRegister(no int) {
+	old, err := r.agents[no].move()
+	if err == nil {
+		err = r.proxies[no].reload()
+	}
+	if err != nil {
+		r.mu.Lock()
+		r.problem("proxy %d: the register's move: %v", no, err)
+		r.mu.Unlock()
+		return
+	}
+	time.Sleep(oldRegister)
+	old.Close()
+}
+
 // beat is how often this machine's lateness is measured.
 const beat = 5 * time.Millisecond
 
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"image/color"
+	"math"
 	"slices"
 	"strings"
 
@@ -154,6 +155,7 @@
 		p.Legend.Add(q.name, bars)
 	}
 	p.NominalX(names...)
+	p.X.Max = float64(len(names)) // room for the legend
 	return svg(p)
 }
 
@@ -197,6 +199,19 @@
 	return svg(p)
 }
 
+// halves marks 1, 2 and 5 of each decade.
+func halves(low, high float64) []plot.Tick {
+	var ticks []plot.Tick
+	for decade := math.Pow(10, math.Floor(math.Log10(low))); decade <= high; decade *= 10 {
+		for _, m := range []float64{1, 2, 5} {
+			if v := m * decade; v >= low && v <= high {
+				ticks = append(ticks, plot.Tick{Value: v, Label: fmt.Sprintf("%.3g", v)})
+			}
+		}
+	}
+	return ticks
+}
+
 // Curve is a line of a plot with logarithmic axes.
 type Curve struct {
 	Name string
@@ -224,6 +239,6 @@
 		p.Add(l, points)
 		p.Legend.Add(c.Name, l, points)
 	}
-	p.Legend.Left = true
+	p.Y.Tick.Marker = plot.TickerFunc(halves)
 	return svg(p)
 }
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -264,9 +264,12 @@
 			share = 0
 		}
 		r.gen.Heavy(s.Node, s.Size, share)
+	case world.OpMoveRegister: // there are no addresses here
 	case world.OpSlow:
 		for _, c := range r.cells {
-			c.inputs = append(c.inputs, message{at: now, kind: msStep, node: -1, step: s})
+			if s.Node < 0 || r.fleet.Nodes[s.Node].CellNo == c.No {
+				c.inputs = append(c.inputs, message{at: now, kind: msStep, node: s.Node, step: s})
+			}
 		}
 	case world.OpKillProxy:
 		p := r.proxies[s.Node]
--- a/internal/lab/world/cell.go
+++ b/internal/lab/world/cell.go
@@ -329,7 +329,11 @@
 			}
 		}
 	case OpSlow:
-		c.slow = s.Size
+		if n != nil {
+			n.slowed = s.Size
+		} else {
+			c.slow = s.Size
+		}
 	case OpCut:
 		n.Cut = true
 	case OpUncut:
--- a/internal/lab/world/fault.go
+++ b/internal/lab/world/fault.go
@@ -21,6 +21,7 @@
 	Extra float64       // heavy-tail: their share
 	Zone  string        // zone-loss: which; the first if empty
 	Every time.Duration // restart-storm, rolling-restart: between two nodes
+	Model string        // only nodes of this model; all if empty
 }
 
 // The kinds of fault.
@@ -37,6 +38,7 @@
 	ProbeOnly      = "probe-only"      // probes pass, requests hang
 	KillProxy      = "kill-proxy"      // a proxy is killed and starts again
 	UpgradeProxy   = "upgrade-proxy"   // a proxy ends in order and starts again
+	MoveRegister   = "move-register"   // the register moves to another address, told by SIGHUP; on sockets only
 )
 
 type usual struct{ share, size, extra float64 }
@@ -45,6 +47,12 @@
 	Hang: {share: 0.15}, BlackHole: {share: 0.15}, HeavyTail: {size: 15, extra: 0.02}, AllSlow: {size: 2.1},
 	CutOff: {share: 0.15}, RestartStorm: {share: 0.34}, RollingRestart: {share: 0.5}, RegisterStale: {}, ZoneLoss: {},
 	ProbeOnly: {share: 0.15}, KillProxy: {share: 0.2}, UpgradeProxy: {share: 1},
+	MoveRegister: {},
+}
+
+// atOnce tells whether a fault strikes at a moment, and has no length of its own.
+func atOnce(kind string) bool {
+	return kind == RestartStorm || kind == RollingRestart || kind == KillProxy || kind == UpgradeProxy || kind == MoveRegister
 }
 
 // Kinds are the names of all kinds of fault, sorted.
@@ -64,7 +72,7 @@
 	switch {
 	case f.At < 0 || f.At > s.Duration:
 		return fmt.Errorf("at: %v is not within the run of %v", f.At, s.Duration)
-	case f.For < 0 || f.For == 0 && f.Kind != RestartStorm && f.Kind != RollingRestart && f.Kind != KillProxy && f.Kind != UpgradeProxy:
+	case f.For < 0 || f.For == 0 && !atOnce(f.Kind):
 		return fmt.Errorf("for: %v must be above 0", f.For)
 	case f.Share < 0 || f.Share > 1:
 		return fmt.Errorf("share: %v is not within 0 and 1", f.Share)
@@ -76,6 +84,9 @@
 	if f.Class != "" && !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == f.Class }) {
 		return fmt.Errorf("class: there is no %q", f.Class)
 	}
+	if f.Model != "" && !slices.ContainsFunc(s.Models, func(m Model) bool { return m.Name == f.Model }) {
+		return fmt.Errorf("model: there is no %q", f.Model)
+	}
 	if f.Zone != "" && !slices.Contains(s.Zones, f.Zone) {
 		return fmt.Errorf("zone: there is no %q", f.Zone)
 	}
@@ -99,6 +110,7 @@
 	OpHeavy    // Node is a class; Size times the work, of a share Extra
 	OpKillProxy
 	OpUpgradeProxy
+	OpMoveRegister
 )
 
 // Step is one operation at its time.
@@ -126,9 +138,11 @@
 		steps = append(steps, Step{At: at, Op: op, Node: node, Size: size})
 	}
 	busy := map[int]time.Duration{} // by node: when its last fault has passed
+	model := -1                     // of the fault at hand
 	take := func(at, until time.Duration, share float64, rng *rand.Rand) []int {
-		n := max(1, int(math.Round(share*float64(len(f.Nodes)))))
 		order := rng.Perm(len(f.Nodes))
+		order = slices.DeleteFunc(order, func(i int) bool { return model >= 0 && f.Nodes[i].Model != model })
+		n := max(1, int(math.Round(share*float64(len(order)))))
 		slices.SortStableFunc(order, func(a, b int) int {
 			return cmp.Compare(max(0, busy[a]-at), max(0, busy[b]-at))
 		})
@@ -149,6 +163,7 @@
 		if ft.Extra == 0 {
 			ft.Extra = u.extra
 		}
+		model = slices.IndexFunc(s.Models, func(m Model) bool { return m.Name == ft.Model })
 		end := ft.At + ft.For
 		switch ft.Kind {
 		case Hang, BlackHole, ProbeOnly:
@@ -165,8 +180,17 @@
 			steps = append(steps, Step{At: ft.At, Op: OpHeavy, Node: class, Size: ft.Size, Extra: ft.Extra},
 				Step{At: end, Op: OpHeavy, Node: class, Size: 1})
 		case AllSlow:
-			add(ft.At, OpSlow, -1, ft.Size)
-			add(end, OpSlow, -1, 1)
+			if model < 0 {
+				add(ft.At, OpSlow, -1, ft.Size)
+				add(end, OpSlow, -1, 1)
+				break
+			}
+			for i, n := range f.Nodes {
+				if n.Model == model {
+					add(ft.At, OpSlow, i, ft.Size)
+					add(end, OpSlow, i, 1)
+				}
+			}
 		case CutOff:
 			for _, i := range take(ft.At, end, ft.Share, rng) {
 				add(ft.At, OpCut, i, 0)
@@ -204,6 +228,8 @@
 		case RegisterStale:
 			add(ft.At, OpRegister, -1, 0)
 			steps = append(steps, Step{At: end, Op: OpRegister, Node: -1, Flag: true})
+		case MoveRegister:
+			add(ft.At, OpMoveRegister, -1, 0)
 		case KillProxy, UpgradeProxy:
 			op, every := OpKillProxy, ft.Every
 			if ft.Kind == UpgradeProxy {
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -91,6 +91,7 @@
 	Life      uint32 // counts its starts
 	Conns     int
 	Served    uint64
+	slowed    float64 // it alone is so many times slower; 0 is not
 
 	clock   float64 // service that each job in work has had, ms of work
 	clockAt time.Duration
@@ -124,6 +125,9 @@
 // capacity is what the node could do now, ms of work per ms, alone in its cell.
 func (n *Node) capacity(now time.Duration, slow float64) float64 {
 	v := n.Speed * float64(n.Cores) * n.Warmth(now) / slow
+	if n.slowed > 0 {
+		v /= n.slowed
+	}
 	if over := float64(n.Held()) - n.crowdFrom; over > 0 {
 		v /= 1 + n.crowd*over/n.crowdFrom
 	}
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -99,6 +99,7 @@
 	Safe   bool // may be repeated; else it must never run twice
 	Worth  float64
 	Late   float64 // share of the worth that an answer after the aim earns
+	Host   string  // that its requests name, on sockets; the usual one if empty
 }
 
 // Tenant is a co-operative.
@@ -161,10 +162,10 @@
 		Cold:  Cold{From: Range{0.34, 0.5}, For: Range{3200, 8700}, Fall: time.Second, Multiple: 3},
 		Probe: Range{0.17, 0.34},
 		Classes: []Class{
-			{"driver-position", 0.38, Range{11, 19}, Range{0.4, 0.7}, Range{10, 19}, 250 * time.Millisecond, time.Second, true, 2, 0.2},
-			{"ride-accept", 0.29, Range{17, 31}, Range{0.2, 0.6}, Range{8.3, 16}, 150 * time.Millisecond, 750 * time.Millisecond, false, 3, 0.5},
-			{"trip-close", 0.20, Range{22, 39}, Range{0.25, 0.75}, Range{32, 59}, 500 * time.Millisecond, time.Second, false, 10, 0.3},
-			{"driver-payout", 0.13, Range{22, 40}, Range{0.25, 0.75}, Range{32, 60}, 500 * time.Millisecond, 2 * time.Second, false, 10, 0.25},
+			{"driver-position", 0.38, Range{11, 19}, Range{0.4, 0.7}, Range{10, 19}, 250 * time.Millisecond, time.Second, true, 2, 0.2, ""},
+			{"ride-accept", 0.29, Range{17, 31}, Range{0.2, 0.6}, Range{8.3, 16}, 150 * time.Millisecond, 750 * time.Millisecond, false, 3, 0.5, ""},
+			{"trip-close", 0.20, Range{22, 39}, Range{0.25, 0.75}, Range{32, 59}, 500 * time.Millisecond, time.Second, false, 10, 0.3, ""},
+			{"driver-payout", 0.13, Range{22, 40}, Range{0.25, 0.75}, Range{32, 60}, 500 * time.Millisecond, 2 * time.Second, false, 10, 0.25, ""},
 		},
 		Tenants: []Tenant{{"umurava-taxi", 0.68, Range{0.6, 1.2}}, {"inzira-moto", 0.19, Range{0.6, 1.4}}, {"kivu-cabs", 0.13, Range{0.7, 1.3}}},
 		Load:    Load{Rate: 160, Skew: 0.4, Quota: 1.25},
