--- a/cmd/lapislab/experiment.go
+++ b/cmd/lapislab/experiment.go
@@ -223,20 +223,8 @@
 		calm.Faults = nil
 		f = &calm
 	}
-	if v.Services != "" && sockets {
-		dir, err := os.MkdirTemp("", "lapislab-services-")
-		if err != nil {
-			return nil, err
-		}
-		defer os.RemoveAll(dir)
-		path := filepath.Join(dir, "services.toml")
-		if err := os.WriteFile(path, []byte(v.Services), 0o600); err != nil {
-			return nil, err
-		}
-		v.Args = []string{"serve", "--services", path}
-	}
 	if sockets {
-		s, err = playLive(ctx, io.Discard, f, runOptions{seed: seed, policy: policy, proxy: v.Binary, args: v.Args}, v.Load)
+		s, err = playLive(ctx, io.Discard, f, runOptions{seed: seed, policy: policy, proxy: v.Binary, args: v.Args, services: v.Services}, v.Load)
 	} else {
 		spec := f.Spec(seed, v.Load)
 		s, err = simulate(ctx, f.Name, &spec, policy, io.Discard)
--- a/cmd/lapislab/run.go
+++ b/cmd/lapislab/run.go
@@ -31,6 +31,7 @@
 	verbose  bool
 	profile  string
 	args     []string
+	services []string // the texts of files of services
 }
 
 func runCommand() *cobra.Command {
@@ -54,6 +55,9 @@
 				return err
 			}
 			f.Stretch(o.duration)
+			if o.policy == rival.Module { // of an experiment about services, the last variant is the day itself
+				o.services = f.Variants[len(f.Variants)-1].Services
+			}
 			return runOne(cmd.Context(), cmd.OutOrStdout(), f, o)
 		},
 	}
@@ -119,7 +123,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(tmp)
-	opts := live.Options{Binary: o.proxy, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out)}
+	opts := live.Options{Binary: o.proxy, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out), Services: o.services}
 	if o.policy != rival.Module {
 		if _, err := rival.Named(o.policy); err != nil {
 			return nil, err
@@ -152,7 +156,8 @@
 	s := report.Summarise(f.Name, "run", o.policy, &spec, res.Verdict, res.Faults)
 	s.Partial, s.Problems, s.Late, s.Scored = res.Partial, res.Problems, res.Late, res.Late == ""
 	for _, u := range res.Usage {
-		s.Usage = append(s.Usage, report.Usage{CPU: u.CPU.Seconds(), RSSMB: float64(u.MaxRSS) / (1 << 20)})
+		s.Usage = append(s.Usage, report.Usage{CPU: u.CPU.Seconds(), RSSMB: float64(u.MaxRSS) / (1 << 20),
+			FilesBefore: u.FilesBefore, FilesAfter: u.FilesAfter, GoroutinesBefore: u.GoroutinesBefore, GoroutinesAfter: u.GoroutinesAfter})
 	}
 	return s, nil
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 )
 
@@ -78,7 +79,8 @@
 // Sum gives the figures of several services: their sums in the form of one, and beside them each service's own and
 // how they share the process's limits. Reloads are the process's.
 func Sum(own *Figures, services map[string]*Figures, limits map[string]any) ([]byte, error) {
-	sums := map[string]any{"reloads_ok": own.ReloadsOK.Load(), "reloads_failed": own.ReloadsFailed.Load(), "services": services, "limits": limits}
+	sums := map[string]any{"reloads_ok": own.ReloadsOK.Load(), "reloads_failed": own.ReloadsFailed.Load(), "services": services, "limits": limits,
+		"goroutines": runtime.NumGoroutine()}
 	for o, name := range map[Outcome]string{Served: "served", Refused: "refused", Failed: "failed"} {
 		by := map[string]int64{}
 		for _, f := range services {
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -105,8 +105,9 @@
 	Args   []string `toml:"args"`   // its arguments; ["serve"] if left out
 	Load   float64  `toml:"load"`   // times the experiment's rate; 1 if left out
 	Calm   bool     `toml:"calm"`   // without the faults
-	// Services is a file of several services, for the proxy to serve; its text stands here. On sockets only.
-	Services string `toml:"services"`
+	// Services are files of several services, for the proxy to serve; their texts stand here, the first for the start
+	// and each in turn for change-services. On sockets only.
+	Services []string `toml:"services"`
 }
 
 // Load reads an experiment's file.
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -74,6 +74,11 @@
 			l.Close() // the proxy takes it; if another process is faster, the proxy says so and the start fails
 		}
 		r.proxies = append(r.proxies, c)
+		if len(r.opts.Services) > 0 {
+			if err := c.writeServices(r.opts.Services[0]); err != nil {
+				return fmt.Errorf("proxy %d: its file of services: %w", no, err)
+			}
+		}
 		if _, err := c.start(); err != nil {
 			return err
 		}
@@ -148,6 +153,63 @@
 	return nil
 }
 
+// signal sends a signal to the place's processes.
+func (c *child) signal(s os.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.procs {
+		_ = p.cmd.Process.Signal(s) // it may have ended
+	}
+}
+
+func (c *child) servicesPath() string {
+	return filepath.Join(c.r.tmp, fmt.Sprintf("services-%d.toml", c.no))
+}
+
+// writeServices replaces the place's file of services as a whole.
+func (c *child) writeServices(text string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	path := c.servicesPath()
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// count counts the newest process's descriptors and, where it tells them, goroutines.
+func (c *child) count(files, goroutines *int) {
+	p := c.newest()
+	var info struct{ Goroutines int }
+	if text, err := call(p.console, "INFO"); err == nil {
+		for line := range strings.Lines(text) {
+			if strings.HasPrefix(line, "{") {
+				_ = json.Unmarshal([]byte(line), &info)
+			}
+		}
+	}
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*goroutines = info.Goroutines
+	if err == nil {
+		*files = len(entries)
+	}
+}
+
+// call makes a call of a console and gives its whole answer.
+func call(addr, line string) (string, error) {
+	conn, err := net.DialTimeout("tcp4", addr, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(2 * time.Second))
+	fmt.Fprintln(conn, line)
+	text, err := io.ReadAll(io.LimitReader(conn, 1<<20))
+	return string(text), err
+}
+
 // start starts a process in the place.
 func (c *child) start() (*process, error) {
 	c.mu.Lock()
@@ -165,7 +227,11 @@
 	}
 	p := &process{done: make(chan struct{}), console: l.Addr().String()}
 	l.Close()
-	p.cmd = exec.Command(c.r.opts.Binary, c.r.opts.Args...)
+	args := slices.Clone(c.r.opts.Args)
+	if len(c.r.opts.Services) > 0 {
+		args = append(args, "--services", c.servicesPath())
+	}
+	p.cmd = exec.Command(c.r.opts.Binary, args...)
 	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=",
 		"BALANCER_CONSOLE="+p.console, "BALANCER_PASSED_SOCKET=", "TMPDIR="+c.state)
 	if c.file != nil {
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -17,6 +17,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -38,6 +39,10 @@
 	Log      *slog.Logger  // what the laboratory does; nil is nowhere
 	Progress func(Glimpse) // told once a second; may be nil
 	MemoryMB int           // that a proxy is told it has; 64 if 0
+
+	// Services are the texts of files of services that the proxies serve by, the first at the start and each in turn
+	// at a change; none is one service.
+	Services []string
 }
 
 // Glimpse is how a run stands.
@@ -65,6 +70,11 @@
 
 // Usage is what the processes of a proxy's place have taken of the machine.
 type Usage struct {
+	// Descriptors and goroutines of the newest process, as the load began and some time after it had ended. Goroutines
+	// are told by proxies with several services only.
+	FilesBefore, FilesAfter           int
+	GoroutinesBefore, GoroutinesAfter int
+
 	CPU    time.Duration // user and system, of all together
 	MaxRSS int64         // bytes, of the largest
 }
@@ -195,7 +205,16 @@
 	if opts.Progress != nil {
 		r.running.Go(func() { r.glimpse(inner, front) })
 	}
+	for _, c := range r.proxies {
+		c.count(&c.usage.FilesBefore, &c.usage.GoroutinesBefore)
+	}
 	front.load(ctx)
+	if ctx.Err() == nil && len(opts.Services) > 0 {
+		time.Sleep(settle)
+	}
+	for _, c := range r.proxies {
+		c.count(&c.usage.FilesAfter, &c.usage.GoroutinesAfter)
+	}
 	r.mu.Lock()
 	r.ledger.Finish()
 	res = Result{Verdict: r.ledger.Verdict(judge.UsualPrices), Faults: steps, Late: r.tooLate(front), Partial: ctx.Err() != nil}
@@ -219,6 +238,9 @@
 	ends.Wait()
 }
 
+// settle is how long after the load descriptors are counted: idle connections have been closed by then.
+const settle = 5 * time.Second
+
 // open starts the nodes and the register's agents.
 func (r *Run) open() error {
 	for i := range r.fleet.Nodes {
@@ -336,6 +358,10 @@
 		for _, c := range r.fleet.Cells {
 			c.Apply(now, nil, s)
 		}
+	case world.OpChangeServices:
+		for no := range r.proxies {
+			r.running.Go(func() { r.changeServices(no, int(s.Size)) })
+		}
 	case world.OpMoveRegister:
 		for no := range r.proxies {
 			r.running.Go(func() { r.moveRegister(no) })
@@ -371,6 +397,21 @@
 	}
 }
 
+// changeServices replaces a proxy's file of services as a whole and tells the proxy.
+func (r *Run) changeServices(no, before int) {
+	if len(r.opts.Services) == 0 {
+		return
+	}
+	c := r.proxies[no]
+	if err := c.writeServices(r.opts.Services[(before+1)%len(r.opts.Services)]); err != nil {
+		r.mu.Lock()
+		r.problem("proxy %d: its file of services: %v", no, err)
+		r.mu.Unlock()
+		return
+	}
+	c.signal(syscall.SIGHUP)
+}
+
 // oldRegister is how long an address that the register has left still answers.
 const oldRegister = 1500 * time.Millisecond
 
--- a/internal/lab/report/summary.go
+++ b/internal/lab/report/summary.go
@@ -47,6 +47,11 @@
 type Usage struct {
 	CPU   float64 `json:"cpu_s"`
 	RSSMB float64 `json:"max_rss_mb"`
+	// Before the load, and some time after it. Goroutines are told by proxies with several services only.
+	FilesBefore      int `json:"descriptors_before"`
+	FilesAfter       int `json:"descriptors_after"`
+	GoroutinesBefore int `json:"goroutines_before,omitempty"`
+	GoroutinesAfter  int `json:"goroutines_after,omitempty"`
 }
 
 // PerRequest is the CPU time of all proxies for one request taken, in microseconds; 0 where it is not known.
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -26,6 +26,12 @@
 		}
 		fmt.Fprintf(&b, "  the proxies took %.0f us of CPU a request and %.0f MB at most\n", s.PerRequest(), most)
 	}
+	for i, u := range s.Usage {
+		if u.GoroutinesBefore > 0 {
+			fmt.Fprintf(&b, "  proxy %d: descriptors %d before the load and %d after it, goroutines %d and %d\n", i, u.FilesBefore, u.FilesAfter,
+				u.GoroutinesBefore, u.GoroutinesAfter)
+		}
+	}
 	if !s.Scored {
 		fmt.Fprintf(&b, "  NOT SCORED, the machine was too slow: %s\n", s.Late)
 	}
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -264,7 +264,7 @@
 			share = 0
 		}
 		r.gen.Heavy(s.Node, s.Size, share)
-	case world.OpMoveRegister: // there are no addresses here
+	case world.OpMoveRegister, world.OpChangeServices: // there are neither addresses nor files here
 	case world.OpSlow:
 		for _, c := range r.cells {
 			if s.Node < 0 || r.fleet.Nodes[s.Node].CellNo == c.No {
--- a/internal/lab/world/fault.go
+++ b/internal/lab/world/fault.go
@@ -38,6 +38,7 @@
 	ProbeOnly      = "probe-only"      // probes pass, requests hang
 	KillProxy      = "kill-proxy"      // a proxy is killed and starts again
 	UpgradeProxy   = "upgrade-proxy"   // a proxy ends in order and starts again
+	ChangeServices = "change-services" // the proxies' file of services changes to and fro, told by SIGHUP; on sockets only
 	MoveRegister   = "move-register"   // the register moves to another address, told by SIGHUP; on sockets only
 )
 
@@ -47,7 +48,7 @@
 	Hang: {share: 0.15}, BlackHole: {share: 0.15}, HeavyTail: {size: 15, extra: 0.02}, AllSlow: {size: 2.1},
 	CutOff: {share: 0.15}, RestartStorm: {share: 0.34}, RollingRestart: {share: 0.5}, RegisterStale: {}, ZoneLoss: {},
 	ProbeOnly: {share: 0.15}, KillProxy: {share: 0.2}, UpgradeProxy: {share: 1},
-	MoveRegister: {},
+	MoveRegister: {}, ChangeServices: {},
 }
 
 // atOnce tells whether a fault strikes at a moment, and has no length of its own.
@@ -111,6 +112,7 @@
 	OpKillProxy
 	OpUpgradeProxy
 	OpMoveRegister
+	OpChangeServices // Size: how often it was changed before
 )
 
 // Step is one operation at its time.
@@ -126,6 +128,9 @@
 // DrainFor is how long a node drains before its process ends. News of it takes a second and a half at most.
 const DrainFor = 4 * time.Second
 
+// mostChanges bounds the changes of one fault.
+const mostChanges = 10_000
+
 // downFor is how long a process is away between its end and its next start.
 const downFor = 700 * time.Millisecond
 
@@ -228,6 +233,16 @@
 		case RegisterStale:
 			add(ft.At, OpRegister, -1, 0)
 			steps = append(steps, Step{At: end, Op: OpRegister, Node: -1, Flag: true})
+		case ChangeServices:
+			every := ft.Every
+			if every == 0 {
+				every = 100 * time.Millisecond
+			}
+			n := 0
+			for at := ft.At; at < end && n < mostChanges; at += every {
+				add(at, OpChangeServices, -1, float64(n))
+				n++
+			}
 		case MoveRegister:
 			add(ft.At, OpMoveRegister, -1, 0)
 		case KillProxy, UpgradeProxy:
