Let a proxy with thousands of requests a second use as many backends as it has requests for

The rate that sets how many backends a proxy uses was taken over the last 256 requests at most, and an interval added to their span: past some 1,700 a second it could not grow, so the proxy stayed with 150 backends. The span is now four probe intervals at least. Below 426 requests a second nothing changes.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -601,7 +601,9 @@
 	b.requests[q.ID] = r
 	b.retries = min(b.retries+retryShare, retryBurst)
 	b.probes += probeShare
-	if b.seen++; b.seen > meanOver {
+	// Danger: over so few that they come within an interval, the rate would seem a fraction of what it
+	// is, and a proxy with much traffic would use too few backends.
+	if b.seen++; b.seen > meanOver && now-b.since > memory*b.interval {
 		b.seen, b.since = b.seen/2, now-(now-b.since)/2
 	}
 	b.meanWork = smooth(b.meanWork, b.workOf(r), meanOver)
