Bound further attempts by service, and make experiments with many services

Retry amplification was bounded by a constant of the module for all. RetryShare is now a setting of the module and repeats one of a service; where it is left out nothing changes. Experiments can have so many services that share servers and requests evenly.

--- a/decision/api.go
+++ b/decision/api.go
@@ -131,6 +131,7 @@
 	OnRequest       bool    // the list comes only when asked for
 	Weights         WeightKind
 	Report          []ReportField // order of the values of a load report
+	RetryShare      float64       // further attempts, as a share of the requests; 0 is the usual tenth
 	Goal            Goal
 	Prices          Prices
 	Obligations     Obligations
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -91,6 +91,9 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
+	if cfg.RetryShare == 0 {
+		cfg.RetryShare = retryShare
+	}
 	classes, tenants, first := len(cfg.Classes), len(cfg.Tenants), [2]float64{1, 1}
 	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		median: 1, medians: first, byID: map[BackendID]*target{},
@@ -599,7 +602,7 @@
 	r := &request{Request: q, arrived: now}
 	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(q.Cost)), q.Deadline)
 	b.requests[q.ID] = r
-	b.retries = min(b.retries+retryShare, retryBurst)
+	b.retries = min(b.retries+b.cfg.RetryShare, retryBurst)
 	b.probes += probeShare
 	// Danger: over so few that they come within an interval, the rate would seem a fraction of what it
 	// is, and a proxy with much traffic would use too few backends.
--- a/decision/config.go
+++ b/decision/config.go
@@ -26,6 +26,7 @@
 		negative bool
 	}{
 		{"Tick", c.Tick < 0},
+		{"RetryShare", c.RetryShare < 0},
 		{"Rank", c.Rank < 0},
 		{"OverShareWorth", c.OverShareWorth < 0},
 		{"Obligations.AnswerSlack", o.AnswerSlack < 0},
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lapisspread/internal/services"
 )
 
 func TestErrorsNameFileLineAndKey(t *testing.T) {
@@ -28,6 +30,20 @@
 	}
 }
 
+func TestManyServicesAreAGoodFile(t *testing.T) {
+	f, err := Parse("x", []byte("name='a'\n[[variant]]\nname='v'\nmany=200\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := services.Parse("services.toml", []byte(f.Variants[0].Services[0]))
+	if err != nil || len(c.File.Services) != 200 || c.Table.Rules() != 1 {
+		t.Errorf("%v: %+v", err, c)
+	}
+	if _, err := Parse("x", []byte("name='a'\n[[variant]]\nname='v'\nmany=9999\n")); err == nil {
+		t.Error("9999 services were taken")
+	}
+}
+
 func TestStretchMovesAllTimes(t *testing.T) {
 	f, err := Parse("x", []byte("name='a'\nduration='20s'\n[[curve]]\nat='10s'\nfactor=2\n[[fault]]\nkind='hang'\nat='5s'\nfor='10s'\n"))
 	if err != nil {
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -108,6 +108,7 @@
 	// Services are files of several services, for the proxy to serve; their texts stand here, the first for the start
 	// and each in turn for change-services. On sockets only.
 	Services []string `toml:"services"`
+	Many     int      `toml:"many"` // in place of services: so many, which share the servers and the requests evenly
 }
 
 // Load reads an experiment's file.
@@ -178,15 +179,35 @@
 			return fmt.Errorf("variant[%d]: name: missing", i)
 		case seen[v.Name]:
 			return fmt.Errorf("variant[%d]: name: %q is there twice", i, v.Name)
+		case v.Many < 0 || v.Many > mostMany || v.Many > 0 && len(v.Services) > 0:
+			return fmt.Errorf("variant[%d]: many: %d must be within 0 and %d, and not beside services", i, v.Many, mostMany)
 		case v.Load < 0:
 			return fmt.Errorf("variant[%d]: load: %v is negative", i, v.Load)
 		}
 		seen[v.Name] = true
 	}
+	for i := range f.Variants {
+		if v := &f.Variants[i]; v.Many > 0 {
+			v.Services, v.Many = []string{manyServices(v.Many)}, 0
+		}
+	}
 	s := f.Spec(f.Seeds[0], 1)
 	return s.Check()
 }
 
+// mostMany is how many services a variant may have made.
+const mostMany = 250
+
+// manyServices is a file of so many services that share all servers and split the requests evenly.
+func manyServices(n int) string {
+	var services, targets strings.Builder
+	for i := range n {
+		fmt.Fprintf(&services, "[[service]]\nname = \"s-%d\"\n", i)
+		fmt.Fprintf(&targets, "{ service = \"s-%d\" }, ", i)
+	}
+	return fmt.Sprintf("version = 1\n%s[[route]]\nname = \"all\"\nsticky = \"request\"\nto = [%s]\n", services.String(), targets.String())
+}
+
 // Spec is the world of a seed, at so many times the file's rate.
 func (f *File) Spec(seed uint64, load float64) world.Spec {
 	s := world.Default()
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -198,6 +198,7 @@
 				Group: decision.GroupAll, LateShare: c.Late, Value: c.Worth})
 		}
 	}
+	m.RetryShare = spec.Repeats
 	m.Caps.MaxOpen = max(1, int(spec.Share.Cap*float64(m.Caps.MaxOpen)))
 	return m
 }
@@ -205,7 +206,7 @@
 // keeps tells whether a service can live on under another configuration.
 func (s *service) keeps(spec *config.Service, module decision.Config) bool {
 	return slices.Equal(s.spec.Kinds, spec.Kinds) && slices.Equal(s.spec.Cells, spec.Cells) && slices.Equal(s.module.Classes, module.Classes) &&
-		s.module.Caps.MaxOpen == module.Caps.MaxOpen
+		s.module.Caps.MaxOpen == module.Caps.MaxOpen && s.module.RetryShare == module.RetryShare
 }
 
 func (s *service) moveTo(discovery string) {
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -51,6 +51,7 @@
 	Cells     []int    `toml:"cells"`     // and only these cells
 	Classes   []Class  `toml:"class"`     // left out, those of the process's settings
 	Share     Share    `toml:"share"`
+	Repeats   float64  `toml:"repeats"` // further attempts, as a share of first tries, 0 to 1; a tenth if left out
 }
 
 // Class is a kind of request of a service.
@@ -171,6 +172,7 @@
 		bad(names[s.Name], "%s: name: it is there twice", at)
 		names[s.Name] = true
 		bad(s.Discovery != "" && !strings.Contains(s.Discovery, ":"), "%s: discovery: %q is no host:port", at, s.Discovery)
+		bad(!(s.Repeats >= 0 && s.Repeats <= 1), "%s: repeats: %v is not within 0 and 1", at, s.Repeats)
 		if s.Share.Cap == 0 {
 			s.Share.Cap = 1
 		}
--- a/internal/services/services_test.go
+++ b/internal/services/services_test.go
@@ -75,6 +75,7 @@
 		{`aim = "500ms"`, `aim = "5s"`, `class[0] "driver-payout": aim 5s and give_up 2s`},
 		{`effect = "unsafe"`, `effect = "maybe"`, `effect: "maybe"`},
 		{"min = 0.5", "min = 0.9", "come to 1.150"},
+		{`kinds = ["pay-1"]`, "repeats = 3.0", "repeats: 3 is not within 0 and 1"},
 		{`name = "settlement"`, `name = "dispatch"`, "it is there twice"},
 		{`name = "settlement"`, `name = "Pay Out"`, "name: wanted small letters"},
 		{`default = "dispatch"`, `default = "none"`, `default: there is no service "none"`},
