--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -3,30 +3,18 @@
 package experiment
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"lapisspread/internal/lab/world"
+	"lapisspread/internal/strict"
 )
 
-// Span is a time in a file: "500ms", "2s", "1m30s".
-type Span time.Duration
-
-// UnmarshalText reads a span.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no span of time such as \"500ms\" or \"2s\"", text)
-	}
-	*s = Span(d)
-	return nil
-}
+// Span is a time in the file.
+type Span = strict.Span
 
 // File is an experiment. What is left out is as on the operators' usual day: see world.Default.
 type File struct {
@@ -123,24 +111,8 @@
 // Parse reads an experiment. Errors name the file, the line where there is one, and the key.
 func Parse(path string, text []byte) (*File, error) {
 	f := &File{}
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(strict.Errors[0].Key(), "."))
-		}
-		var decode *toml.DecodeError
-		if errors.As(err, &decode) {
-			row, _ := decode.Position()
-			at := ""
-			if key := decode.Key(); len(key) > 0 {
-				at = strings.Join(key, ".") + ": "
-			}
-			return nil, fmt.Errorf("%s:%d: %s%s", path, row, at, strings.TrimPrefix(decode.Error(), "toml: "))
-		}
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := strict.Decode(path, text, f); err != nil {
+		return nil, err
 	}
 	if err := f.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -4,7 +4,6 @@
 package services
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -12,27 +11,16 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"lapisspread/internal/budget"
 	"lapisspread/internal/route"
+	"lapisspread/internal/strict"
 )
 
 // Version is the form of the file that this program reads.
 const Version = 1
 
-// Span is a time in the file: "500ms", "2s".
-type Span time.Duration
-
-// UnmarshalText reads a span.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no span of time such as \"500ms\"", text)
-	}
-	*s = Span(d)
-	return nil
-}
+// Span is a time in the file.
+type Span = strict.Span
 
 // File is the whole configuration.
 type File struct {
@@ -130,20 +118,8 @@
 // Parse reads the text of a file.
 func Parse(path string, text []byte) (*Config, error) {
 	f := &File{Limits: Limits{Lend: 0.75, Recall: Span(3 * time.Second)}}
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(strict.Errors[0].Key(), "."))
-		}
-		var decode *toml.DecodeError
-		if errors.As(err, &decode) {
-			row, _ := decode.Position()
-			return nil, fmt.Errorf("%s:%d: %s", path, row, strings.TrimPrefix(decode.Error(), "toml: "))
-		}
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := strict.Decode(path, text, f); err != nil {
+		return nil, err
 	}
 	table, err := f.check()
 	if err != nil {
--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,50 @@
+// Package strict reads TOML files in which every key must be known. An error names the file, the line and the key.
+package strict
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Span is a time in a file: "500ms", "2s", "1m30s".
+type Span time.Duration
+
+// UnmarshalText reads a span.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no span of time such as \"500ms\" or \"2s\"", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// Decode reads text into v. Path is for errors alone.
+func Decode(path string, text []byte, v any) error {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(strict.Errors[0].Key(), "."))
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		at := ""
+		if key := decode.Key(); len(key) > 0 {
+			at = strings.Join(key, ".") + ": "
+		}
+		return fmt.Errorf("%s:%d: %s%s", path, row, at, strings.TrimPrefix(decode.Error(), "toml: "))
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
