--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -15,7 +15,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -73,7 +75,7 @@
 		errs = append(errs, fmt.Errorf("lend: %v is not within 0 and 1", terms.Lend))
 	}
 	var mins int64
-	for _, name := range sorted(shares) {
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
 		s := shares[name]
 		switch {
 		case s.Min < 0 || s.Cap < 0:
@@ -97,7 +99,7 @@
 			m.gone, m.share, m.wants = true, Share{}, 0
 		}
 	}
-	for _, name := range sorted(shares) {
+	for _, name := range slices.Sorted(maps.Keys(shares)) {
 		s := shares[name]
 		if s.Weight == 0 {
 			s.Weight = 1
@@ -224,12 +226,3 @@
 
 // Total is how many units there are, and how many are taken.
 func (p *Pool) Total() (total, used int64) { return p.terms.Total, p.used }
-
-func sorted(shares map[string]Share) []string {
-	names := make([]string, 0, len(shares))
-	for n := range shares {
-		names = append(names, n)
-	}
-	sortStrings(names)
-	return names
-}
--- a/internal/budget/rate.go
+++ b/internal/budget/rate.go
@@ -8,8 +8,6 @@
 	"time"
 )
 
-func sortStrings(s []string) { slices.Sort(s) }
-
 // RateShare is what a member of a Rate is promised, in units a second.
 type RateShare struct {
 	Min    float64 // that it has whenever it wants it
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -445,5 +445,3 @@
 		c.socket.Close()
 	}
 }
-
-func proxyZone(s *world.Spec, proxy int) int { return proxy % len(s.Zones) }
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -31,7 +31,7 @@
 	turn    int
 	idle    [][]*clientConn // by proxy
 	rude    []net.Conn
-	pending retries
+	pending world.Queue
 
 	inHand  sync.WaitGroup
 	open    atomic.Int64
@@ -110,7 +110,7 @@
 	for _, own := range [2]bool{true, false} {
 		for i := range f.up {
 			no := (f.turn + i) % len(f.up)
-			if f.up[no] && (!own || proxyZone(f.r.spec, no) == zone) {
+			if f.up[no] && (!own || f.r.spec.ProxyZone(no) == zone) {
 				f.turn = no + 1
 				return no, true
 			}
@@ -119,19 +119,6 @@
 	return 0, false
 }
 
-type retries []world.Arrival
-
-func (h retries) Len() int           { return len(h) }
-func (h retries) Less(i, j int) bool { return h[i].At < h[j].At }
-func (h retries) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *retries) Push(x any)        { *h = append(*h, x.(world.Arrival)) }
-func (h *retries) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return a
-}
-
 // load sends all first tries at their times, whatever becomes of them, and retries when they are due. It returns
 // when all are answered or given up, or soon after ctx ends.
 func (f *front) load(ctx context.Context) {
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -331,7 +331,7 @@
 		job.Request, job.Attempt, job.Class = id, int32(attempt), int32(work.Class)
 		job.Work, job.Wait = work.Work, work.Wait
 		r.ledger.Sent(q.first, id, c.proxy, n.no, attempt)
-		if n.w.Zone != proxyZone(r.spec, c.proxy) {
+		if n.w.Zone != r.spec.ProxyZone(c.proxy) {
 			r.ledger.Crossed()
 		}
 	}
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -376,24 +376,19 @@
 		n, w := r.nodes[s.Node], r.fleet.Nodes[s.Node]
 		r.fleet.Cells[w.CellNo].Apply(now, w, s)
 		switch s.Op {
-		case world.OpDrain:
-			r.registry.Change(now, s.Node, world.Leaving, 0, false)
 		case world.OpKill:
-			r.registry.Change(now, s.Node, world.Left, 0, false)
 			n.kill()
 		case world.OpStart:
 			if err := n.listen(); err != nil {
 				r.problem("node %d cannot come back: %v", s.Node, err)
 				return
 			}
-			r.registry.Change(now, s.Node, world.Active, w.StartedAt, false)
 		case world.OpCut:
-			r.registry.Change(now, s.Node, world.Left, 0, true)
 			n.cutOff()
 		case world.OpUncut:
 			n.reconnect()
-			r.registry.Change(now, s.Node, world.Active, w.StartedAt, false)
 		}
+		r.registry.Step(now, s, w.StartedAt)
 	}
 }
 
--- a/internal/lab/live/settings.go
+++ b/internal/lab/live/settings.go
@@ -24,7 +24,7 @@
 		kinds = append(kinds, m.Name)
 	}
 	return map[string]any{
-		"Balancers": s.Proxies, "Rank": proxy, "Zone": proxyZone(s, proxy), "Tick": 2.0, "Discovery": "pushed", "Weights": "nominal",
+		"Balancers": s.Proxies, "Rank": proxy, "Zone": s.ProxyZone(proxy), "Tick": 2.0, "Discovery": "pushed", "Weights": "nominal",
 		"WorthBy": "request", "OverShareWorth": world.OverWorth, "Family": "proxy", "FailureDomains": s.Zones, "Kinds": kinds,
 		"Services": services, "Tenants": tenants, "Clients": map[string]any{"MarksRetry": true},
 		"Extra": map[string]any{"WarmKeys": false}, "Feedback": map[string]any{"How": "off", "Names": []string{}},
--- a/internal/lab/sim/config.go
+++ b/internal/lab/sim/config.go
@@ -19,7 +19,7 @@
 
 // ModuleConfig is what the platform tells a proxy of a world.
 func ModuleConfig(s *world.Spec, proxy int) decision.Config {
-	c := decision.Config{Instances: s.Proxies, Rank: proxy, Zone: ProxyZone(s, proxy), Tick: Tick, OverShareWorth: world.OverWorth,
+	c := decision.Config{Instances: s.Proxies, Rank: proxy, Zone: s.ProxyZone(proxy), Tick: Tick, OverShareWorth: world.OverWorth,
 		MarksRetry: true, Weights: decision.WeightNominal,
 		Goal: decision.Goal{Whole: 0.55, WorstClass: 0.2, WorstTenant: 0.1, WorstWindow: 0.15},
 		Prices: decision.Prices{CrossZone: judge.UsualPrices.CrossZone, LateFail: judge.UsualPrices.LateFail,
@@ -44,9 +44,6 @@
 	return c
 }
 
-// ProxyZone is the zone of a proxy: they take turns.
-func ProxyZone(s *world.Spec, proxy int) int { return proxy % len(s.Zones) }
-
 // State is a listing as the module knows it.
 func State(l world.Listing) decision.State {
 	switch l {
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -39,7 +39,7 @@
 	named   rival.Factory
 	views   [][]view // what each proxy has been told, by node
 	front   *rand.Rand
-	retries retryHeap
+	retries world.Queue
 	routes  [][]int // by zone: proxies that the front layer gives connections to
 	seq     uint64
 	events  uint64
@@ -82,7 +82,7 @@
 		}
 		r.views = append(r.views, views)
 		r.proxies = append(r.proxies, nil)
-		zone := ProxyZone(spec, no)
+		zone := spec.ProxyZone(no)
 		r.routes[zone] = append(r.routes[zone], no)
 		for node := range spec.Nodes {
 			r.ledger.Told(0, no, node, world.Active, 0)
@@ -97,7 +97,7 @@
 // startProxy puts a new process in a proxy's place.
 func (r *Run) startProxy(now time.Duration, no int) error {
 	r.seq++
-	p := &proxy{no: no, zone: ProxyZone(r.spec, no), r: r, now: now, rng: rand.New(rand.NewPCG(r.spec.Seed^0xb0b, r.seq<<16|uint64(no))),
+	p := &proxy{no: no, zone: r.spec.ProxyZone(no), r: r, now: now, rng: rand.New(rand.NewPCG(r.spec.Seed^0xb0b, r.seq<<16|uint64(no))),
 		requests: map[decision.RequestID]*request{}, conns: make([]conns, r.spec.Nodes)}
 	policy, err := r.named(ModuleConfig(r.spec, no), p.rng.Uint64(), p)
 	if err != nil {
@@ -142,24 +142,6 @@
 	return time.Duration(float64(w.DrawMs(rng)) * (1 + r.spec.Net.Jitter*rng.ExpFloat64()))
 }
 
-type retryHeap []world.Arrival
-
-func (h retryHeap) Len() int { return len(h) }
-func (h retryHeap) Less(i, j int) bool {
-	if h[i].At != h[j].At {
-		return h[i].At < h[j].At
-	}
-	return h[i].Origin < h[j].Origin
-}
-func (h retryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *retryHeap) Push(x any)   { *h = append(*h, x.(world.Arrival)) }
-func (h *retryHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return a
-}
-
 // Run plays the world to its end, or until ctx ends: what was seen so far is then judged.
 func (r *Run) Run(ctx context.Context) (Result, error) {
 	steps := world.Plan(r.spec, r.fleet)
@@ -283,18 +265,11 @@
 	default:
 		n := r.fleet.Nodes[s.Node]
 		r.cells[n.CellNo].inputs = append(r.cells[n.CellNo].inputs, message{at: now, kind: msStep, node: s.Node, step: s})
-		switch s.Op {
-		case world.OpDrain:
-			r.reg.Change(now, s.Node, world.Leaving, 0, false)
-		case world.OpKill:
-			r.reg.Change(now, s.Node, world.Left, 0, false)
-		case world.OpStart:
-			r.reg.Change(now, s.Node, world.Active, now, false)
-		case world.OpCut:
-			r.reg.Change(now, s.Node, world.Left, 0, true)
-		case world.OpUncut:
-			r.reg.Change(now, s.Node, world.Active, n.StartedAt, false)
+		started := n.StartedAt
+		if s.Op == world.OpStart {
+			started = now
 		}
+		r.reg.Step(now, s, started)
 	}
 	return nil
 }
--- a/internal/lab/world/load.go
+++ b/internal/lab/world/load.go
@@ -207,3 +207,22 @@
 func (s *Spec) patience(c *Class, rng *rand.Rand) time.Duration {
 	return time.Duration(s.Clients.TryShare.Draw(rng) * float64(c.GiveUp)).Truncate(time.Millisecond)
 }
+
+// Queue is arrivals by time, for container/heap; the origin breaks ties.
+type Queue []Arrival
+
+func (q Queue) Len() int { return len(q) }
+func (q Queue) Less(i, j int) bool {
+	if q[i].At != q[j].At {
+		return q[i].At < q[j].At
+	}
+	return q[i].Origin < q[j].Origin
+}
+func (q Queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *Queue) Push(x any)   { *q = append(*q, x.(Arrival)) }
+func (q *Queue) Pop() any {
+	old := *q
+	a := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return a
+}
--- a/internal/lab/world/register.go
+++ b/internal/lab/world/register.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// Step tells the register what a step of the time line has done to a node that last started at a time.
+func (r *Registry) Step(now time.Duration, s Step, started time.Duration) {
+	switch s.Op {
+	case OpDrain:
+		r.Change(now, s.Node, Leaving, 0, false)
+	case OpKill:
+		r.Change(now, s.Node, Left, 0, false)
+	case OpStart, OpUncut:
+		r.Change(now, s.Node, Active, started, false)
+	case OpCut:
+		r.Change(now, s.Node, Left, 0, true)
+	}
+}
+
 // Stale has the register say nothing, or speak again and tell what it has kept back.
 func (r *Registry) Stale(now time.Duration, stale bool) {
 	r.stale = stale
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -234,3 +234,6 @@
 func (s *Spec) Stream(purpose uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(s.Seed, 0x9e3779b97f4a7c15*(purpose+1)))
 }
+
+// ProxyZone is the zone of a proxy: they take turns.
+func (s *Spec) ProxyZone(proxy int) int { return proxy % len(s.Zones) }
