Wait for a child's last lines before its end is told

A test on sockets failed once: a proxy's end was told before its last line was read. Reading is now waited for, a second at most, for a process of its own may hold the pipe.

--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -258,8 +258,13 @@
 			out.Close()
 			return
 		}
-		c.r.running.Go(func() { p.read(out) })
+		read := make(chan struct{})
+		c.r.running.Go(func() { p.read(out); close(read) })
 		p.err = p.cmd.Wait()
+		select { // its last lines may be on their way; a process of its own may hold the pipe
+		case <-read:
+		case <-time.After(time.Second):
+		}
 		c.over(p)
 		close(p.done)
 	})
