--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -188,6 +188,16 @@
 	}
 }
 
+// Vet probes at once the backends that the first requests would go to, before a pool gets any.
+func (b *Balancer) Vet(now time.Duration) {
+	b.now = now
+	for _, t := range b.ready {
+		if b.cfg.Caps.Probes && !t.probing {
+			b.probe(t)
+		}
+	}
+}
+
 // Census counts the backends in the list, and those of them that are avoided by order or for their health.
 func (b *Balancer) Census() (known, excluded int) {
 	for _, t := range b.targets {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,5 +1,5 @@
 // Package budget shares what a process has among its services: requests in hand, bytes of bodies, connections
-// (Pool), and attempts a second (Rate). It is pure: no I/O, no goroutine, no clock; callers give the time and see to
+// (Pool), and attempts a second (Rate); and whose requests still get in as a share runs short (Gate). It is pure: no I/O, no goroutine, no clock; callers give the time and see to
 // it that one at a time calls.
 //
 // What a Pool promises, for members with a minimum, a weight and a cap:
@@ -146,7 +146,7 @@
 	if m.share.Cap > 0 && m.used+n > m.share.Cap || n > p.terms.Total {
 		return false // it would not help to wait for others
 	}
-	if !p.fits(now, m, n) {
+	if n > p.room(now, m) {
 		m.wants = now + max(p.terms.Recall, 1)
 		return false
 	}
@@ -158,13 +158,22 @@
 	return true
 }
 
-// fits tells whether m may have n more.
-func (p *Pool) fits(now time.Duration, m *member, n int64) bool {
-	free := p.terms.Total - p.used
-	if n > free {
-		return false
+// Room is how many units a member could take now: exactly as many does Take give it.
+func (p *Pool) Room(now time.Duration, name string) int64 {
+	m := p.members[name]
+	if m == nil || m.gone {
+		return 0
+	}
+	room := p.room(now, m)
+	if m.share.Cap > 0 {
+		room = min(room, m.share.Cap-m.used)
 	}
-	within := m.used+n <= m.share.Min
+	return max(0, room)
+}
+
+// room is how many more m may have, but for its cap.
+func (p *Pool) room(now time.Duration, m *member) int64 {
+	within, over := p.terms.Total-p.used, p.terms.Total-p.used // for its minimum, and beyond
 	for _, o := range p.order {
 		if o == m || o.gone {
 			continue
@@ -174,19 +183,23 @@
 		if left > 0 {
 			// What is never lent stays, whatever o holds of the rest. A minimum that is asked for goes before what is
 			// over others' minimums, but not before these: they all fit together.
-			keep := left
-			if within || !wants {
-				unlent := o.share.Min - int64(p.terms.Lend*float64(o.share.Min))
-				keep = max(0, unlent-o.used)
+			unlent := o.share.Min - int64(p.terms.Lend*float64(o.share.Min))
+			keep := max(0, unlent-o.used)
+			within -= keep
+			if wants {
+				keep = left
 			}
-			free -= keep
+			over -= keep
 		}
 		// Over its own minimum m makes way for one that asks and is under its weighted part, if m is over its own.
-		if wants && !within && left <= 0 && float64(o.used) < p.part(o) && float64(m.used+n) > p.part(m) {
-			return false
+		if wants && left <= 0 && float64(o.used) < p.part(o) {
+			over = min(over, int64(math.Floor(p.part(m)-float64(m.used))))
 		}
 	}
-	return n <= free
+	if owed := max(0, m.share.Min-m.used); over <= owed {
+		return min(within, owed)
+	}
+	return over
 }
 
 // part is a member's weighted share: its minimum, and its part by weight of what is over all minimums.
@@ -224,5 +237,13 @@
 	return out
 }
 
+// Held is how many units a member holds.
+func (p *Pool) Held(name string) int64 {
+	if m := p.members[name]; m != nil {
+		return m.used
+	}
+	return 0
+}
+
 // Total is how many units there are, and how many are taken.
 func (p *Pool) Total() (total, used int64) { return p.terms.Total, p.used }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -28,6 +28,9 @@
 	Attach(id string) error  // ends that
 	LameDuck()               // sends clients away
 	Rejoin()                 // ends that
+	// Routes reads the services and routes anew, and tells what then holds. A bad file changes nothing. It may take some
+	// of the second that callers wait.
+	Routes() (string, error)
 }
 
 const (
@@ -156,12 +159,12 @@
 		want = 1
 	}
 	switch call {
-	case "PING", "INFO", "DETACH", "ATTACH", "LAMEDUCK", "REJOIN":
+	case "PING", "INFO", "DETACH", "ATTACH", "LAMEDUCK", "REJOIN", "ROUTES":
 		if len(args) != want {
 			return no(fmt.Errorf("%s: %d words behind the call, want %d", call, len(args), want))
 		}
 	default:
-		return no(fmt.Errorf("unknown call %.32q: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK and REJOIN are known", call))
+		return no(fmt.Errorf("unknown call %.32q: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN and ROUTES are known", call))
 	}
 	switch call {
 	case "PING":
@@ -179,6 +182,13 @@
 		s.proxy.LameDuck()
 		s.log.Info("lame duck by the console")
 		return yes("draining")
+	case "ROUTES":
+		text, err := s.proxy.Routes()
+		if err != nil {
+			return no(err)
+		}
+		s.log.Info("the routes were read anew by the console", "now", text)
+		return yes(text)
 	default: // REJOIN
 		s.proxy.Rejoin()
 		s.log.Info("back to work by the console")
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -32,6 +32,7 @@
 func (s *stub) Figures() json.Marshaler { return raw(`{"in_flight":3}`) }
 func (s *stub) LameDuck()               { s.note("lameduck") }
 func (s *stub) Rejoin()                 { s.note("rejoin") }
+func (s *stub) Routes() (string, error) { return "", errors.New("f.toml: line 3:\nbad") }
 func (s *stub) Detach(id string) error {
 	if id != "s-1" {
 		return errors.New("no backend of that id was ever listed")
@@ -106,6 +107,7 @@
 		{"back", "200 s-1\n", []string{"ATTACH s-1\n"}},
 		{"lame duck", "200 draining\n", []string{"LAMEDUCK\n"}},
 		{"rejoin", "200 back\n", []string{"REJOIN\n"}},
+		{"routes that are bad", "400 f.toml: line 3: bad\n", []string{"ROUTES\n"}},
 		{"rejoin with words", "400 REJOIN: 1 words behind the call, want 0\n", []string{"REJOIN now\n"}},
 		{"empty", "400 the line is empty\n", []string{"\n"}},
 		{"nothing", "400 no line came\n", nil},
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +82,8 @@
 	watches   int // begun so far
 	zones     map[string]int
 	kinds     map[string]int
+	vetting   []*vetting // wait for probes, or for a list whose servers can be probed
+	asking    *vetting   // the one that the module is ordering probes for just now
 }
 
 // module is the decisions as the engine calls them.
@@ -96,6 +99,7 @@
 	Timer(now time.Duration, token uint64)
 	Detach(now time.Duration, id decision.BackendID)
 	Attach(now time.Duration, id decision.BackendID)
+	Vet(now time.Duration)
 	Census() (known, excluded int)
 }
 
@@ -389,6 +393,9 @@
 			Kind: l.number(l.kinds, e.Kind), Cell: e.Cell, State: e.State, Weight: e.Weight, Started: e.Started})
 	}
 	l.module.Membership(l.clock.Now(), m)
+	for _, v := range l.vetting {
+		l.vet(v)
+	}
 }
 
 var stateNames = map[decision.State]string{decision.Ready: "ready", decision.Draining: "draining",
@@ -478,7 +485,7 @@
 	r.out++
 	b := h.opts.Upstream.Find(to)
 	if r.ended || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
-		r.out > 1 && !h.opts.Module.Caps.SecondCopies {
+		r.out > 1 && !h.opts.Module.Caps.SecondCopies || n > 0 && !h.opts.Repeat() {
 		h.deferred = append(h.deferred, func() { h.outcome(r, n, decision.Moot, nil) })
 		return
 	}
@@ -532,9 +539,16 @@
 // Probe checks a backend.
 func (h host) Probe(to decision.BackendID) {
 	sent, b := h.clock.Now(), h.opts.Upstream.Find(to)
+	v := h.asking
+	if v != nil {
+		v.asked, v.open = v.asked+1, v.open+1
+	}
 	report := func(result decision.Result) {
 		now := h.clock.Now()
 		h.module.Probed(now, decision.ProbeResult{Backend: to, Result: result, Took: now - sent})
+		if v != nil {
+			h.vetted(v, result)
+		}
 	}
 	if b == nil {
 		h.deferred = append(h.deferred, func() { report(decision.Moot) })
@@ -546,6 +560,69 @@
 	})
 }
 
+// vetting is a caller of Vet that waits.
+type vetting struct {
+	begun               bool // it has its probes
+	asked, open, passed int
+	done                chan struct{}
+}
+
+// Vet has the module probe the servers that the first requests would go to, and waits until each has answered or
+// failed, or ctx ends. Where no list has come yet it waits for that. It tells how many passed, of how many that were
+// probed.
+func (l *Engine) Vet(ctx context.Context) (passed, asked int) {
+	v := &vetting{done: make(chan struct{})}
+	l.Post(func() {
+		l.vetting = append(l.vetting, v)
+		l.vet(v)
+	})
+	select {
+	case <-v.done:
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	answer := make(chan [2]int, 1)
+	l.Post(func() {
+		l.vetting = slices.DeleteFunc(l.vetting, func(o *vetting) bool { return o == v })
+		answer <- [2]int{v.passed, v.asked}
+	})
+	select {
+	case n := <-answer:
+		return n[0], n[1]
+	case <-l.done:
+		return 0, 0
+	}
+}
+
+// vet begins a vetting, if there is anything to probe.
+func (l *Engine) vet(v *vetting) {
+	if v.begun {
+		return
+	}
+	if known, _ := l.module.Census(); known == 0 {
+		return
+	}
+	v.begun, v.open = true, 1 // for the call itself
+	l.asking = v
+	l.module.Vet(l.clock.Now())
+	l.asking = nil
+	l.vettingLanded(v)
+}
+
+// vetted counts a probe's result.
+func (l *Engine) vetted(v *vetting, result decision.Result) {
+	if result == decision.OK {
+		v.passed++
+	}
+	l.vettingLanded(v)
+}
+
+func (l *Engine) vettingLanded(v *vetting) {
+	if v.open--; v.open == 0 {
+		close(v.done)
+	}
+}
+
 // Release closes a backend's idle connections.
 func (h host) Release(b decision.BackendID) {
 	h.start(func() { h.opts.Upstream.Release(b) })
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -158,6 +158,7 @@
 	Source   Source
 	Log      *slog.Logger
 
+	Repeat func() bool               // asked before each further attempt that the module orders; nil has all go out
 	Out    func() []string           // the servers that are out by hand, by name; nil is none
 	Wake   <-chan struct{}           // says that Out has changed
 	Listed func(List)                // is told each list; may be nil
@@ -168,6 +169,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Repeat == nil {
+		o.Repeat = func() bool { return true }
+	}
 	if o.Out == nil {
 		o.Out = func() []string { return nil }
 	}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,16 @@
 	Classes  []Class   `toml:"class"` // replace the usual ones, all or none
 	Models   []Model   `toml:"model"` // likewise
 	Variants []Variant `toml:"variant"`
+	Sweep    *Sweep    `toml:"sweep"` // for lapislab overload
+}
+
+// Sweep raises the rate of one class past what the machines that serve it can do, and holds its proxies to a budget of
+// repeats.
+type Sweep struct {
+	Class   string    `toml:"class"`
+	Model   string    `toml:"model"`   // the machines that serve it, and nothing else
+	Loads   []float64 `toml:"loads"`   // times what these can do
+	Repeats float64   `toml:"repeats"` // further attempts, as a share of the requests that proxies take; 0.1 if left out
 }
 
 // World is the size of things.
@@ -163,10 +174,78 @@
 			v.Services, v.Many = []string{manyServices(v.Many)}, 0
 		}
 	}
+	if err := f.checkSweep(); err != nil {
+		return err
+	}
 	s := f.Spec(f.Seeds[0], 1)
 	return s.Check()
 }
 
+func (f *File) checkSweep() error {
+	w := f.Sweep
+	if w == nil {
+		return nil
+	}
+	if w.Repeats == 0 {
+		w.Repeats = 0.1
+	}
+	switch {
+	case !slices.ContainsFunc(f.Classes, func(c Class) bool { return c.Name == w.Class && c.Work > 0 }):
+		return fmt.Errorf("sweep: class: %q is no class of the file that takes work", w.Class)
+	case !slices.ContainsFunc(f.Models, func(m Model) bool { return m.Name == w.Model }):
+		return fmt.Errorf("sweep: model: %q is no model of the file", w.Model)
+	case len(w.Loads) == 0 || slices.Min(w.Loads) <= 0 || slices.Max(w.Loads) > 20:
+		return fmt.Errorf("sweep: loads: %v: wanted some, above 0 and at most 20", w.Loads)
+	case !(w.Repeats > 0 && w.Repeats <= 1):
+		return fmt.Errorf("sweep: repeats: %v is not within 0 and 1", w.Repeats)
+	}
+	return nil
+}
+
+// At gives the experiment with the swept class at such a rate that its machines are asked for so many times what they
+// can do, and that rate. The other classes come at their rates as ever; those that name the same host are served by the
+// same machines.
+func (f *File) At(load float64, seed uint64) (at *File, rate float64, err error) {
+	s := f.Spec(seed, 1)
+	can := 0.0 // ms of work a second
+	for _, n := range world.Build(&s).Nodes {
+		if s.Models[n.Model].Name == f.Sweep.Model {
+			can += 1000 * n.Speed * float64(n.Cores)
+		}
+	}
+	out := *f
+	out.Classes = slices.Clone(f.Classes)
+	var shares, total float64
+	var swept *Class
+	for i, c := range out.Classes {
+		shares += c.Share
+		if c.Name == f.Sweep.Class {
+			swept = &out.Classes[i]
+		}
+	}
+	left := load * can
+	for i := range out.Classes {
+		c := &out.Classes[i]
+		c.Share *= s.Load.Rate / shares // now its rate
+		if c != swept && c.Host == swept.Host {
+			left -= c.Share * c.Work
+		}
+	}
+	if left <= 0 {
+		return nil, 0, fmt.Errorf("sweep: at %.2f times, the other classes of its host ask for all of what its machines can do", load)
+	}
+	rate = left / swept.Work
+	swept.Share = rate
+	for _, c := range out.Classes {
+		total += c.Share
+	}
+	for i := range out.Classes {
+		out.Classes[i].Share /= total
+	}
+	out.World.Rate, out.World.Load = total, 0
+	return &out, rate, nil
+}
+
 // mostMany is how many services a variant may have made.
 const mostMany = 250
 
--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -108,6 +108,7 @@
 	tenants         []Tally
 	windows         []window // of a second each
 	latency         []*hdrhistogram.Histogram
+	sent            []sent // by class
 	lateFail        float64
 	heldBack        float64 // worth: refused or failed late, and nothing had been sent
 	firstTries      int
@@ -175,7 +176,7 @@
 		set.Keep = defaultKeep
 	}
 	l := &Ledger{set: set, base: 1, counts: map[Rule]int{}, classes: make([]Tally, len(set.Classes)),
-		tenants: make([]Tally, len(set.Tenants)), nodes: make([]NodeTally, set.Nodes)}
+		tenants: make([]Tally, len(set.Tenants)), sent: make([]sent, len(set.Classes)), nodes: make([]NodeTally, set.Nodes)}
 	for range set.Classes {
 		l.latency = append(l.latency, hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3))
 	}
@@ -209,9 +210,13 @@
 	l.workAsked += a.Work
 }
 
+// sent counts what proxies have taken of a class, and sent for it.
+type sent struct{ taken, attempts, repeats int }
+
 // Take opens the account of a request that a proxy has taken, and gives its number: one more than the last.
 func (l *Ledger) Take(t Try) uint64 {
 	l.taken++
+	l.sent[t.Arrival.Class].taken++
 	var room []attempt
 	if n := len(l.free); n > 0 {
 		room, l.free = l.free[n-1], l.free[:n-1]
@@ -275,6 +280,11 @@
 	if e == nil {
 		return
 	}
+	sent := &l.sent[e.Arrival.Class]
+	sent.attempts++
+	if number > 0 {
+		sent.repeats++
+	}
 	if number < 0 || number >= mostAttempts {
 		l.breach(Breach{Rule: Duplicate, What: "more attempts than any class allows", Proxy: proxy, Node: node,
 			Evidence: []string{fmt.Sprintf("attempt %d", number)}}, at, id, e)
--- a/internal/lab/judge/verdict.go
+++ b/internal/lab/judge/verdict.go
@@ -44,6 +44,9 @@
 	OK       int     `json:"ok"`
 	Refused  int     `json:"refused"`
 	Failed   int     `json:"failed"`
+	Taken    int     `json:"taken,omitempty"`    // by proxies: first tries and what clients sent again
+	Attempts int     `json:"attempts,omitempty"` // of proxies at nodes,
+	Repeats  int     `json:"repeats,omitempty"`  // and of these the further ones of a request
 	P50      float64 `json:"p50_ms,omitempty"`
 	P90      float64 `json:"p90_ms,omitempty"`
 	P99      float64 `json:"p99_ms,omitempty"`
@@ -133,7 +136,8 @@
 	for i := range l.classes {
 		t, h := &l.classes[i], l.latency[i]
 		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-		c := ClassVerdict{Name: l.set.Classes[i].Name, Requests: t.Requests, Share: t.Share(), OK: t.OK, Refused: t.Refused, Failed: t.Failed}
+		c := ClassVerdict{Name: l.set.Classes[i].Name, Requests: t.Requests, Share: t.Share(), OK: t.OK, Refused: t.Refused, Failed: t.Failed,
+			Taken: l.sent[i].taken, Attempts: l.sent[i].attempts, Repeats: l.sent[i].repeats}
 		if h.TotalCount() > 0 {
 			c.P50, c.P90, c.P99, c.P999, c.Max = ms(50), ms(90), ms(99), ms(99.9), float64(h.Max())/1000
 		}
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -212,7 +212,7 @@
 	return ticks
 }
 
-// Curve is a line of a plot with logarithmic axes.
+// Curve is a line of a plot.
 type Curve struct {
 	Name string
 	X, Y []float64
@@ -220,11 +220,21 @@
 
 // LogPlot draws curves over logarithmic axes. Values must be above 0.
 func LogPlot(title, x, y string, curves []Curve) (string, error) {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.Add(plotter.NewGrid())
+	p := newPlot(title, x, y)
+	p.Y.Min = math.Inf(1) // of the values
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.TickerFunc(halves)
+	return curvesOn(p, curves)
+}
+
+// LinePlot draws curves over axes from 0.
+func LinePlot(title, x, y string, curves []Curve) (string, error) {
+	p := newPlot(title, x, y)
+	p.X.Min, p.Y.Min = 0, 0
+	return curvesOn(p, curves)
+}
+
+func curvesOn(p *plot.Plot, curves []Curve) (string, error) {
 	for i, c := range curves {
 		var xy plotter.XYs
 		for k := range c.X {
@@ -239,6 +249,5 @@
 		p.Add(l, points)
 		p.Legend.Add(c.Name, l, points)
 	}
-	p.Y.Tick.Marker = plot.TickerFunc(halves)
 	return svg(p)
 }
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"lapisspread/decision"
 	"lapisspread/internal/engine"
+	config "lapisspread/internal/services"
 )
 
 const (
@@ -141,3 +143,35 @@
 	d.end()
 	d.client.CloseIdleConnections()
 }
+
+// selected is the part of a list that a service uses. What of it does not belong to the service is told as gone: a
+// server may come to belong to another service.
+type selected struct {
+	engine.Source
+	spec config.Service
+}
+
+func (s selected) pick(list List) List {
+	out := List{Version: list.Version, Full: list.Full}
+	for _, m := range list.Members {
+		if len(s.spec.Kinds) > 0 && !slices.Contains(s.spec.Kinds, m.Kind) || len(s.spec.Cells) > 0 && !slices.Contains(s.spec.Cells, m.Cell) {
+			if list.Full {
+				continue
+			}
+			m.State = decision.Gone
+		}
+		out.Members = append(out.Members, m)
+	}
+	return out
+}
+
+// Fetch asks once for the whole of the part.
+func (s selected) Fetch(ctx context.Context) (List, error) {
+	list, err := s.Source.Fetch(ctx)
+	return s.pick(list), err
+}
+
+// Watch tells of what changes in the part.
+func (s selected) Watch(ctx context.Context, from uint32, tell func(List)) error {
+	return s.Source.Watch(ctx, from, func(list List) { tell(s.pick(list)) })
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -17,6 +17,7 @@
 
 	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
+	"lapisspread/internal/quota"
 )
 
 const (
@@ -136,11 +137,14 @@
 		return
 	}
 	defer f.leave(id, bytes)
-	if !f.services.limits.take(svc.name, bytes) {
-		f.turnAway(w, req, &rejection{http.StatusServiceUnavailable, "the service's share of this proxy is taken"})
-		return
+	if svc.gate != nil { // one of several
+		ask := quota.Ask{Service: svc.name, Gate: svc.gate, Class: req.Class, Tenant: req.Tenant, Bytes: bytes}
+		if why, after := f.services.limits.Take(ask); why != "" {
+			f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: why, after: after})
+			return
+		}
+		defer f.services.limits.Give(ask)
 	}
-	defer f.services.limits.give(svc.name, bytes)
 	if err := f.readAhead(w, r, req); err != nil {
 		f.turnAway(w, req, err)
 		return
@@ -236,7 +240,7 @@
 	if timedOut(err) {
 		status = http.StatusRequestTimeout
 	}
-	return &rejection{status, fmt.Sprintf("reading the body: %v", err)}
+	return &rejection{status: status, text: fmt.Sprintf("reading the body: %v", err)}
 }
 
 // answer gives the client the final answer.
@@ -303,20 +307,21 @@
 type rejection struct {
 	status int
 	text   string
+	after  time.Duration // when it is worth to come again; 0 is not known
 }
 
 func (r *rejection) Error() string { return r.text }
 
 func malformed(format string, args ...any) error {
-	return &rejection{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+	return &rejection{status: http.StatusBadRequest, text: fmt.Sprintf(format, args...)}
 }
 
 // reject turns a request away at once and closes its connection: what comes behind it can't be trusted. The
 // server would read a body to its end before it writes an error, so it is told not to.
 func (f *frontend) reject(w http.ResponseWriter, err error) int {
-	status := http.StatusBadRequest
+	status, after := http.StatusBadRequest, time.Second
 	if r := (*rejection)(nil); errors.As(err, &r) {
-		status = r.status
+		status, after = r.status, max(after, r.after)
 	}
 	f.log.Warn("a request was turned away", "status", status, "err", err)
 	c := http.NewResponseController(w)
@@ -324,7 +329,7 @@
 	c.SetReadDeadline(time.Now().Add(rejectDrain))
 	c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
 	if caps := &f.cfg.Module.Caps; status == http.StatusServiceUnavailable && caps.RetryAfter {
-		setRetryAfter(w.Header(), min(time.Second, caps.MaxRetryAfter))
+		setRetryAfter(w.Header(), min(after, caps.MaxRetryAfter))
 	}
 	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
@@ -344,9 +349,9 @@
 	}
 	switch {
 	case r.ContentLength > mostBytes:
-		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", mostBytes)}
+		return &rejection{status: http.StatusRequestEntityTooLarge, text: fmt.Sprintf("the body is longer than %d bytes", mostBytes)}
 	case !r.ProtoAtLeast(1, 1) && r.ContentLength != 0:
-		return &rejection{http.StatusHTTPVersionNotSupported, "bodies are taken by HTTP/1.1 only"}
+		return &rejection{status: http.StatusHTTPVersionNotSupported, text: "bodies are taken by HTTP/1.1 only"}
 	}
 	return nil
 }
@@ -356,10 +361,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.open[id] {
-		return &rejection{http.StatusConflict, "a request with this X-Request-ID is open"}
+		return &rejection{status: http.StatusConflict, text: "a request with this X-Request-ID is open"}
 	}
 	if f.bytes+bytes > f.mostBytes {
-		return &rejection{http.StatusServiceUnavailable, "too many bytes are in hand"}
+		return &rejection{status: http.StatusServiceUnavailable, text: "too many bytes are in hand"}
 	}
 	f.open[id] = true
 	f.bytes += bytes
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -59,6 +59,19 @@
 func (o operator) Detach(id string) error  { return o.order(id, true) }
 func (o operator) Attach(id string) error  { return o.order(id, false) }
 
+// Routes reads the file of services anew. SIGHUP does too, and takes in the process's own settings besides.
+func (o operator) Routes() (string, error) {
+	text, err := o.services.reread()
+	if err != nil {
+		if o.services.several() {
+			o.own.ReloadsFailed.Add(1)
+		}
+		return "", err
+	}
+	o.own.ReloadsOK.Add(1)
+	return text, nil
+}
+
 // order writes down that a backend is out by hand, or no more, and has the loop look.
 func (o operator) order(id string, out bool) error {
 	known := o.services.listed(id)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,7 +67,7 @@
 	for {
 		select {
 		case cfg := <-p.reloads:
-			if err := p.services.reload(ctx, &cfg); err != nil {
+			if err := p.services.reload(ctx, cfg.Discovery); err != nil {
 				p.log.Error("the old services stay", "err", err)
 				p.own.ReloadsFailed.Add(1)
 			}
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -16,6 +17,8 @@
 	"lapisspread/internal/budget"
 	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
+	"lapisspread/internal/quota"
+	"lapisspread/internal/register"
 	"lapisspread/internal/route"
 	config "lapisspread/internal/services"
 )
@@ -32,6 +35,7 @@
 	figures *figures.Figures
 	pool    *pool
 	roster  *roster
+	gate    *budget.Gate // of its share of the process; nil for the only one
 
 	inHand atomic.Int64 // requests that hold it
 	ending atomic.Bool  // it takes no more
@@ -80,29 +84,42 @@
 	byName map[string]*service
 	table  *route.Table
 	sticky map[string]string // by route
+	limits config.Limits
 }
 
 // services are all that run, and the routes to them.
 type services struct {
 	p       *Proxy
 	now     atomic.Pointer[installed]
-	limits  *limits
+	limits  *quota.Limits
 	running sync.WaitGroup
 
-	mu     sync.Mutex // one change at a time
-	halved bool
+	mu        sync.Mutex // one change at a time
+	halved    bool
+	discovery string          // the process's, as of the last change
+	ctx       context.Context // of all services
+	registers *register.Hubs
 }
 
 func newServices(p *Proxy) *services {
-	return &services{p: p, limits: &limits{clock: engine.NewClock(), leaving: map[string]int{}}}
+	return &services{p: p, limits: quota.New(engine.NewClock().Now),
+		registers: register.NewHubs(func(addr string) engine.Source { return newDiscovery(addr) })}
+}
+
+// several tells whether there are routes to services, rather than one that has all.
+func (s *services) several() bool {
+	now := s.now.Load()
+	return now != nil && now.only == nil
 }
 
 // start brings up what the configuration says. ctx ends all of it.
 func (s *services) start(ctx context.Context, cfg *Config) error {
+	s.ctx = ctx
 	if cfg.Services != "" {
-		return s.reload(ctx, cfg)
+		return s.reload(ctx, cfg.Discovery)
 	}
-	only, err := s.newService(ctx, cfg, config.Service{}, cfg.Module, s.p.own)
+	s.discovery = cfg.Discovery
+	only, err := s.newService(ctx, cfg.Discovery, config.Service{}, cfg.Module, s.p.own)
 	if err != nil {
 		return err
 	}
@@ -110,20 +127,39 @@
 	return nil
 }
 
-// reload takes in a new configuration. A bad one changes nothing.
-func (s *services) reload(ctx context.Context, cfg *Config) error {
+// reread installs the file of services as it is now, and tells what then holds.
+func (s *services) reread() (string, error) {
+	if !s.several() {
+		return "", errors.New("there is one service, without routes")
+	}
+	if err := s.reload(s.ctx, ""); err != nil {
+		return "", err
+	}
+	now := s.now.Load()
+	return fmt.Sprintf("%d services, %d routes", len(now.byName), now.table.Rules()), nil
+}
+
+// reload takes in a new address of discovery, if it is given, and the file of services. A bad one changes nothing.
+func (s *services) reload(ctx context.Context, discovery string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return errors.New("the proxy is ending")
+	}
+	if discovery == "" {
+		discovery = s.discovery
+	}
 	old := s.now.Load()
 	if old != nil && old.only != nil {
-		old.only.moveTo(cfg.Discovery)
+		s.discovery = discovery
+		s.moveTo(old.only, discovery)
 		return nil
 	}
 	file, err := config.Load(s.p.cfg.Services)
 	if err != nil {
 		return err
 	}
-	next := &installed{byName: map[string]*service{}, table: file.Table, sticky: map[string]string{}}
+	next := &installed{byName: map[string]*service{}, table: file.Table, sticky: map[string]string{}, limits: file.File.Limits}
 	for _, r := range file.File.Routes {
 		next.sticky[r.Name] = r.Sticky
 	}
@@ -141,7 +177,7 @@
 		for i, c := range module.Classes {
 			classes[i] = c.Name
 		}
-		svc, err := s.newService(ctx, cfg, spec, module, figures.New(classes))
+		svc, err := s.newService(ctx, discovery, spec, module, figures.New(classes))
 		if err != nil {
 			for _, b := range began {
 				b.cancel()
@@ -159,31 +195,79 @@
 			}
 		}
 	}
-	if err := s.limits.change(file.File, &s.p.cfg, leaving); err != nil {
+	if err := s.limits.Change(file.File, s.totals(&file.File.Limits), leaving); err != nil {
 		for _, b := range began {
 			b.cancel()
 		}
 		return err
 	}
+	s.discovery = discovery
 	for _, spec := range file.File.Services {
-		discovery := spec.Discovery
-		if discovery == "" {
-			discovery = cfg.Discovery
+		addr := spec.Discovery
+		if addr == "" {
+			addr = discovery
 		}
-		next.byName[spec.Name].moveTo(discovery)
+		s.moveTo(next.byName[spec.Name], addr)
+	}
+	if old != nil { // a process that starts has nobody to serve yet, and its list is fresh
+		s.vet(ctx, began)
 	}
 	s.now.Store(next) // the one step in which all of it changes
 	for _, name := range leaving {
 		svc := old.byName[name]
 		s.running.Go(func() {
 			svc.retire(ctx)
-			s.limits.gone(name)
+			s.limits.Left(name)
 		})
 	}
 	s.p.log.Info("services", "services", len(next.byName), "routes", next.table.Rules(), "new", len(began))
 	return nil
 }
 
+// vetFor is how long a change waits for the first probes of the services that it brings: those who ask at the console
+// wait a second.
+const vetFor = 600 * time.Millisecond
+
+// vet has new services probe their servers before the routes lead to them.
+func (s *services) vet(ctx context.Context, began []*service) {
+	ctx, cancel := context.WithTimeout(ctx, vetFor)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, svc := range began {
+		all.Go(func() {
+			passed, asked := svc.engine.Vet(ctx)
+			s.p.log.Info("a new service begins", "service", svc.name, "probed", asked, "passed", passed)
+		})
+	}
+	all.Wait()
+}
+
+// totals are what the services share: what the file says, and else what the process has.
+func (s *services) totals(l *config.Limits) quota.Totals {
+	c := &s.p.cfg
+	t := quota.Totals{Requests: l.InHand, Bytes: l.Bytes, Conns: int64(s.backendPlaces()), Attempts: l.Attempts}
+	if t.Requests == 0 {
+		t.Requests = int64(openSockets * float64(c.Sockets))
+	}
+	if t.Bytes == 0 {
+		t.Bytes = int64(inHandPart * float64(c.MemoryMB) * (1 << 20))
+	}
+	return t
+}
+
+// gateOf is who gets the last of a service's share.
+func gateOf(m *decision.Config) (*budget.Gate, error) {
+	var classes []budget.GateClass
+	for _, c := range m.Classes {
+		classes = append(classes, budget.GateClass{Worth: c.Value, Holds: max(c.Aim, time.Millisecond).Seconds()})
+	}
+	var weights []float64
+	for _, t := range m.Tenants {
+		weights = append(weights, t.Share)
+	}
+	return budget.NewGate(classes, weights)
+}
+
 // moduleOf are the settings of a service's decisions: the process's, but for what its file says otherwise.
 func (s *services) moduleOf(spec *config.Service) decision.Config {
 	m := s.p.cfg.Module
@@ -209,55 +293,36 @@
 		s.module.Caps.MaxOpen == module.Caps.MaxOpen && s.module.RetryShare == module.RetryShare
 }
 
-func (s *service) moveTo(discovery string) {
-	s.engine.Post(func() {
-		if discovery != s.engine.Source().Addr() {
-			s.engine.MoveTo(s.source(discovery))
+func (s *services) moveTo(svc *service, discovery string) {
+	svc.engine.Post(func() {
+		if discovery != svc.engine.Source().Addr() {
+			source, _ := s.source(discovery, &svc.spec)
+			svc.engine.MoveTo(source)
 		}
 	})
 }
 
-// source is a discovery, or of what it tells the part that the service uses.
-func (s *service) source(addr string) engine.Source {
-	d := newDiscovery(addr)
-	if len(s.spec.Kinds) == 0 && len(s.spec.Cells) == 0 {
-		return d
+// source is the register at an address as a service sees it, and the list as far as it is known already. Of several
+// services all follow one register by one watch.
+func (s *services) source(addr string, spec *config.Service) (engine.Source, List) {
+	var known List
+	if addr == s.p.cfg.Discovery { // as of the start
+		known = List{Version: s.p.cfg.Known.Version, Full: true, Members: s.p.cfg.Known.Members}
 	}
-	return selected{d, s.spec}
-}
-
-// selected is the part of a list that a service uses. What of it does not belong to the service is told as gone: a
-// server may come to belong to another service.
-type selected struct {
-	*discovery
-	spec config.Service
-}
-
-func (s selected) pick(list List) List {
-	out := List{Version: list.Version, Full: list.Full}
-	for _, m := range list.Members {
-		if len(s.spec.Kinds) > 0 && !slices.Contains(s.spec.Kinds, m.Kind) || len(s.spec.Cells) > 0 && !slices.Contains(s.spec.Cells, m.Cell) {
-			if list.Full {
-				continue
-			}
-			m.State = decision.Gone
-		}
-		out.Members = append(out.Members, m)
+	if spec.Name == "" {
+		return newDiscovery(addr), known
 	}
-	return out
-}
-
-func (s selected) Fetch(ctx context.Context) (List, error) {
-	list, err := s.discovery.Fetch(ctx)
-	return s.pick(list), err
-}
-
-func (s selected) Watch(ctx context.Context, from uint32, tell func(List)) error {
-	return s.discovery.Watch(ctx, from, func(list List) { tell(s.pick(list)) })
+	follower := s.registers.Join(addr, known)
+	known, _ = follower.List()
+	if len(spec.Kinds) == 0 && len(spec.Cells) == 0 {
+		return follower, known
+	}
+	part := selected{follower, *spec}
+	return part, part.pick(known)
 }
 
 // newService starts an engine with connections of its own.
-func (s *services) newService(ctx context.Context, cfg *Config, spec config.Service, module decision.Config, fig *figures.Figures) (*service, error) {
+func (s *services) newService(ctx context.Context, discovery string, spec config.Service, module decision.Config, fig *figures.Figures) (*service, error) {
 	svc := &service{name: spec.Name, spec: spec, module: module, classes: map[string]int{}, tenants: map[string]int{}, figures: fig, roster: newRoster(),
 		idle: make(chan struct{}, 1), ended: make(chan struct{})}
 	for i, c := range module.Classes {
@@ -272,21 +337,20 @@
 	}
 	svc.pool = newPool(s.backendPlaces(), module.Caps.ConnectTimeout, idle)
 	svc.pool.attempts = &fig.Attempts
-	discovery, known := cfg.Discovery, s.p.cfg.Known
 	seed := s.p.cfg.Seed
+	var err error
 	if spec.Name != "" {
 		svc.pool.share = &share{s.limits, spec.Name}
 		seed ^= nameSeed(spec.Name)
+		if svc.gate, err = gateOf(&module); err != nil {
+			return nil, err
+		}
 		if spec.Discovery != "" {
-			discovery, known = spec.Discovery, List{}
+			discovery = spec.Discovery
 		}
 	}
-	source := svc.source(discovery)
-	if sel, ok := source.(selected); ok {
-		known = sel.pick(List{Version: known.Version, Full: true, Members: known.Members})
-	}
-	var err error
-	svc.engine, err = engine.New(engine.Options{Module: module, Seed: seed, Known: known, Zones: s.p.cfg.Zones, Kinds: s.p.cfg.Kinds,
+	source, known := s.source(discovery, &spec)
+	svc.engine, err = engine.New(engine.Options{Module: module, Seed: seed, Known: known, Repeat: svc.mayRepeat(s.limits), Zones: s.p.cfg.Zones, Kinds: s.p.cfg.Kinds,
 		Upstream: svc.pool, Source: source, Log: s.p.log, Out: s.p.store.Out, Wake: svc.roster.wake, Listed: svc.roster.add,
 		Census: func(known, excluded int) {
 			fig.BackendsKnown.Store(int64(known))
@@ -309,6 +373,14 @@
 	return svc, nil
 }
 
+// mayRepeat is asked before each further attempt.
+func (s *service) mayRepeat(l *quota.Limits) func() bool {
+	if s.name == "" {
+		return nil
+	}
+	return func() bool { return l.Repeat(s.name) }
+}
+
 // defaultRecall is within what time idle connections of one of several services are given back.
 const defaultRecall = 3 * time.Second
 
@@ -333,13 +405,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.halved = half
-	for _, svc := range s.now.Load().byName {
+	now := s.now.Load()
+	for _, svc := range now.byName {
 		svc.pool.limitOpen(s.backendPlaces())
 	}
+	if now.only == nil {
+		if err := s.limits.Resize(s.totals(&now.limits)); err != nil {
+			s.p.log.Error("the services' limits stay", "err", err)
+		}
+	}
 }
 
-// wait waits until all services have ended.
-func (s *services) wait() { s.running.Wait() }
+// wait waits until all services have ended. Their context has ended before: no change begins any more.
+func (s *services) wait() {
+	s.mu.Lock() // one that is under way
+	s.mu.Unlock()
+	s.running.Wait()
+}
 
 // route gives the service for a request, held until it leaves it.
 func (s *services) route(r *http.Request) (*service, error) {
@@ -356,7 +438,7 @@
 			return svc, nil
 		}
 		if s.now.Load() == now { // it ends with the process
-			return nil, &rejection{http.StatusServiceUnavailable, "the service is ending"}
+			return nil, &rejection{status: http.StatusServiceUnavailable, text: "the service is ending"}
 		}
 	}
 }
@@ -367,11 +449,11 @@
 	switch verdict {
 	case route.Found:
 	case route.WrongHost:
-		return nil, &rejection{http.StatusMisdirectedRequest, verdict.String()}
+		return nil, &rejection{status: http.StatusMisdirectedRequest, text: verdict.String()}
 	case route.Unclear:
 		return nil, malformed("%v", verdict)
 	default:
-		return nil, &rejection{http.StatusNotFound, verdict.String()}
+		return nil, &rejection{status: http.StatusNotFound, text: verdict.String()}
 	}
 	by := ""
 	if len(rule.To) > 1 {
@@ -388,7 +470,7 @@
 	}
 	svc := n.byName[rule.Pick(nameSeed(by))]
 	if svc == nil {
-		return nil, &rejection{http.StatusNotFound, "the route's service is not there"}
+		return nil, &rejection{status: http.StatusNotFound, text: "the route's service is not there"}
 	}
 	return svc, nil
 }
@@ -439,7 +521,7 @@
 type allFigures struct {
 	own    *figures.Figures
 	byName map[string]*service
-	limits *limits
+	limits *quota.Limits
 }
 
 // MarshalJSON gives the sums in the form of one service, and each service's own beside them.
@@ -448,158 +530,14 @@
 	for name, svc := range a.byName {
 		all[name] = svc.figures
 	}
-	return figures.Sum(a.own, all, a.limits.report())
-}
-
-// limits are what the services share of the process. Where there is one service they bind nothing.
-type limits struct {
-	clock engine.Clock
-
-	mu      sync.Mutex
-	pools   *pools         // nil for one service
-	leaving map[string]int // services that take no more and have not ended, by name
-	file    *config.File   // the pools' own
-	cfg     *Config
-}
-
-type pools struct{ requests, bytes, conns *budget.Pool }
-
-// change sets the limits of a file. Services that are leaving keep a share until they have left: what they have in
-// hand may need connections yet. A bad change changes nothing.
-func (l *limits) change(f *config.File, cfg *Config, leaving []string) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, name := range leaving {
-		l.leaving[name]++
-	}
-	err := l.set(f, cfg)
-	if err != nil {
-		for _, name := range leaving {
-			l.left(name)
-		}
-		return err
-	}
-	l.file, l.cfg = f, cfg
-	return nil
-}
-
-// gone notes that a service which was leaving has left.
-func (l *limits) gone(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.left(name)
-	_ = l.set(l.file, l.cfg) // they were good before, and one less asks for less
-}
-
-func (l *limits) left(name string) {
-	if l.leaving[name]--; l.leaving[name] <= 0 {
-		delete(l.leaving, name)
-	}
-}
-
-// set brings the pools to a file. The lock is held.
-func (l *limits) set(f *config.File, cfg *Config) error {
-	requests := f.Limits.InHand
-	if requests == 0 {
-		requests = int64(openSockets * float64(cfg.Sockets))
-	}
-	bytes := f.Limits.Bytes
-	if bytes == 0 {
-		bytes = int64(inHandPart * float64(cfg.MemoryMB) * (1 << 20))
-	}
-	conns := int64(cfg.Sockets - spareSockets - clientPlaces(cfg))
-	next := pools{}
-	if l.pools != nil {
-		next = *l.pools
-	}
-	for _, k := range []struct {
-		pool  **budget.Pool
-		total int64
-	}{{&next.requests, requests}, {&next.bytes, bytes}, {&next.conns, conns}} { // the same shares: all are good or none
-		shares := f.Shares(k.total)
-		for name := range l.leaving {
-			if _, stays := shares[name]; !stays {
-				shares[name] = budget.Share{}
-			}
-		}
-		var err error
-		if *k.pool == nil {
-			*k.pool, err = budget.NewPool(f.Terms(k.total), shares)
-		} else {
-			err = (*k.pool).Change(f.Terms(k.total), shares)
-		}
-		if err != nil {
-			return fmt.Errorf("limits: %w", err)
-		}
-	}
-	l.pools = &next
-	return nil
-}
-
-// take takes a request and its body's bytes.
-func (l *limits) take(name string, bytes int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pools == nil {
-		return true
-	}
-	now := l.clock.Now()
-	if !l.pools.requests.Take(now, name, 1) {
-		return false
-	}
-	if !l.pools.bytes.Take(now, name, bytes) {
-		_ = l.pools.requests.Give(name, 1) // it was taken just now
-		return false
-	}
-	return true
-}
-
-// give ends what take began. Danger: it must be asked for what take was granted only.
-func (l *limits) give(name string, bytes int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pools != nil {
-		_ = l.pools.requests.Give(name, 1)
-		_ = l.pools.bytes.Give(name, bytes)
-	}
-}
-
-// report is how the services stand with what they share.
-func (l *limits) report() map[string]any {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pools == nil {
-		return nil
-	}
-	out := map[string]any{}
-	now := l.clock.Now()
-	for name, p := range map[string]*budget.Pool{"requests": l.pools.requests, "bytes": l.pools.bytes, "connections": l.pools.conns} {
-		total, used := p.Total()
-		by := map[string]int64{}
-		for member, u := range p.Used(now) {
-			by[member] = u.Used
-		}
-		out[name] = map[string]any{"total": total, "used": used, "by_service": by}
-	}
-	return out
+	return figures.Sum(a.own, all, a.limits.Report())
 }
 
 // share is a service's part of the connections to backends.
 type share struct {
-	limits *limits
+	limits *quota.Limits
 	name   string
 }
 
-func (s *share) take() bool {
-	s.limits.mu.Lock()
-	defer s.limits.mu.Unlock()
-	return s.limits.pools == nil || s.limits.pools.conns.Take(s.limits.clock.Now(), s.name, 1)
-}
-
-func (s *share) give() {
-	s.limits.mu.Lock()
-	defer s.limits.mu.Unlock()
-	if s.limits.pools != nil {
-		_ = s.limits.pools.conns.Give(s.name, 1)
-	}
-}
+func (s *share) take() bool { return s.limits.TakeConn(s.name) }
+func (s *share) give()      { s.limits.GiveConn(s.name) }
--- a/internal/proxy/services_test.go
+++ b/internal/proxy/services_test.go
@@ -31,16 +31,30 @@
 	served  map[string]*atomic.Int64 // by kind of backend
 	stall   map[string]*atomic.Int64 // ms that a kind takes
 	ids     atomic.Int64
+	lists   chan string   // answers to the register's watch
+	release chan struct{} // lets long answers end
+	backend map[string]string
+	first   map[string]*atomic.Pointer[string] // the path that a kind was asked for first
 }
 
 func newStage(t *testing.T, services string, change func(*Config)) *stage {
 	t.Helper()
-	s := &stage{t: t, file: filepath.Join(t.TempDir(), "services.toml"), served: map[string]*atomic.Int64{}, stall: map[string]*atomic.Int64{}}
+	s := &stage{t: t, file: filepath.Join(t.TempDir(), "services.toml"), served: map[string]*atomic.Int64{}, stall: map[string]*atomic.Int64{},
+		lists: make(chan string), release: make(chan struct{}), backend: map[string]string{}, first: map[string]*atomic.Pointer[string]{}}
 	var members []string
 	for _, kind := range []string{"fast-5", "slow-5"} {
 		s.served[kind], s.stall[kind] = &atomic.Int64{}, &atomic.Int64{}
+		s.first[kind] = &atomic.Pointer[string]{}
 		b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.first[kind].CompareAndSwap(nil, &r.URL.Path)
 			io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/api/long" {
+				w.Write(make([]byte, 2*bodyBytes))
+				w.(http.Flusher).Flush()
+				<-s.release
+				io.WriteString(w, "end")
+				return
+			}
 			select {
 			case <-time.After(time.Duration(s.stall[kind].Load()) * time.Millisecond):
 			case <-r.Context().Done():
@@ -50,12 +64,17 @@
 			io.WriteString(w, kind)
 		}))
 		t.Cleanup(b.Close)
+		s.backend[kind] = strings.TrimPrefix(b.URL, "http://")
 		members = append(members, strings.Replace(memberText("id-"+kind[:4], strings.TrimPrefix(b.URL, "http://"), "active"), `"fast-5"`, fmt.Sprintf("%q", kind), 1))
 	}
 	list := listText(1, true, members...)
 	s.catalog = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("from") {
-			<-r.Context().Done()
+			select {
+			case list := <-s.lists:
+				io.WriteString(w, list)
+			case <-r.Context().Done():
+			}
 			return
 		}
 		io.WriteString(w, list)
@@ -292,7 +311,7 @@
 			t.Fatalf("%d goroutines before, %d after", before, runtime.NumGoroutine())
 		}
 	}
-	if total, used := s.proxy.services.limits.pools.requests.Total(); used != 0 || total == 0 {
+	if total, used := s.proxy.services.limits.Requests(); used != 0 || total == 0 {
 		t.Errorf("%d of %d requests are still booked", used, total)
 	}
 }
--- /dev/null
+++ b/internal/proxy/services_trouble_test.go
@@ -0,0 +1,231 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func memberOf(id, addr, kind, state string) string {
+	return strings.Replace(memberText(id, addr, state), `"fast-5"`, fmt.Sprintf("%q", kind), 1)
+}
+
+// A service that a change brings is probed before the routes lead to it; one whose register or servers are not there
+// begins all the same, soon.
+func TestANewServiceIsProbedFirst(t *testing.T) {
+	s := newStage(t, strings.Split(twoServices, "[[service]]\nname = \"settlement\"")[0]+`[[route]]
+name = "all"
+path_prefix = "/api"
+to = [{ service = "dispatch" }]
+`, func(c *Config) { c.Module.Caps.Probes = true })
+	if status, body := s.ask(http.DefaultClient, "pay.example.org", "/api", "hand-in", 5000); status != 200 || body != "fast-5" {
+		t.Fatalf("before: %d %q", status, body)
+	}
+	if !s.reload(twoServices) {
+		t.Fatal("the change was not taken")
+	}
+	if status, body := s.ask(http.DefaultClient, "pay.example.org", "/api", "hand-in", 5000); status != 200 || body != "slow-5" {
+		t.Errorf("after: %d %q", status, body)
+	}
+	if p := s.first["slow-5"].Load(); p == nil || *p == "/api" {
+		t.Error("the new service's server got a request before any probe")
+	}
+	began := time.Now()
+	if !s.reload(strings.Replace(twoServices, `kinds = ["slow-5"]`, `kinds = ["no-such"]`, 1)) {
+		t.Fatal("a service without servers was not taken")
+	}
+	if took := time.Since(began); took < vetFor || took > 4*vetFor {
+		t.Errorf("it began after %v", took)
+	}
+}
+
+// A register that is down for one service only is that service's trouble alone, and ends when it is back.
+func TestOneServicesRegisterIsDown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	s := newStage(t, strings.Replace(twoServices, `kinds = ["slow-5"]`, fmt.Sprintf("discovery = %q", addr), 1), nil)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	if status, _ := s.ask(client, "pay.example.org", "/api", "hand-in", 400); status != 503 {
+		t.Errorf("with nobody known: %d", status)
+	}
+	if status, body := s.ask(client, "x.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("the other service: %d %q", status, body)
+	}
+	list := listText(9, true, memberOf("id-slow", s.backend["slow-5"], "slow-5", "active"))
+	if l, err = net.Listen("tcp", addr); err != nil {
+		t.Skipf("the port was taken meanwhile: %v", err)
+	}
+	back := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") == "9" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, list)
+	})}
+	go back.Serve(l)
+	defer back.Close()
+	for start := time.Now(); ; {
+		if status, body := s.ask(client, "pay.example.org", "/api", "hand-in", 1000); status == 200 && body == "slow-5" {
+			break
+		}
+		if time.Since(start) > patience {
+			t.Fatal("it is not served after its register is back")
+		}
+	}
+}
+
+// Two services that share a server both give it nothing new once it drains.
+func TestASharedServerDrainsForBoth(t *testing.T) {
+	s := newStage(t, strings.NewReplacer(`kinds = ["fast-5"]`, "", `kinds = ["slow-5"]`, "").Replace(twoServices), nil)
+	s.lists <- listText(2, false, memberOf("id-slow", s.backend["slow-5"], "slow-5", "leaving"))
+	time.Sleep(500 * time.Millisecond)
+	before := s.served["slow-5"].Load()
+	for i := range 20 {
+		if status, body := s.ask(http.DefaultClient, []string{"x.org", "pay.example.org"}[i%2], "/api", "hand-in", 5000); status != 200 || body != "fast-5" {
+			t.Errorf("%d %q", status, body)
+		}
+	}
+	if got := s.served["slow-5"].Load(); got != before {
+		t.Errorf("the server that drains got %d more", got-before)
+	}
+}
+
+// A change that removes the service whose long answer is on its way lets it come to its end.
+func TestALongAnswerOutlivesItsService(t *testing.T) {
+	s := newStage(t, twoServices, nil)
+	req, err := http.NewRequest("POST", "http://"+s.addr+"/api/long", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "pay.example.org"
+	req.Header = http.Header{"X-Request-Id": {"long"}, "X-Priority-Class": {"hand-in"}, "X-Timeout-Ms": {"5000"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if !s.reload(strings.ReplaceAll(twoServices, "settlement", "payouts")) {
+		t.Fatal("the change was not taken")
+	}
+	if status, body := s.ask(http.DefaultClient, "pay.example.org", "/api", "hand-in", 5000); status != 200 || body != "slow-5" {
+		t.Errorf("the service in its place: %d %q", status, body)
+	}
+	close(s.release)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.HasSuffix(string(body), "end") || len(body) != 2*bodyBytes+3 {
+		t.Errorf("%d bytes, %v", len(body), err)
+	}
+}
+
+// What goes wrong in one engine, a panic or an event that does not end, is not the other service's trouble.
+func TestOneEnginesTroubleStaysThere(t *testing.T) {
+	s := newStage(t, twoServices, nil)
+	sick := s.proxy.services.now.Load().byName["settlement"]
+	stalled := make(chan struct{})
+	sick.engine.Post(func() { panic("out of order") })
+	sick.engine.Post(func() { <-stalled })
+	for range 20 {
+		began := time.Now()
+		if status, body := s.ask(http.DefaultClient, "x.org", "/api", "hand-in", 5000); status != 200 || time.Since(began) > 2*time.Second {
+			t.Fatalf("%d %q after %v", status, body, time.Since(began))
+		}
+	}
+	close(stalled)
+	if status, body := s.ask(http.DefaultClient, "pay.example.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("after it: %d %q", status, body)
+	}
+}
+
+// In the midst of an upgrade, when two processes share the limits, a change keeps to this one's half; and it has all
+// again when the other has gone.
+func TestAChangeAmidAnUpgrade(t *testing.T) {
+	s := newStage(t, twoServices, nil)
+	conns := func() int64 { return s.proxy.services.limits.Report()["connections"].(map[string]any)["total"].(int64) }
+	whole := conns()
+	s.proxy.services.halve(true)
+	if !s.reload(strings.ReplaceAll(twoServices, "settlement", "payouts")) {
+		t.Fatal("the change was not taken")
+	}
+	if got := conns(); got != whole/2 {
+		t.Errorf("%d connections of %d while limits are shared", got, whole)
+	}
+	for _, svc := range s.proxy.services.now.Load().byName {
+		if got := svc.pool.most; got != int(whole/2) {
+			t.Errorf("%s: %d connections", svc.name, got)
+		}
+	}
+	s.proxy.services.halve(false)
+	if got := conns(); got != whole {
+		t.Errorf("%d connections of %d after the upgrade", got, whole)
+	}
+}
+
+// The console reads the file anew, tells what holds then, and where a file is bad, why, and the old one stays.
+func TestRoutesByTheConsole(t *testing.T) {
+	s := newStage(t, twoServices, nil)
+	op := operator{s.proxy}
+	s.write(strings.ReplaceAll(twoServices, "settlement", "payouts"))
+	if text, err := op.Routes(); err != nil || text != "2 services, 2 routes" {
+		t.Errorf("%q, %v", text, err)
+	}
+	s.write(strings.Replace(twoServices, "cap = 0.5", "cap = 7.0", 1))
+	if _, err := op.Routes(); err == nil || !strings.Contains(err.Error(), "services.toml") || !strings.Contains(err.Error(), "cap 7") {
+		t.Errorf("a bad file: %v", err)
+	}
+	if s.proxy.services.now.Load().byName["payouts"] == nil || s.proxy.own.ReloadsFailed.Load() != 1 {
+		t.Error("the file before does not hold")
+	}
+}
+
+// Attempts a second are shared: a service that asks for all of them leaves the other its part, and who is refused is
+// told to come again.
+func TestAttemptsAreShared(t *testing.T) {
+	s := newStage(t, strings.Replace(twoServices, "version = 1", "version = 1\n[limits]\nattempts = 100.0", 1), nil)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
+	defer client.CloseIdleConnections()
+	var all sync.WaitGroup
+	var served, refused atomic.Int64
+	stop := make(chan struct{})
+	began := time.Now()
+	for range 8 {
+		all.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				switch status, _ := s.ask(client, "pay.example.org", "/api", "hand-in", 5000); status {
+				case 200:
+					served.Add(1)
+				case 503:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	for range 20 { // 20 a second: well within its 40
+		if status, body := s.ask(client, "x.org", "/api", "hand-in", 5000); status != 200 {
+			t.Errorf("dispatch: %d %q", status, body)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	close(stop)
+	all.Wait()
+	most := 50*time.Since(began).Seconds() + 20 // its cap is a half, and a burst
+	if n := float64(served.Load()); n > most || n < 10 || refused.Load() == 0 {
+		t.Errorf("%v served, %d refused; %v at most", n, refused.Load(), most)
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -92,7 +92,7 @@
 	u.read += int64(n)
 	switch {
 	case u.read > mostBytes:
-		err = &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", mostBytes)}
+		err = &rejection{status: http.StatusRequestEntityTooLarge, text: fmt.Sprintf("the body is longer than %d bytes", mostBytes)}
 	case err == io.EOF:
 		u.ended.Store(true)
 		u.whole()
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -62,10 +62,11 @@
 
 // Limits are the process's own, shared by its services.
 type Limits struct {
-	InHand int64   `toml:"in_hand"` // requests
-	Bytes  int64   `toml:"bytes"`   // of bodies in hand
-	Lend   float64 `toml:"lend"`    // part of an idle minimum that is lent; 0.75 if left out
-	Recall Span    `toml:"recall"`  // within which what is lent comes back; 3s if left out
+	InHand   int64   `toml:"in_hand"`  // requests
+	Bytes    int64   `toml:"bytes"`    // of bodies in hand
+	Attempts float64 `toml:"attempts"` // a second: requests taken, and further attempts; no limit if left out
+	Lend     float64 `toml:"lend"`     // part of an idle minimum that is lent; 0.75 if left out
+	Recall   Span    `toml:"recall"`   // within which what is lent comes back; 3s if left out
 }
 
 // Route is a rule: see package route for the order of precedence.
@@ -166,6 +167,7 @@
 	}
 	l := &f.Limits
 	bad(l.InHand < 0 || l.Bytes < 0, "limits: in_hand or bytes is negative")
+	bad(!(l.Attempts >= 0) || math.IsInf(l.Attempts, 0), "limits: attempts: %v a second", l.Attempts)
 	bad(!(l.Lend >= 0 && l.Lend <= 1), "limits: lend: %v is not within 0 and 1", l.Lend)
 	bad(l.Recall <= 0, "limits: recall: %v must be above 0", time.Duration(l.Recall))
 	if sum := f.minimums(); sum > 1+1e-9 {
@@ -225,6 +227,15 @@
 	return out
 }
 
+// RateShares gives each service's part of so many units a second.
+func (f *File) RateShares(total float64) map[string]budget.RateShare {
+	out := map[string]budget.RateShare{}
+	for _, s := range f.Services {
+		out[s.Name] = budget.RateShare{Min: s.Share.Min * total, Cap: s.Share.Cap * total, Weight: s.Share.Weight}
+	}
+	return out
+}
+
 // Terms are the terms on which the services share so many units.
 func (f *File) Terms(total int64) budget.Terms {
 	return budget.Terms{Total: total, Recall: time.Duration(f.Limits.Recall), Lend: f.Limits.Lend}
