--- a/cmd/lapislab/main.go
+++ b/cmd/lapislab/main.go
@@ -46,7 +46,8 @@
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(runCommand(), simulateCommand(), listCommand(), selfCheckCommand(), plainProxyCommand(), experimentCommand(), compareCommand(), loadCommand(), scaleCommand(), overloadCommand())
+	root.AddCommand(runCommand(), simulateCommand(), listCommand(), selfCheckCommand(), plainProxyCommand(), experimentCommand(), compareCommand(), loadCommand(), scaleCommand(), overloadCommand(), floodCommand(), floodClientCommand(),
+		soakCommand(), addressesCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- a/cmd/lapislab/main_test.go
+++ b/cmd/lapislab/main_test.go
@@ -39,6 +39,8 @@
 		{"load http://192.0.2.7/", "", "loopback", 1},
 		{"load http://127.0.0.1/ --header x", "", "--header", 2},
 		{"scale --nodes ten", "", `"ten"`, 2},
+		{"flood calm", "", "it has no flood", 1},
+		{"flood-client --targets 192.0.2.7:80", "", "loopback", 1},
 		{"overload calm", "", "it has no sweep", 1},
 		{"run --policy best", "", `no policy "best"`, 1},
 		{"run --proxy /nowhere/lapisspread --duration 1s", "", "/nowhere/lapisspread", 1},
--- a/cmd/lapislab/run.go
+++ b/cmd/lapislab/run.go
@@ -32,6 +32,9 @@
 	profile  string
 	args     []string
 	services []string // the texts of files of services
+
+	flood, admission string // a flood's name; the text of a file of admission
+	sample           func(live.Sample)
 }
 
 func runCommand() *cobra.Command {
@@ -123,7 +126,12 @@
 		return nil, err
 	}
 	defer os.RemoveAll(tmp)
-	opts := live.Options{Binary: o.proxy, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out), Services: o.services}
+	opts := live.Options{Binary: o.proxy, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out), Services: o.services,
+		Sockets: f.World.Sockets, Clients: f.World.Clients, Crowd: f.World.Crowd, Admission: o.admission, Sample: o.sample}
+	if fl := f.FloodNamed(o.flood); fl != nil {
+		opts.Flood = &live.Flood{Kind: fl.Kind, Connections: fl.Connections, Addresses: fl.Addresses, Shared: fl.Shared, At: time.Duration(fl.At),
+			For: time.Duration(fl.For)}
+	}
 	if o.policy != rival.Module {
 		if _, err := rival.Named(o.policy); err != nil {
 			return nil, err
--- /dev/null
+++ b/cmd/lapisspread/admission.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"lapisspread/internal/door"
+)
+
+func admissionCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "admission",
+		Short: "Look at files of who is admitted",
+		Args:  noArguments,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	c.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Tell whether a file of admission is good and what it comes to, or which line or key is wrong",
+		Args:  oneFile,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := door.Load(args[0])
+			if err != nil {
+				return err
+			}
+			s, err := f.Settings(1<<16, 0)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			places := "all places that the process has"
+			if f.Connections.Places != 0 {
+				places = fmt.Sprintf("%d places at most", s.Places)
+			}
+			requests := "requests in hand are not bounded here"
+			if r := f.Requests; r != nil {
+				requests = fmt.Sprintf("%d requests in hand", r.InHand)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: %s, %.0f %% of them for known clients, %d prefixes known from the start; %s\n", args[0], places, 100*s.Reserve,
+				len(s.Listed), requests)
+			return nil
+		},
+	})
+	return c
+}
--- a/cmd/lapisspread/command_test.go
+++ b/cmd/lapisspread/command_test.go
@@ -37,6 +37,8 @@
 		{"a route", "routes explain ../../deploy/services.toml --path /api/x --class driver-payout", "* payouts: first", "", 0},
 		{"the default", "routes explain ../../deploy/services.toml --path /x", "* default: the default", "", 0},
 		{"an unclear path", "routes explain ../../deploy/services.toml --path /x/../y", "", "read in two ways", 1},
+		{"the shipped admission", "admission check ../../deploy/admission.toml", "25 % of them for known clients", "", 0},
+		{"bad admission", "admission check " + good, "", "good.json:", 1},
 		{"bad services", "routes check " + good, "", "good.json:", 1},
 		{"unknown command", "sreve", "", `"sreve"`, 2},
 		{"unknown flag", "serve --fast", "", "--fast", 2},
--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -19,17 +19,16 @@
 // what it does not count, such as the sockets' buffers and the program itself.
 const memoryPart = 0.7
 
-// serve runs the proxy until SIGTERM, with the services of a file if one is named, and writes a CPU profile
-// likewise. An error says why it
-// could not serve.
-func serve(profile, services string) error {
+// serve runs the proxy until SIGTERM, with the services of a file and the admission of another if they are named, and
+// writes a CPU profile likewise. An error says why it could not serve.
+func serve(profile, services, admission string) error {
 	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
 	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := proxy.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
-	cfg.Services = services
+	cfg.Services, cfg.Admission = services, admission
 	if profile != "" {
 		file, err := os.Create(profile + "." + cfg.Name)
 		if err != nil {
--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,102 @@
+// Package admission decides which connections a process holds: who is taken, who is turned away, and who is closed to
+// make room. It is pure: no I/O, no goroutine, no clock; callers give the time and see to it that one at a time calls.
+//
+// What a Door promises, whatever comes in whatever order:
+//
+//   - It holds no more connections than it has places.
+//   - A connection with a whole request in hand is never closed to make room.
+//   - While more places are free than are kept for known clients, everyone is taken, but for who is blocked by hand and,
+//     where places are short, addresses over their rate of new connections.
+//   - A known client is taken while known clients hold less than the reserve.
+//   - Who is closed is of the address or net with the most unproven connections beyond what it has earned, or, while all of
+//     these are within the grace, the one of all that came first.
+//   - Nothing is for ever: earnings and rates fade, blocks have an expiry. An address that stops flooding is as any other
+//     after Settings.HalfLife times eight at the latest.
+//   - An event costs O(log places), and memory is bounded by Settings alone, whatever the number of addresses.
+//
+// Why it is so: docs/admission-design.md.
+package admission
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// ID names a connection that a Door holds; 0 is none.
+type ID uint64
+
+// Settings are what a Door goes by.
+type Settings struct {
+	Places   int            // connections that it may hold
+	Reserve  float64        // part of them that only known clients may have, 0 to 0.9
+	Grace    time.Duration  // for so long an unproven connection is not closed while another is older
+	HalfLife time.Duration  // of what an address has earned
+	Earned   int            // what one address can have earned at most, in connections that have shown nothing yet
+	Rate     float64        // new connections a second of one address, while places are short; a net has NetTimes as many
+	Short    float64        // places are short while less than this part is free, beside the reserve; 0 to 1
+	Listed   []netip.Prefix // addresses that are known from the start; they count as having earned Earned
+	Tracked  int            // addresses, and nets, whose earnings are remembered while they hold no connection
+	Seed     uint64         // of the hashes: who chooses addresses must not know it
+}
+
+// NetTimes is how many times as much as an address a net may do before it counts as a flooder.
+const NetTimes = 8
+
+// KnownFrom is how many requests served, fading, make an address a known one.
+const KnownFrom = 3
+
+// Defaults are settings for so many places.
+func Defaults(places int) Settings {
+	return Settings{Places: places, Reserve: 0.25, Grace: 5 * time.Millisecond, HalfLife: 30 * time.Second, Earned: max(8, places/16),
+		Rate: 200, Short: 0.25, Tracked: 8192}
+}
+
+// Check tells what makes no sense, by the field's name.
+func (s *Settings) Check() error {
+	var errs []error
+	bad := func(wrong bool, format string, args ...any) {
+		if wrong {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	bad(s.Places < 1 || s.Places > 1<<20, "places: %d is not within 1 and %d", s.Places, 1<<20)
+	bad(!(s.Reserve >= 0 && s.Reserve <= 0.9), "reserve: %v is not within 0 and 0.9", s.Reserve)
+	bad(s.Grace < 0 || s.Grace > 10*time.Second, "grace: %v is not within 0s and 10s", s.Grace)
+	bad(s.HalfLife < time.Second || s.HalfLife > time.Hour, "half_life: %v is not within 1s and 1h", s.HalfLife)
+	bad(s.Earned < 1, "earned: %d must be above 0", s.Earned)
+	bad(!(s.Rate > 0 && s.Rate <= 1e6), "rate: %v is not within 0 and 1000000 a second", s.Rate)
+	bad(!(s.Short >= 0 && s.Short <= 1), "short: %v is not within 0 and 1", s.Short)
+	bad(s.Tracked < 1 || s.Tracked > 1<<20, "tracked: %d is not within 1 and %d", s.Tracked, 1<<20)
+	bad(len(s.Listed) > 4096, "known: %d prefixes; 4096 are the most", len(s.Listed))
+	for i, p := range s.Listed {
+		bad(!p.IsValid(), "known[%d]: no prefix", i)
+	}
+	return errors.Join(errs...)
+}
+
+// Reason says why a connection is not taken, or was closed.
+type Reason uint8
+
+// The reasons.
+const (
+	None    Reason = iota
+	Blocked        // by hand
+	Rate           // its address or net brings too many, and places are short
+	Full           // no place is free for it and nobody can be closed
+	Room           // closed to make room
+	reasons
+)
+
+func (r Reason) String() string {
+	return [...]string{"none", "blocked", "rate", "full", "room"}[r]
+}
+
+// Verdict is what becomes of a connection that arrives: it is taken, under an ID, or turned away for a reason, or it
+// may be taken once another is closed.
+type Verdict struct {
+	Taken  ID
+	Closes ID // tell Gone of it and ask again, or Spare if it must not be closed
+	Why    Reason
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -31,6 +31,9 @@
 	// Routes reads the services and routes anew, and tells what then holds. A bad file changes nothing. It may take some
 	// of the second that callers wait.
 	Routes() (string, error)
+	Admission() (any, error)                       // who holds places, as JSON
+	Block(prefix string, span time.Duration) error // turns an address or a prefix away for a time
+	Unblock(prefix string) error                   // ends that
 }
 
 const (
@@ -147,6 +150,10 @@
 	return fmt.Appendf(nil, "400 %s\n", strings.ReplaceAll(err.Error(), "\n", " "))
 }
 
+// wordsBehind are the calls, and how many words come behind each.
+var wordsBehind = map[string]int{"PING": 0, "INFO": 0, "DETACH": 1, "ATTACH": 1, "LAMEDUCK": 0, "REJOIN": 0, "ROUTES": 0, "ADMISSION": 0,
+	"BLOCK": 2, "UNBLOCK": 1}
+
 // answer carries a call out.
 func (s *Server) answer(line string) []byte {
 	words := strings.Fields(line)
@@ -154,17 +161,12 @@
 		return no(errors.New("the line is empty"))
 	}
 	call, args := words[0], words[1:]
-	want := 0
-	if call == "DETACH" || call == "ATTACH" {
-		want = 1
-	}
-	switch call {
-	case "PING", "INFO", "DETACH", "ATTACH", "LAMEDUCK", "REJOIN", "ROUTES":
-		if len(args) != want {
-			return no(fmt.Errorf("%s: %d words behind the call, want %d", call, len(args), want))
-		}
-	default:
-		return no(fmt.Errorf("unknown call %.32q: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN and ROUTES are known", call))
+	want, known := wordsBehind[call]
+	switch {
+	case known && len(args) != want:
+		return no(fmt.Errorf("%s: %d words behind the call, want %d", call, len(args), want))
+	case !known:
+		return no(fmt.Errorf("unknown call %.32q: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, ROUTES, ADMISSION, BLOCK ADDRESS SPAN and UNBLOCK ADDRESS are known", call))
 	}
 	switch call {
 	case "PING":
@@ -173,7 +175,21 @@
 		}
 		return yes("serving")
 	case "INFO":
-		return s.info()
+		return lines(s.proxy.Figures())
+	case "ADMISSION":
+		report, err := s.proxy.Admission()
+		if err != nil {
+			return no(err)
+		}
+		return lines(report)
+	case "BLOCK":
+		span, err := time.ParseDuration(args[1])
+		if err != nil {
+			return no(fmt.Errorf("BLOCK: %.64q is no span of time such as 10m or 2h", args[1]))
+		}
+		return s.order(call, args[0], func(prefix string) error { return s.proxy.Block(prefix, span) })
+	case "UNBLOCK":
+		return s.order(call, args[0], s.proxy.Unblock)
 	case "DETACH":
 		return s.order(call, args[0], s.proxy.Detach)
 	case "ATTACH":
@@ -196,8 +212,9 @@
 	}
 }
 
-func (s *Server) info() []byte {
-	text, err := json.Marshal(s.proxy.Figures())
+// lines is an object on one line, and a line EOF.
+func lines(v any) []byte {
+	text, err := json.Marshal(v)
 	if err != nil {
 		return no(err)
 	}
@@ -208,6 +225,6 @@
 	if err := f(id); err != nil {
 		return no(err)
 	}
-	s.log.Info("an order by the console", "call", call, "backend", id)
+	s.log.Info("an order by the console", "call", call, "of", id)
 	return yes(id)
 }
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -33,6 +33,12 @@
 func (s *stub) LameDuck()               { s.note("lameduck") }
 func (s *stub) Rejoin()                 { s.note("rejoin") }
 func (s *stub) Routes() (string, error) { return "", errors.New("f.toml: line 3:\nbad") }
+func (s *stub) Admission() (any, error) { return map[string]int{"open": 3}, nil }
+func (s *stub) Block(prefix string, span time.Duration) error {
+	s.note("block " + prefix + " " + span.String())
+	return nil
+}
+func (s *stub) Unblock(prefix string) error { return errors.New(prefix + " is not blocked") }
 func (s *stub) Detach(id string) error {
 	if id != "s-1" {
 		return errors.New("no backend of that id was ever listed")
@@ -107,6 +113,10 @@
 		{"back", "200 s-1\n", []string{"ATTACH s-1\n"}},
 		{"lame duck", "200 draining\n", []string{"LAMEDUCK\n"}},
 		{"rejoin", "200 back\n", []string{"REJOIN\n"}},
+		{"admission", "{\"open\":3}\nEOF\n", []string{"ADMISSION\n"}},
+		{"block", "200 10.0.0.0/8\n", []string{"BLOCK 10.0.0.0/8 10m\n"}},
+		{"block for a while", "400 BLOCK: \"soon\" is no span of time such as 10m or 2h\n", []string{"BLOCK 10.0.0.0/8 soon\n"}},
+		{"unblock", "400 10.0.0.9 is not blocked\n", []string{"UNBLOCK 10.0.0.9\n"}},
 		{"routes that are bad", "400 f.toml: line 3: bad\n", []string{"ROUTES\n"}},
 		{"rejoin with words", "400 REJOIN: 1 words behind the call, want 0\n", []string{"REJOIN now\n"}},
 		{"empty", "400 the line is empty\n", []string{"\n"}},
@@ -122,7 +132,7 @@
 	if got := call(t, addr, "STOP\n"); !strings.HasPrefix(got, "400 unknown call") {
 		t.Errorf("unknown call: %q", got)
 	}
-	want := "detach s-1,attach s-1,lameduck,rejoin"
+	want := "detach s-1,attach s-1,lameduck,rejoin,block 10.0.0.0/8 10m0s"
 	if got := strings.Join(p.calls, ","); got != want {
 		t.Errorf("carried out %q, want %q", got, want)
 	}
--- /dev/null
+++ b/internal/door/listener.go
@@ -0,0 +1,99 @@
+package door
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	shortRest = 5 * time.Millisecond // between two accepts while no descriptor is left
+	sayEvery  = time.Second          // a line in the log about it
+)
+
+// Listener goes on accepting when the process, or the machine, has no descriptor left: it gives up one that it holds for
+// that, takes the connection and closes it at once, so that it does not stand in the queue for good; and it rests a
+// little, so that nothing spins. Requests in hand go on meanwhile.
+type Listener struct {
+	net.Listener
+	log *slog.Logger
+
+	mu    sync.Mutex
+	spare *os.File
+	said  time.Time
+	short int64
+}
+
+// NewListener wraps a listener. It holds one descriptor more.
+func NewListener(l net.Listener, log *slog.Logger) *Listener {
+	out := &Listener{Listener: l, log: log}
+	out.hold()
+	return out
+}
+
+func (l *Listener) hold() {
+	if l.spare == nil {
+		l.spare, _ = os.Open(os.DevNull) // without it, whoever comes stands in the queue
+	}
+}
+
+// Short is how many connections were closed for want of descriptors.
+func (l *Listener) Short() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.short
+}
+
+// Accept waits for a connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return c, nil
+		}
+		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+			return nil, err
+		}
+		l.relieve(err)
+	}
+}
+
+// relieve takes one connection off the queue by the spare descriptor.
+func (l *Listener) relieve(why error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.said) >= sayEvery {
+		l.said = time.Now()
+		l.log.Error("no descriptor is left for clients", "err", why, "closed", l.short)
+	}
+	if l.spare != nil {
+		l.spare.Close()
+		l.spare = nil
+		if t, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+			t.SetDeadline(time.Now().Add(shortRest)) // whoever stood there may have left
+			if c, err := l.Listener.Accept(); err == nil {
+				c.Close()
+				l.short++
+			}
+			t.SetDeadline(time.Time{})
+		}
+	}
+	time.Sleep(shortRest)
+	l.hold()
+}
+
+// Close ends the listener and gives its descriptor back.
+func (l *Listener) Close() error {
+	err := l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.spare != nil {
+		l.spare.Close()
+		l.spare = nil
+	}
+	return err
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -63,6 +63,14 @@
 
 func (s *Store) path(what string) string { return s.base + "." + what }
 
+// Path is where something else of the proxy outlives a process, by its name; empty without a folder.
+func (s *Store) Path(what string) string {
+	if s.base == "" {
+		return ""
+	}
+	return s.path(what)
+}
+
 // Out is a copy of the ids that are out by hand, as far as this process has read.
 func (s *Store) Out() []string {
 	s.mu.Lock()
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -30,6 +30,18 @@
 	Models   []Model   `toml:"model"` // likewise
 	Variants []Variant `toml:"variant"`
 	Sweep    *Sweep    `toml:"sweep"` // for lapislab overload
+	Floods   []Flood   `toml:"flood"` // for variants that name one, on sockets
+}
+
+// Flood is connections of which nothing good comes: see live.Flood.
+type Flood struct {
+	Name        string `toml:"name"`
+	Kind        string `toml:"kind"`
+	Connections int    `toml:"connections"` // in all
+	Addresses   int    `toml:"addresses"`   // that they come from; 1 if left out
+	Shared      bool   `toml:"shared"`      // from the address that the clients have, where these share one
+	At          Span   `toml:"at"`
+	For         Span   `toml:"for"`
 }
 
 // Sweep raises the rate of one class past what the machines that serve it can do, and holds its proxies to a budget of
@@ -53,6 +65,12 @@
 	// Stragglers are clients of a kind of their own, on sockets only.
 	HalfOpen int `toml:"half_open"` // connections on which nothing ever comes
 	Slow     int `toml:"slow"`      // clients that take two seconds over a head
+	// Sockets is how many descriptors each proxy is told it has; 1024 if left out. Clients says from where requests come:
+	// "pool" (a front layer that keeps its connections; so if left out), "own" (each client from an address of its own, on
+	// a connection that it keeps), "shared" (likewise, all behind one address). On sockets only.
+	Sockets int    `toml:"sockets"`
+	Clients string `toml:"clients"`
+	Crowd   int    `toml:"crowd"` // clients that are "own" or "shared"; 500 if left out
 }
 
 // Point is a place on the load curve.
@@ -106,8 +124,10 @@
 	Calm   bool     `toml:"calm"`   // without the faults
 	// Services are files of several services, for the proxy to serve; their texts stand here, the first for the start
 	// and each in turn for change-services. On sockets only.
-	Services []string `toml:"services"`
-	Many     int      `toml:"many"` // in place of services: so many, which share the servers and the requests evenly
+	Services  []string `toml:"services"`
+	Flood     string   `toml:"flood"`     // on sockets: the one of this name
+	Admission string   `toml:"admission"` // the text of the file by which the proxy admits connections; none is as without
+	Many      int      `toml:"many"`      // in place of services: so many, which share the servers and the requests evenly
 }
 
 // Load reads an experiment's file.
@@ -155,6 +175,9 @@
 	if f.World.HalfOpen < 0 || f.World.HalfOpen > 2000 || f.World.Slow < 0 || f.World.Slow > 2000 {
 		return errors.New("world: half_open and slow must be within 0 and 2000")
 	}
+	if err := f.checkFloods(); err != nil {
+		return err
+	}
 	seen := map[string]bool{}
 	for i, v := range f.Variants {
 		switch {
@@ -181,6 +204,60 @@
 	return s.Check()
 }
 
+func (f *File) checkFloods() error {
+	switch f.World.Clients {
+	case "", "pool", "own", "shared":
+	default:
+		return fmt.Errorf("world: clients: %q is none of pool, own, shared", f.World.Clients)
+	}
+	if w := &f.World; w.Sockets != 0 && (w.Sockets < 64 || w.Sockets > 1<<16) || w.Crowd < 0 || w.Crowd > 5000 {
+		return errors.New("world: sockets must be within 64 and 65536, crowd within 0 and 5000")
+	}
+	names := map[string]bool{"": true}
+	for i := range f.Floods {
+		fl := &f.Floods[i]
+		if fl.Addresses == 0 {
+			fl.Addresses = 1
+		}
+		switch {
+		case fl.Name == "" || names[fl.Name]:
+			return fmt.Errorf("flood[%d]: name: missing or there twice", i)
+		case !slices.Contains(FloodKinds, fl.Kind):
+			return fmt.Errorf("flood[%d] %q: kind: %q is none of %s", i, fl.Name, fl.Kind, strings.Join(FloodKinds, ", "))
+		case fl.Connections < 1 || fl.Connections > mostFlood:
+			return fmt.Errorf("flood[%d] %q: connections: %d is not within 1 and %d", i, fl.Name, fl.Connections, mostFlood)
+		case fl.Addresses < 1 || fl.Addresses > 1<<20:
+			return fmt.Errorf("flood[%d] %q: addresses: %d is not within 1 and %d", i, fl.Name, fl.Addresses, 1<<20)
+		case fl.For <= 0 || fl.At < 0:
+			return fmt.Errorf("flood[%d] %q: at or for is missing or negative", i, fl.Name)
+		}
+		names[fl.Name] = true
+	}
+	for i, v := range f.Variants {
+		if !names[v.Flood] {
+			return fmt.Errorf("variant[%d] %q: flood: there is none of the name %q", i, v.Name, v.Flood)
+		}
+	}
+	return nil
+}
+
+// FloodKinds are what a flood's connections do: say nothing; send half a head and then nothing; send a head a byte at a
+// time; ask for the proxy's health again and again and never read; connect and go at once.
+var FloodKinds = []string{"silent", "half-head", "slow-head", "slow-read", "churn"}
+
+// mostFlood bounds a flood's connections.
+const mostFlood = 200_000
+
+// FloodNamed gives a flood by its name, nil for none.
+func (f *File) FloodNamed(name string) *Flood {
+	for i := range f.Floods {
+		if f.Floods[i].Name == name {
+			return &f.Floods[i]
+		}
+	}
+	return nil
+}
+
 func (f *File) checkSweep() error {
 	w := f.Sweep
 	if w == nil {
@@ -330,5 +407,9 @@
 		scale(&f.Faults[i].For)
 		scale(&f.Faults[i].Every)
 	}
+	for i := range f.Floods {
+		scale(&f.Floods[i].At)
+		scale(&f.Floods[i].For)
+	}
 	f.Duration = Span(d)
 }
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -79,6 +80,11 @@
 				return fmt.Errorf("proxy %d: its file of services: %w", no, err)
 			}
 		}
+		if r.opts.Admission != "" {
+			if err := os.WriteFile(c.admissionPath(), []byte(r.opts.Admission), 0o600); err != nil {
+				return fmt.Errorf("proxy %d: its file of admission: %w", no, err)
+			}
+		}
 		if _, err := c.start(); err != nil {
 			return err
 		}
@@ -127,7 +133,7 @@
 	known, _ := r.agents[c.no].catalog(0, true)
 	v := map[string]any{"name": fmt.Sprintf("n%d", c.no), "listen": c.listen, "discovery": r.agents[c.no].at(),
 		"seed":   fmt.Sprintf("%x", r.spec.Seed*1000003+uint64(c.no)<<8+uint64(c.deads)),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": r.opts.MemoryMB, "sockets": 1024},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": r.opts.MemoryMB, "sockets": r.opts.Sockets},
 		"known":  known, "settings": settings(r.spec, c.no)}
 	text, err := json.MarshalIndent(v, "", " ")
 	if err != nil {
@@ -166,6 +172,8 @@
 	return filepath.Join(c.r.tmp, fmt.Sprintf("services-%d.toml", c.no))
 }
 
+func (c *child) admissionPath() string { return filepath.Join(c.state, "admission.toml") }
+
 // writeServices replaces the place's file of services as a whole.
 func (c *child) writeServices(text string) error {
 	c.mu.Lock()
@@ -177,6 +185,23 @@
 	return os.Rename(path+".new", path)
 }
 
+// held is how many descriptors the newest process has open, and its resident memory in MB; 0 where it has ended.
+func (c *child) held() (files int, mb float64) {
+	p := c.newest()
+	if p == nil {
+		return 0, 0
+	}
+	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
+	if list, err := os.ReadDir(dir + "/fd"); err == nil {
+		files = len(list)
+	}
+	var size, pages int64
+	if text, err := os.ReadFile(dir + "/statm"); err == nil {
+		fmt.Sscan(string(text), &size, &pages)
+	}
+	return files, float64(pages) * float64(os.Getpagesize()) / (1 << 20)
+}
+
 // count counts the newest process's descriptors and, where it tells them, goroutines.
 func (c *child) count(files, goroutines *int) {
 	p := c.newest()
@@ -231,7 +256,13 @@
 	if len(c.r.opts.Services) > 0 {
 		args = append(args, "--services", c.servicesPath())
 	}
+	if c.r.opts.Admission != "" {
+		args = append(args, "--admission", c.admissionPath())
+	}
 	p.cmd = exec.Command(c.r.opts.Binary, args...)
+	if c.r.opts.Flood != nil { // here the limit is the machine's, whatever the program thinks of it
+		p.cmd = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(c.r.opts.Sockets), c.r.opts.Binary}, args...)...)
+	}
 	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=",
 		"BALANCER_CONSOLE="+p.console, "BALANCER_PASSED_SOCKET=", "TMPDIR="+c.state)
 	if c.file != nil {
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"container/heap"
 	"context"
 	"errors"
@@ -30,6 +31,8 @@
 	up      []bool // by proxy: its health said yes
 	turn    int
 	idle    [][]*clientConn // by proxy
+	crowd   [][]*clientConn // by proxy and client, where each has a connection of its own; nil where it has none
+	taken   [][]bool        // by another request of that client
 	rude    []net.Conn
 	pending world.Queue
 
@@ -42,11 +45,76 @@
 	net.Conn
 	in   *bufio.Reader
 	used bool
+	slot [2]int // among the crowd's connections: proxy, client
 }
 
 func newFront(r *Run) *front {
-	return &front{r: r, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), up: make([]bool, r.spec.Proxies),
+	f := &front{r: r, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), up: make([]bool, r.spec.Proxies),
 		idle: make([][]*clientConn, r.spec.Proxies), retried: make(chan struct{}, 1)}
+	if r.opts.Clients == "own" || r.opts.Clients == "shared" {
+		for range r.spec.Proxies {
+			f.crowd = append(f.crowd, make([]*clientConn, r.opts.Crowd))
+			f.taken = append(f.taken, make([]bool, r.opts.Crowd))
+		}
+	}
+	return f
+}
+
+// ownConnect gives the connection of one of the crowd that has no request in hand: the one that it keeps, or a new one
+// from its address.
+func (f *front) ownConnect(proxy int, fresh *clientConn) (*clientConn, error) {
+	slot := [2]int{proxy, 0}
+	if fresh != nil {
+		slot = fresh.slot
+	} else {
+		f.r.mu.Lock()
+		at := f.r.rng.IntN(len(f.crowd[proxy]))
+		f.r.mu.Unlock()
+		f.mu.Lock()
+		for range f.crowd[proxy] {
+			if !f.taken[proxy][at] {
+				break
+			}
+			at = (at + 1) % len(f.crowd[proxy])
+		}
+		slot[1] = at
+		f.taken[proxy][at] = true
+		kept := f.crowd[proxy][at]
+		f.crowd[proxy][at] = nil
+		f.mu.Unlock()
+		if kept != nil {
+			return kept, nil
+		}
+	}
+	from := sharedAddr
+	if f.r.opts.Clients == "own" {
+		from = net.IPv4(127, 98, byte(slot[1]>>8), byte(slot[1]))
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: from}, Timeout: dialWait}
+	c, err := d.Dial("tcp4", f.r.proxies[proxy].listen)
+	if err != nil {
+		f.mu.Lock()
+		f.taken[proxy][slot[1]] = false
+		f.mu.Unlock()
+		return nil, err
+	}
+	return &clientConn{Conn: c, in: bufio.NewReaderSize(c, 4096), slot: slot}, nil
+}
+
+// keep puts a connection back for its next request, or gives its client free if it has ended.
+func (f *front) keep(proxy int, c *clientConn, open bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crowd != nil {
+		f.taken[c.slot[0]][c.slot[1]] = false
+		if open {
+			f.crowd[c.slot[0]][c.slot[1]] = c
+		}
+		return
+	}
+	if open {
+		f.idle[proxy] = append(f.idle[proxy], c)
+	}
 }
 
 // healthEvery is how often the front layer asks each proxy.
@@ -176,9 +244,11 @@
 	f.inHand.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, conns := range f.idle {
+	for _, conns := range append(f.idle, f.crowd...) {
 		for _, c := range conns {
-			c.Close()
+			if c != nil {
+				c.Close()
+			}
 		}
 	}
 	for _, c := range f.rude {
@@ -216,9 +286,13 @@
 // dialWait is how long a client waits for a connection.
 const dialWait = time.Second
 
-// connect gives a connection to a proxy: one that stands idle, or a new one.
-func (f *front) connect(proxy int, fresh bool) (*clientConn, error) {
-	if !fresh {
+// connect gives a connection to a proxy: one that stands idle, or a new one; in place of one before that has ended, a new
+// one.
+func (f *front) connect(proxy int, before *clientConn) (*clientConn, error) {
+	if f.crowd != nil {
+		return f.ownConnect(proxy, before)
+	}
+	if before == nil {
 		f.mu.Lock()
 		if n := len(f.idle[proxy]); n > 0 {
 			c := f.idle[proxy][n-1]
@@ -250,7 +324,7 @@
 		f.again(a, world.Rejected, 0)
 		return
 	}
-	c, err := f.connect(proxy, false)
+	c, err := f.connect(proxy, nil)
 	if err != nil {
 		f.again(a, world.Rejected, 0)
 		return
@@ -274,7 +348,7 @@
 	defer giveUp.Stop()
 	for fresh := false; ; fresh = true {
 		if fresh {
-			if c, err = f.connect(proxy, true); err != nil {
+			if c, err = f.connect(proxy, c); err != nil {
 				f.excuse(account)
 				return
 			}
@@ -289,13 +363,11 @@
 		if err == nil {
 			f.answered(account, a, now, status, body, header, gaveUp.Load())
 			c.used = true
-			if header.Get("Connection") == "close" {
+			open := header.Get("Connection") != "close"
+			if !open {
 				c.Close()
-			} else {
-				f.mu.Lock()
-				f.idle[proxy] = append(f.idle[proxy], c)
-				f.mu.Unlock()
 			}
+			f.keep(proxy, c, open)
 			return
 		}
 		c.Close()
@@ -308,10 +380,12 @@
 				r.ledger.Departed(account)
 				r.mu.Unlock()
 			}
+			f.keep(proxy, c, false)
 			return // the ledger sees that nothing has come
 		case errors.Is(err, errUnread) && used && !fresh && lives == r.proxies[proxy].lives():
 			continue // a close between requests has crossed it; one by a death may have had it in hand
 		}
+		f.keep(proxy, c, false)
 		f.broke(account, proxy, now, err)
 		if giveUp.Stop() {
 			f.again(a, world.Errored, 0)
@@ -382,11 +456,9 @@
 
 // ask sends a request and reads its answer whole.
 func (c *clientConn) ask(text string) (int, []byte, http.Header, error) {
-	if _, err := io.WriteString(c, text); err != nil {
-		return 0, nil, nil, asUnread(err)
-	}
+	_, sent := io.WriteString(c, text) // who turns us away may have said so and closed before
 	if _, err := c.in.Peek(1); err != nil {
-		return 0, nil, nil, asUnread(err)
+		return 0, nil, nil, asUnread(cmp.Or(sent, err))
 	}
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -39,6 +39,15 @@
 	Log      *slog.Logger  // what the laboratory does; nil is nowhere
 	Progress func(Glimpse) // told once a second; may be nil
 	MemoryMB int           // that a proxy is told it has; 64 if 0
+	Sockets  int           // descriptors likewise; 1024 if 0
+	Clients  string        // where requests come from: see experiment.World
+	Crowd    int           // clients that have connections of their own; 500 if 0
+	Flood    *Flood        // nil is none
+
+	Sample func(Sample) // told once a second; may be nil
+
+	// Admission is the text of a file by which the proxies admit connections; empty is none.
+	Admission string
 
 	// Services are the texts of files of services that the proxies serve by, the first at the start and each in turn
 	// at a change; none is one service.
@@ -58,6 +67,32 @@
 	Attempts, FirstTrys int
 }
 
+// Sample is what the proxies hold at a time: the most that any of them does.
+type Sample struct {
+	At    time.Duration
+	RSSMB float64
+	Files int
+}
+
+// sample looks at the proxies once a second.
+func (r *Run) sample(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := Sample{At: r.now()}
+		for _, c := range r.proxies {
+			files, rss := c.held()
+			s.Files, s.RSSMB = max(s.Files, files), max(s.RSSMB, rss)
+		}
+		r.opts.Sample(s)
+	}
+}
+
 // Result is what a run has come to.
 type Result struct {
 	Verdict  judge.Verdict
@@ -163,6 +198,12 @@
 	if opts.MemoryMB == 0 {
 		opts.MemoryMB = 64
 	}
+	if opts.Sockets == 0 {
+		opts.Sockets = 1024
+	}
+	if opts.Crowd == 0 {
+		opts.Crowd = 500
+	}
 	r := newRun(spec, opts)
 	if r.tmp, err = os.MkdirTemp("", "lapislab-"); err != nil {
 		return res, fmt.Errorf("a folder for the proxies: %w", err)
@@ -202,6 +243,16 @@
 		return res, err
 	}
 	r.running.Go(func() { front.nuisance(inner) })
+	if opts.Sample != nil {
+		loaded, stop := context.WithCancel(inner)
+		defer stop()
+		sampled := make(chan struct{})
+		r.running.Go(func() { defer close(sampled); r.sample(loaded) })
+		defer func() { stop(); <-sampled }() // nobody is told after Play has ended
+	}
+	if opts.Flood != nil {
+		r.running.Go(func() { r.flood(inner, *opts.Flood) })
+	}
 	if opts.Progress != nil {
 		r.running.Go(func() { r.glimpse(inner, front) })
 	}
--- /dev/null
+++ b/internal/proxy/admission_test.go
@@ -0,0 +1,177 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapisspread/internal/admission"
+)
+
+// guarded is a stage that admits by a file.
+func guarded(t *testing.T, text string, sockets int) *stage {
+	path := filepath.Join(t.TempDir(), "admission.toml")
+	if err := os.WriteFile(path, []byte("version = 1\n"+text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return newStage(t, twoServices, func(c *Config) { c.Sockets, c.Admission = sockets, path })
+}
+
+func clientAt(t *testing.T, from string) *http.Client {
+	d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 8}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// A flood of half heads from many addresses takes no place from those that ask for something, on connections that they
+// keep and on new ones; and a request in hand outlives it.
+func TestAFloodOfHalfHeads(t *testing.T) {
+	s := guarded(t, "", 128) // 57 places
+	kept := clientAt(t, "127.0.0.1")
+	for range 4 {
+		if status, body := s.ask(kept, "x.org", "/api", "hand-in", 5000); status != 200 {
+			t.Fatalf("before: %d %q", status, body)
+		}
+	}
+	s.stall["slow-5"].Store(1200)
+	inHand := make(chan int, 1)
+	go func() {
+		status, _ := s.ask(clientAt(t, "127.0.7.7"), "pay.example.org", "/api", "hand-in", 5000)
+		inHand <- status
+	}()
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	var opened atomic.Int64
+	for k := range 8 {
+		all.Go(func() {
+			var mine []net.Conn
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					for _, c := range mine {
+						c.Close()
+					}
+					return
+				case <-time.After(4 * time.Millisecond):
+				}
+				d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 1, byte(k), byte(i%100))}, Timeout: time.Second}
+				c, err := d.Dial("tcp4", s.addr)
+				if err != nil {
+					continue
+				}
+				io.WriteString(c, "POST /api HTTP/1.1\r\nHost: x")
+				opened.Add(1)
+				if mine = append(mine, c); len(mine) > 100 {
+					mine[0].Close()
+					mine = mine[1:]
+				}
+			}
+		})
+	}
+	for begun := time.Now(); opened.Load() < 200; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("the flood does not come")
+		}
+	}
+	for i := range 40 {
+		if status, body := s.ask(kept, "x.org", "/api", "hand-in", 5000); status != 200 {
+			t.Errorf("on a kept connection: %d %q", status, body)
+		}
+		if status, body := s.ask(clientAt(t, fmt.Sprintf("127.2.%d.1", i)), "x.org", "/api", "hand-in", 5000); status != 200 {
+			t.Errorf("on a new one: %d %q", status, body)
+		}
+	}
+	if status := <-inHand; status != 200 {
+		t.Errorf("the request that was in hand: %d", status)
+	}
+	close(stop)
+	all.Wait()
+	r := s.proxy.conns.door.Report()
+	t.Logf("%+v", r.Counts)
+	if r.Open > r.Places || r.Refused["room"]+r.Refused["full"] == 0 || len(r.Top) == 0 {
+		t.Errorf("%+v", r)
+	}
+	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		if r = s.proxy.conns.door.Report(); r.Open <= 60 {
+			break
+		}
+		if time.Since(begun) > patience {
+			t.Fatalf("%d places are taken after all have left", r.Open)
+		}
+	}
+}
+
+// Blocks by hand turn an address away with an answer, and end; SIGHUP takes in other settings, and no bad ones.
+func TestBlocksAndChanges(t *testing.T) {
+	s := guarded(t, "", 128)
+	op := operator{s.proxy}
+	if err := op.Block("127.3.0.0/16", time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := s.ask(clientAt(t, "127.3.0.9"), "x.org", "/api", "hand-in", 5000); status == 200 {
+		t.Error("a blocked address was served")
+	}
+	if status, _ := s.ask(clientAt(t, "127.4.0.9"), "x.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("another address: %d", status)
+	}
+	if err := op.Block("nobody", time.Hour); err == nil || !strings.Contains(err.Error(), "nobody") {
+		t.Errorf("a block of nobody: %v", err)
+	}
+	if err := op.Unblock("127.3.0.0/16"); err != nil {
+		t.Error(err)
+	}
+	if status, _ := s.ask(clientAt(t, "127.3.0.9"), "x.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("after the block: %d", status)
+	}
+	for text, want := range map[string]int{"version = 1\n[connections]\nplaces = 7\n": 7, "version = 1\n[connections]\nplaces = -7\n": 57} {
+		if err := os.WriteFile(s.proxy.cfg.Admission, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		err := s.proxy.rereadDoor()
+		if r, _ := op.Admission(); (err == nil) != (want == 7) || want == 7 && r.(admission.Report).Places != want {
+			t.Errorf("%q: %v, %+v", text, err, r)
+		}
+	}
+	if _, err := (operator{&Proxy{conns: newClientConns(1)}}).Admission(); err == nil {
+		t.Error("without admission")
+	}
+	if a := netip.MustParsePrefix("127.3.0.0/16"); s.proxy.conns.door.Unblock(a) == nil {
+		t.Error("a block is there yet")
+	}
+}
+
+// Requests in hand are bounded where the file says so: who is refused is told when to come back.
+func TestRequestsInHandAreBounded(t *testing.T) {
+	s := guarded(t, "[requests]\nin_hand = 4\nretry_after = \"1s\"\n", 512)
+	s.stall["fast-5"].Store(300)
+	var all sync.WaitGroup
+	var served, refused atomic.Int64
+	client := clientAt(t, "127.0.0.1")
+	for range 12 {
+		all.Go(func() {
+			switch status, _ := s.ask(client, "x.org", "/api", "hand-in", 5000); status {
+			case 200:
+				served.Add(1)
+			case 503:
+				refused.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if served.Load() < 4 || served.Load()+refused.Load() != 12 || refused.Load() < 4 {
+		t.Errorf("%d served, %d refused", served.Load(), refused.Load())
+	}
+	if status, _ := s.ask(client, "x.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("after all: %d", status)
+	}
+}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -7,6 +7,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"lapisspread/internal/admission"
+	"lapisspread/internal/door"
 )
 
 const (
@@ -24,6 +27,11 @@
 	draining bool          // the process ends
 	lastIn   time.Duration // by the loop's clock: who comes after it has no time for a long answer
 	duckFrom time.Time     // lame duck since then; zero if it is none
+
+	door     *door.Door // who gets a place; nil is whoever comes, for whom nothing was heard of for longest
+	told     int        // who were turned away with an answer in the second of toldAt
+	toldAt   time.Time
+	turnAway []byte
 }
 
 func newClientConns(most int) *clientConns {
@@ -34,6 +42,7 @@
 type clientConn struct {
 	net.Conn
 	conns *clientConns
+	id    admission.ID // at the door
 	once  sync.Once
 
 	mu      sync.Mutex
@@ -41,6 +50,8 @@
 	fresh   bool      // nor of any request
 	since   time.Time // it waits; else of the request in hand, from which its time counts
 	closed  bool
+	serving bool // a whole request's head was handed to the server, and it has not done with it
+	served  bool // and was served
 	framer  framer
 	pending []byte // read, but of a next message: net/http gets one at a time, each after its framing is known
 }
@@ -65,6 +76,9 @@
 		if !c.fresh { // a first request's time counts from the connection's start
 			c.since = time.Now()
 		}
+		if c.waiting && c.conns.door != nil {
+			c.conns.door.Begin(c.id)
+		}
 		c.waiting, c.fresh = false, false
 	}
 	if whole := c.framer.scan(p[:n]); whole < n {
@@ -78,9 +92,24 @@
 func (c *clientConn) framing() (framing, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = true
 	return c.framer.next()
 }
 
+// Evict closes the connection for one that comes, unless a whole request of it is in hand or something stands to be
+// read on it. Part of a head is no request yet: nobody is owed an answer to it.
+func (c *clientConn) Evict() bool {
+	c.mu.Lock()
+	whole := c.serving || len(c.framer.ended) > 0 || c.framer.state != inHead && c.framer.state != lost
+	evicted := !c.closed && !whole && (c.quiet() || len(c.pending) == 0 && over(c.Conn))
+	c.closed = c.closed || evicted
+	c.mu.Unlock()
+	if evicted {
+		c.Close()
+	}
+	return evicted
+}
+
 // quiet tells whether nothing stands to be read. The lock must be held.
 func (c *clientConn) quiet() bool { return len(c.pending) == 0 && silent(c.Conn) }
 
@@ -90,6 +119,9 @@
 		c.conns.mu.Lock()
 		delete(c.conns.all, c)
 		c.conns.mu.Unlock()
+		if c.conns.door != nil {
+			c.conns.door.Gone(c.id)
+		}
 	})
 	return err
 }
@@ -144,14 +176,52 @@
 	if waits := state == http.StateIdle; waits != c.waiting {
 		c.waiting, c.since = waits, time.Now()
 	}
+	c.serving = c.serving && state != http.StateIdle
 	c.mu.Unlock()
 }
 
+// begin tells the door of a whole request's head; what it gives tells of its end.
+func (s *clientConns) begin(r *http.Request) (end func()) {
+	c, ours := r.Context().Value(connKey{}).(*clientConn)
+	if !ours || s.door == nil {
+		return func() {}
+	}
+	s.door.Request(c.id)
+	return func() {
+		c.mu.Lock()
+		served := c.served
+		c.served = false
+		c.mu.Unlock()
+		s.door.Answered(c.id, served)
+	}
+}
+
+// noteServed has the request in hand count for its client.
+func (s *clientConns) noteServed(r *http.Request) {
+	if c, ours := r.Context().Value(connKey{}).(*clientConn); ours && s.door != nil {
+		c.mu.Lock()
+		c.served = true
+		c.mu.Unlock()
+	}
+}
+
 // add enters a connection, or gives nil if there is no place for it: if all are taken, the one that has been
 // silent from its start for longest makes place, else the one that has been idle for longest, but none with
 // a request begun.
 func (s *clientConns) add(nc net.Conn) *clientConn {
 	c := &clientConn{Conn: nc, conns: s, fresh: true, since: time.Now()}
+	if s.door != nil {
+		id, _ := s.door.Arrive(nc.RemoteAddr(), c)
+		if id == 0 {
+			s.refuse(nc)
+			return nil
+		}
+		c.id = id
+		s.mu.Lock()
+		s.all[c] = true
+		s.mu.Unlock()
+		return c
+	}
 	for range evictTries {
 		s.mu.Lock()
 		if len(s.all) < s.most {
@@ -169,6 +239,24 @@
 	return nil
 }
 
+// mostTold is how many of those that are turned away in a second are told so: a flood need not be answered.
+const mostTold = 1000
+
+// refuse tells somebody that no place is free, in the few bytes that a new connection has room for.
+func (s *clientConns) refuse(nc net.Conn) {
+	s.mu.Lock()
+	if now := time.Now(); now.Sub(s.toldAt) >= time.Second {
+		s.told, s.toldAt = 0, now
+	}
+	s.told++
+	tell := s.told <= mostTold
+	s.mu.Unlock()
+	if tell {
+		nc.SetWriteDeadline(time.Now().Add(closeRest))
+		nc.Write(s.turnAway)
+	}
+}
+
 // longestWaiting is the connection to close first, or nil. The lock must be held.
 func (s *clientConns) longestWaiting() *clientConn {
 	var found *clientConn
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -20,6 +20,7 @@
 	Console      string // the second address; none if empty
 	PassedSocket string // the descriptor of the clients' listening socket; none if empty
 	Services     string // the file of several services; there is one if empty
+	Admission    string // the file of who is admitted; whoever comes if empty
 	StateDir     string // what outlives this process is kept there; nothing is if empty
 
 	Seed     uint64
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -62,21 +62,33 @@
 
 // silent tells whether a socket is open and nothing stands to be read on it.
 func silent(nc net.Conn) bool {
+	nothing, _ := pending(nc)
+	return nothing
+}
+
+// over tells whether nothing stands to be read and nothing can come any more.
+func over(nc net.Conn) bool {
+	_, ended := pending(nc)
+	return ended
+}
+
+// pending looks at what stands to be read without reading it.
+func pending(nc net.Conn) (nothing, ended bool) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	nothing := false
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		nothing = errors.Is(err, syscall.EAGAIN)
+		ended = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 	})
-	return err == nil && nothing
+	return err == nil && nothing, err == nil && ended
 }
 
 // buffers are for requests on their way out.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -105,6 +105,7 @@
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	taken := time.Now()
+	defer f.conns.begin(r)()
 	if err := checkFraming(r); err != nil {
 		f.reject(w, err)
 		return
@@ -145,6 +146,13 @@
 		}
 		defer f.services.limits.Give(ask)
 	}
+	if svc.requests != nil {
+		if why, after := svc.requests.Take(req.Class, req.Tenant, 0); why != "" {
+			f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: why, after: after})
+			return
+		}
+		defer func() { svc.requests.Done(req.Tenant, req.took) }()
+	}
 	if err := f.readAhead(w, r, req); err != nil {
 		f.turnAway(w, req, err)
 		return
@@ -171,6 +179,10 @@
 	}
 	select {
 	case a := <-req.Result():
+		if a.End == engine.Served {
+			f.conns.noteServed(r)
+			req.took = time.Since(taken)
+		}
 		f.answer(w, req, u, a)
 	case err := <-failed:
 		svc.engine.Post(func() { svc.engine.Gone(&req.Exchange) })
@@ -465,6 +477,7 @@
 	engine.Exchange
 	message *message
 	service *service
+	took    time.Duration // to its answer, if that served
 }
 
 // answer is a request's final answer in HTTP.
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net/netip"
 	"sync"
+	"time"
+
+	"lapisspread/internal/door"
 )
 
 // mostNames bounds the names that a roster remembers; of those that it forgets the oldest go first.
@@ -72,6 +77,41 @@
 	return text, nil
 }
 
+var errNoDoor = errors.New("admission is off: the proxy was started without --admission")
+
+// Admission is who holds places and why the last were refused.
+func (o operator) Admission() (any, error) {
+	if o.conns.door == nil {
+		return nil, errNoDoor
+	}
+	return o.conns.door.Report(), nil
+}
+
+// Block turns an address or a prefix away for a time.
+func (o operator) Block(prefix string, span time.Duration) error {
+	p, err := o.prefix(prefix)
+	if err != nil {
+		return err
+	}
+	return o.conns.door.Block(p, span)
+}
+
+// Unblock ends that.
+func (o operator) Unblock(prefix string) error {
+	p, err := o.prefix(prefix)
+	if err != nil {
+		return err
+	}
+	return o.conns.door.Unblock(p)
+}
+
+func (o operator) prefix(text string) (netip.Prefix, error) {
+	if o.conns.door == nil {
+		return netip.Prefix{}, errNoDoor
+	}
+	return door.Prefix(text)
+}
+
 // order writes down that a backend is out by hand, or no more, and has the loop look.
 func (o operator) order(id string, out bool) error {
 	known := o.services.listed(id)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,11 +7,14 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"lapisspread/internal/console"
+	"lapisspread/internal/door"
+	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
 	"lapisspread/internal/handover"
 )
@@ -71,6 +74,10 @@
 				p.log.Error("the old services stay", "err", err)
 				p.own.ReloadsFailed.Add(1)
 			}
+			if err := p.rereadDoor(); err != nil {
+				p.log.Error("the old admission stays", "err", err)
+				p.own.ReloadsFailed.Add(1)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -140,11 +147,59 @@
 	return p.serve(ctx, listener)
 }
 
+// openDoor reads who is admitted.
+func (p *Proxy) openDoor() error {
+	file, err := door.Load(p.cfg.Admission)
+	if err != nil {
+		return err
+	}
+	d, err := door.New(file, clientPlaces(&p.cfg), p.cfg.Seed, engine.NewClock().Now, p.store.Path("blocks"))
+	if err != nil {
+		return err
+	}
+	if err := d.Restore(); err != nil {
+		p.log.Error("the blocks that the process before left can't be read whole", "err", err)
+	}
+	if file.Requests != nil {
+		s := file.RequestSettings()
+		p.services.requests = &s
+	}
+	p.conns.mu.Lock()
+	defer p.conns.mu.Unlock()
+	p.conns.door = d
+	p.conns.turnAway = []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	if caps := &p.cfg.Module.Caps; caps.RetryAfter {
+		h := http.Header{}
+		setRetryAfter(h, min(time.Second, caps.MaxRetryAfter))
+		p.conns.turnAway = fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: %s\r\n\r\n", h.Get("Retry-After"))
+	}
+	return nil
+}
+
+// rereadDoor takes in other settings of who is admitted. What bounds requests holds from a service's start on.
+func (p *Proxy) rereadDoor() error {
+	if p.cfg.Admission == "" || p.conns.door == nil {
+		return nil
+	}
+	file, err := door.Load(p.cfg.Admission)
+	if err != nil {
+		return err
+	}
+	return p.conns.door.Change(file)
+}
+
 func (p *Proxy) serve(ctx context.Context, listener net.Listener) error {
 	if _, err := p.store.Refresh(); err != nil {
 		p.log.Error("what the process before left can't be read", "err", err)
 	}
 	p.cfg.Module.Caps.MaxOpen = int(openSockets * float64(p.cfg.Sockets))
+	if p.cfg.Admission != "" {
+		if err := p.openDoor(); err != nil {
+			listener.Close()
+			return fmt.Errorf("settings: %w", err)
+		}
+		listener = door.NewListener(listener, p.log)
+	}
 	inner, cancel := context.WithCancel(context.Background())
 	if err := p.services.start(inner, &p.cfg); err != nil {
 		cancel()
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -14,7 +14,9 @@
 	"time"
 
 	"lapisspread/decision"
+	"lapisspread/internal/admission"
 	"lapisspread/internal/budget"
+	"lapisspread/internal/door"
 	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
 	"lapisspread/internal/quota"
@@ -37,6 +39,8 @@
 	roster  *roster
 	gate    *budget.Gate // of its share of the process; nil for the only one
 
+	requests *door.InHand // bounds those in hand; nil is no bound
+
 	inHand atomic.Int64 // requests that hold it
 	ending atomic.Bool  // it takes no more
 	idle   chan struct{}
@@ -99,6 +103,7 @@
 	discovery string          // the process's, as of the last change
 	ctx       context.Context // of all services
 	registers *register.Hubs
+	requests  *admission.RequestSettings // of each service; nil is none
 }
 
 func newServices(p *Proxy) *services {
@@ -349,6 +354,15 @@
 			discovery = spec.Discovery
 		}
 	}
+	if s.requests != nil {
+		gate, err := gateOf(&module) // one of its own: it counts what it lets in
+		if err != nil {
+			return nil, err
+		}
+		if svc.requests, err = door.NewInHand(*s.requests, gate, len(module.Tenants), seed); err != nil {
+			return nil, err
+		}
+	}
 	source, known := s.source(discovery, &spec)
 	svc.engine, err = engine.New(engine.Options{Module: module, Seed: seed, Known: known, Repeat: svc.mayRepeat(s.limits), Zones: s.p.cfg.Zones, Kinds: s.p.cfg.Kinds,
 		Upstream: svc.pool, Source: source, Log: s.p.log, Out: s.p.store.Out, Wake: svc.roster.wake, Listed: svc.roster.add,
