Keep a ledger of effects: what must never run twice, in memory and on disk

Need: a payout claim that comes twice, over whatever protocol, must get the first one's answer and never run again, also after a process was killed.

Change: internal/effects (pure: by origin and end-to-end identifier, a window of four minutes at least, bounded entries and bytes, nothing forgotten early) and internal/effects/store (a bbolt file; intent before the attempt, answer before it goes back, group commit). Not wired in yet.

--- /dev/null
+++ b/internal/effects/ledger_test.go
@@ -0,0 +1,167 @@
+package effects
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func ledger(t testing.TB, s Settings) *Ledger {
+	t.Helper()
+	l, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestSettings(t *testing.T) {
+	for want, s := range map[string]Settings{
+		"window":  {Window: time.Minute, Entries: 1, Bytes: 1},
+		"entries": {Window: Window, Bytes: 1},
+	} {
+		if _, err := New(s); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+func TestARepeatGetsTheSameAnswer(t *testing.T) {
+	l := ledger(t, Settings{Window: Window, Entries: 10, Bytes: 100, Lost: -1})
+	k := Key{"partner.example", 7}
+	for i, step := range []struct {
+		at   time.Duration
+		do   func()
+		want Verdict
+	}{
+		{0, nil, Begin},
+		{time.Second, nil, Join},
+		{2 * time.Second, func() { l.End(2*time.Second, k, []byte("2001")) }, Answered},
+		{Window, nil, Answered},
+		{Window + 2*time.Second, nil, Begin}, // the identifier is another request's by now
+		{Window + 3*time.Second, func() { l.Lose(Window+3*time.Second, k) }, MayHaveRun},
+		{2*Window + 4*time.Second, nil, Begin},
+		{2*Window + 4*time.Second, func() { l.Drop(k) }, Begin},
+	} {
+		if step.do != nil {
+			step.do()
+		}
+		v, answer := l.Come(step.at, k, i%2 == 1)
+		if v != step.want || v == Answered && string(answer) != "2001" {
+			t.Errorf("step %d: %v %q, want %v", i, v, answer, step.want)
+		}
+	}
+	if v, _ := l.Come(0, Key{strings.Repeat("x", 256), 1}, false); v != TooLong {
+		t.Errorf("a name without a bound: %v", v)
+	}
+}
+
+// After a restart that has forgotten, a repeat of what is not known may have run, for a window; what is new may begin.
+func TestAfterARestart(t *testing.T) {
+	l := ledger(t, Settings{Window: Window, Entries: 10, Bytes: 100, Lost: time.Minute})
+	if v, _ := l.Come(time.Minute, Key{"a", 1}, true); v != MayHaveRun {
+		t.Errorf("a repeat: %v", v)
+	}
+	if v, _ := l.Come(time.Minute, Key{"a", 2}, false); v != Begin {
+		t.Errorf("a new one: %v", v)
+	}
+	if v, _ := l.Come(time.Minute+Window, Key{"a", 1}, true); v != Begin {
+		t.Errorf("a window later: %v", v)
+	}
+}
+
+func TestRestore(t *testing.T) {
+	l := ledger(t, Settings{Window: Window, Entries: 3, Bytes: 8, Lost: -1})
+	err := l.Restore(0, []Record{{Key: Key{"a", 1}}, {Key: Key{"a", 2}}, {Key: Key{"a", 1}, Ended: true, Answer: []byte("paid")},
+		{Key: Key{"a", 3}, Ended: true, Answer: []byte("too long to keep")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[uint32]Verdict{1: Answered, 2: MayHaveRun, 3: MayHaveRun, 4: Full} {
+		if v, _ := l.Come(time.Second, Key{"a", id}, false); v != want {
+			t.Errorf("%d: %v, want %v", id, v, want)
+		}
+	}
+	if err := l.Restore(0, []Record{{Key: Key{"b", 1}}}); err == nil || !strings.Contains(err.Error(), "room for 3") {
+		t.Errorf("more than there is room for: %v", err)
+	}
+}
+
+// Any order of events keeps the promises of the package: beside a memory that forgets nothing.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Window: Window, Entries: rapid.IntRange(1, 8).Draw(t, "entries"), Bytes: rapid.IntRange(1, 60).Draw(t, "bytes"), Lost: -1}
+		l, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		type memory struct {
+			open   bool
+			ended  time.Duration
+			answer string
+		}
+		all := map[Key]*memory{}
+		now := time.Duration(0)
+		for n := range rapid.IntRange(1, 150).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second
+			k := Key{"o", uint32(rapid.IntRange(0, 9).Draw(t, "id"))}
+			m := all[k]
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1, 2:
+				v, answer := l.Come(now, k, rapid.Bool().Draw(t, "T"))
+				fresh := m == nil || !m.open && now >= m.ended+s.Window
+				switch {
+				case v == Begin && !fresh:
+					t.Fatalf("%v begins again at %v: %+v", k, now, m)
+				case v == Join && (m == nil || !m.open):
+					t.Fatalf("%v joins nothing", k)
+				case v == Answered && (m == nil || m.open || m.answer != string(answer)):
+					t.Fatalf("%v has the answer %q: %+v", k, answer, m)
+				case v == MayHaveRun && fresh, v == Full && !fresh:
+					t.Fatalf("%v: %v: %+v", k, v, m)
+				case v == Begin:
+					all[k] = &memory{open: true}
+				}
+			case 3:
+				if m != nil && m.open {
+					answer := fmt.Sprint("answer ", n)
+					l.End(now, k, []byte(answer))
+					*m = memory{ended: now, answer: answer}
+				}
+			case 4:
+				if m != nil && m.open {
+					l.Lose(now, k)
+					*m = memory{ended: now, answer: "lost"}
+				}
+			default:
+				if m != nil && m.open {
+					l.Drop(k)
+					delete(all, k)
+				}
+			}
+			entries, bytes := l.Len()
+			if entries > s.Entries || bytes > s.Bytes {
+				t.Fatalf("%d entries of %d, %d bytes of %d", entries, s.Entries, bytes, s.Bytes)
+			}
+		}
+	})
+}
+
+func BenchmarkComeAndEnd(b *testing.B) {
+	l := ledger(b, Settings{Window: Window, Entries: 1 << 20, Bytes: 1 << 28, Lost: -1})
+	answer := make([]byte, 180)
+	i := uint32(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		now := time.Duration(i) * time.Millisecond
+		k := Key{"partner.example", i}
+		if v, _ := l.Come(now, k, false); v != Begin {
+			b.Fatal(v)
+		}
+		l.End(now, k, answer)
+	}
+}
--- /dev/null
+++ b/internal/effects/store/store.go
@@ -0,0 +1,283 @@
+// Package store keeps a ledger of effects on disk: an intent is there before a request's first attempt goes out, an end
+// before its answer does. What was told to be there outlives a kill at any moment.
+//
+// The file is a bbolt database: its pages are copied on write and its two meta pages are checked sums, so that a torn write
+// leaves the state before it. bbolt was chosen over an append-only log of our own because that, its recovery and its freeing
+// of old space are what would have to be written and proved again; its cost, a flush for each transaction, is shared by all
+// records that wait (group commit).
+//
+// The layout: in the bucket "effects" the key is the origin, a zero byte and the end-to-end identifier (4 bytes, big
+// endian); the value is the state (1 intent, 2 ended), the time in Unix nanoseconds (8 bytes) and the answer. In the bucket
+// "order" the key is the time and that key, for forgetting.
+package store
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"lapisspread/internal/effects"
+)
+
+var (
+	effectsBucket = []byte("effects")
+	orderBucket   = []byte("order")
+)
+
+const (
+	intent = 1
+	end    = 2
+
+	mostBatch = 512             // records of one transaction
+	openWait  = 3 * time.Second // for another process to let go of the file
+	forgetMax = 2048            // old records that one transaction drops besides
+)
+
+// ErrClosed says that the store was closed.
+var ErrClosed = errors.New("effects: the store is closed")
+
+// Store is a file of effects. It is for any goroutine.
+type Store struct {
+	db     *bbolt.DB
+	window time.Duration
+	now    func() time.Time
+
+	commits atomic.Int64
+
+	queue chan *waiter
+	stop  chan struct{}
+	done  chan struct{}
+	once  sync.Once
+}
+
+type waiter struct {
+	record effects.Record
+	drop   bool
+	done   chan error // holds one
+}
+
+// Options are how a store is opened.
+type Options struct {
+	Window time.Duration    // for which what has ended is kept
+	Now    func() time.Time // the machine's clock; nil is time.Now
+}
+
+// Open opens or makes a file, and gives what it holds in the order in which it was written, without what is older than
+// the window. A file that is not one, or is held by another process, is an error.
+func Open(path string, o Options) (*Store, []effects.Record, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWait, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		return nil, nil, fmt.Errorf("effects: %s: %w", path, err)
+	}
+	s := &Store{db: db, window: o.Window, now: o.Now, queue: make(chan *waiter, mostBatch), stop: make(chan struct{}), done: make(chan struct{})}
+	records, err := s.load()
+	if err != nil {
+		db.Close()
+		return nil, nil, fmt.Errorf("effects: %s: %w", path, err)
+	}
+	go s.run()
+	return s, records, nil
+}
+
+// load reads all that holds.
+func (s *Store) load() ([]effects.Record, error) {
+	type dated struct {
+		at int64
+		r  effects.Record
+	}
+	var all []dated
+	oldest := s.now().Add(-s.window).UnixNano()
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{effectsBucket, orderBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		return tx.Bucket(effectsBucket).ForEach(func(k, v []byte) error {
+			key, err := keyOf(k)
+			if err != nil || len(v) < 9 || v[0] != intent && v[0] != end {
+				return fmt.Errorf("a record that makes no sense: %x: %x", k, v[:min(len(v), 16)])
+			}
+			at := int64(binary.BigEndian.Uint64(v[1:]))
+			// Danger: an intent without an end may have run however long ago: only what has ended grows old.
+			if v[0] == end && at < oldest {
+				return nil
+			}
+			all = append(all, dated{at, effects.Record{Key: key, Ended: v[0] == end, Answer: bytes.Clone(v[9:])}})
+			return nil
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	slices.SortStableFunc(all, func(a, b dated) int { return cmp.Compare(a.at, b.at) })
+	out := make([]effects.Record, len(all))
+	for i, d := range all {
+		out[i] = d.r
+	}
+	return out, nil
+}
+
+// Write returns once a record is on disk, with others that wait. After an error it is not known whether it is: whoever
+// wanted to begin must not, and whoever has ended must say that it may have run.
+func (s *Store) Write(ctx context.Context, r effects.Record) error {
+	return s.wait(ctx, &waiter{record: r, done: make(chan error, 1)})
+}
+
+// Drop takes back the intent of a request that has not run and will not.
+func (s *Store) Drop(ctx context.Context, k effects.Key) error {
+	return s.wait(ctx, &waiter{record: effects.Record{Key: k}, drop: true, done: make(chan error, 1)})
+}
+
+func (s *Store) wait(ctx context.Context, w *waiter) error {
+	select {
+	case s.queue <- w:
+	case <-s.stop:
+		return ErrClosed
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-s.done:
+		select {
+		case err := <-w.done:
+			return err
+		default:
+			return ErrClosed
+		}
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// run commits what waits, in one transaction at a time.
+func (s *Store) run() {
+	defer close(s.done)
+	batch := make([]*waiter, 0, mostBatch)
+	for {
+		batch = batch[:0]
+		select {
+		case w := <-s.queue:
+			batch = append(batch, w)
+		case <-s.stop:
+			return
+		}
+	more:
+		for len(batch) < mostBatch {
+			select {
+			case w := <-s.queue:
+				batch = append(batch, w)
+			default:
+				break more
+			}
+		}
+		err := s.db.Update(func(tx *bbolt.Tx) error { return s.commit(tx, batch) })
+		if err != nil {
+			err = fmt.Errorf("effects: writing: %w", err)
+		}
+		s.commits.Add(1)
+		for _, w := range batch {
+			w.done <- err
+		}
+	}
+}
+
+func (s *Store) commit(tx *bbolt.Tx, batch []*waiter) error {
+	all, order := tx.Bucket(effectsBucket), tx.Bucket(orderBucket)
+	now := s.now()
+	for _, w := range batch {
+		k := bytesOf(w.record.Key)
+		if w.drop {
+			if err := all.Delete(k); err != nil {
+				return err
+			}
+			continue
+		}
+		v := make([]byte, 9, 9+len(w.record.Answer))
+		v[0] = intent
+		binary.BigEndian.PutUint64(v[1:], uint64(now.UnixNano()))
+		if w.record.Ended {
+			v[0] = end
+			v = append(v, w.record.Answer...)
+			if err := order.Put(append(bytes.Clone(v[1:9]), k...), nil); err != nil {
+				return err
+			}
+		}
+		if err := all.Put(k, v); err != nil {
+			return err
+		}
+	}
+	return s.forget(all, order, now.Add(-s.window))
+}
+
+// forget drops what has ended before a time, some at a time.
+func (s *Store) forget(all, order *bbolt.Bucket, before time.Time) error {
+	var old [][]byte
+	c := order.Cursor()
+	for k, _ := c.First(); k != nil && len(old) < forgetMax; k, _ = c.Next() {
+		if len(k) < 8 || int64(binary.BigEndian.Uint64(k)) >= before.UnixNano() {
+			break
+		}
+		old = append(old, bytes.Clone(k))
+	}
+	for _, k := range old {
+		if err := order.Delete(k); err != nil {
+			return err
+		}
+		// The identifier may be another request's by now.
+		if v := all.Get(k[8:]); v != nil && bytes.Equal(v[1:9], k[:8]) {
+			if err := all.Delete(k[8:]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Size is how many bytes the file has.
+func (s *Store) Size() (int64, error) {
+	var n int64
+	err := s.db.View(func(tx *bbolt.Tx) error { n = tx.Size(); return nil })
+	return n, err
+}
+
+// Commits is how many transactions have been made: records that wait together share one.
+func (s *Store) Commits() int64 { return s.commits.Load() }
+
+// Close ends the store; what waits is told that it was closed.
+func (s *Store) Close() error {
+	var err error
+	s.once.Do(func() {
+		close(s.stop)
+		<-s.done
+		err = s.db.Close()
+	})
+	return err
+}
+
+func bytesOf(k effects.Key) []byte {
+	b := make([]byte, 0, len(k.Origin)+5)
+	b = append(append(b, k.Origin...), 0)
+	return binary.BigEndian.AppendUint32(b, k.ID)
+}
+
+func keyOf(b []byte) (effects.Key, error) {
+	if len(b) < 5 || b[len(b)-5] != 0 {
+		return effects.Key{}, errors.New("no key")
+	}
+	return effects.Key{Origin: string(b[:len(b)-5]), ID: binary.BigEndian.Uint32(b[len(b)-4:])}, nil
+}
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -242,8 +242,9 @@
 }
 
 // FloodKinds are what a flood's connections do: say nothing; send half a head and then nothing; send a head a byte at a
-// time; ask for the proxy's health again and again and never read; connect and go at once.
-var FloodKinds = []string{"silent", "half-head", "slow-head", "slow-read", "churn"}
+// time; ask for the proxy's health again and again and never read; name a tenant and a class that there is not; connect and
+// go at once.
+var FloodKinds = []string{"silent", "half-head", "slow-head", "slow-read", "tenants", "churn"}
 
 // mostFlood bounds a flood's connections.
 const mostFlood = 200_000
--- a/internal/lab/live/flood.go
+++ b/internal/lab/live/flood.go
@@ -164,6 +164,8 @@
 				}
 			}
 		}()
+	case "tenants":
+		io.WriteString(c, "GET /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: "+c.LocalAddr().String()+"\r\nX-Tenant-Id: a\r\nX-Priority-Class: none\r\nX-Timeout-Ms: 900\r\n\r\n")
 	case "slow-read":
 		for range 20 {
 			if _, err := io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
