Print Diameter messages by the dictionary: lapislab diameter decode

Need: to look at what a partner sends. The command walks messages as they lie, names what is wrong with each, and exits with 1 for a wrong one.

--- a/cmd/lapislab/main_test.go
+++ b/cmd/lapislab/main_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+func TestDiameterDecode(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "m.hex")
+	text := "0100004c 80000118 00000000 11223344 55667788\n000001084000000e612e6578616d0000\n00000128400000106578616d706c652e\n" +
+		"000001164000000c0000002a\n0000000bc000000c000028af\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, out, errs := command("diameter", "decode", "--hex", path)
+	for _, want := range []string{"1: Device-Watchdog request", `Origin-Host: "a.exam"`, "Origin-State-Id: 42", "AVP 11 of vendor 10415", "wrong: "} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q lacks %q", out, want)
+		}
+	}
+	if code != 1 || !strings.Contains(errs, "1 messages are wrong") {
+		t.Errorf("code %d: %s", code, errs)
+	}
+	if code, _, errs := command("diameter", "decode", path); code != 1 || !strings.Contains(errs, "framing") {
+		t.Errorf("digits for bytes: code %d: %s", code, errs)
+	}
+}
+
 func TestSummariesCanBeReadBackAndCompared(t *testing.T) {
 	dir := t.TempDir()
 	a, b := filepath.Join(dir, "a.json"), filepath.Join(dir, "b.json")
