Look at the laboratory's proxies in one place, and once a second by one loop

Need: descriptors were counted by two pieces of code, and two loops were alike but for what they did each second. Change: count goes by held, sample and glimpse by everySecond.

--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -213,12 +213,12 @@
 			}
 		}
 	}
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	open, _ := c.held()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	*goroutines = info.Goroutines
-	if err == nil {
-		*files = len(entries)
+	if open > 0 {
+		*files = open
 	}
 }
 
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -74,8 +74,18 @@
 	Files int
 }
 
-// sample looks at the proxies once a second.
-func (r *Run) sample(ctx context.Context) {
+// sample tells what the proxies hold.
+func (r *Run) sample() {
+	s := Sample{At: r.now()}
+	for _, c := range r.proxies {
+		files, rss := c.held()
+		s.Files, s.RSSMB = max(s.Files, files), max(s.RSSMB, rss)
+	}
+	r.opts.Sample(s)
+}
+
+// everySecond does something once a second until ctx ends.
+func everySecond(ctx context.Context, do func()) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for {
@@ -84,12 +94,7 @@
 			return
 		case <-tick.C:
 		}
-		s := Sample{At: r.now()}
-		for _, c := range r.proxies {
-			files, rss := c.held()
-			s.Files, s.RSSMB = max(s.Files, files), max(s.RSSMB, rss)
-		}
-		r.opts.Sample(s)
+		do()
 	}
 }
 
@@ -247,14 +252,14 @@
 		loaded, stop := context.WithCancel(inner)
 		defer stop()
 		sampled := make(chan struct{})
-		r.running.Go(func() { defer close(sampled); r.sample(loaded) })
+		r.running.Go(func() { defer close(sampled); everySecond(loaded, r.sample) })
 		defer func() { stop(); <-sampled }() // nobody is told after Play has ended
 	}
 	if opts.Flood != nil {
 		r.running.Go(func() { r.flood(inner, *opts.Flood) })
 	}
 	if opts.Progress != nil {
-		r.running.Go(func() { r.glimpse(inner, front) })
+		r.running.Go(func() { everySecond(inner, func() { r.glimpse(front) }) })
 	}
 	for _, c := range r.proxies {
 		c.count(&c.usage.FilesBefore, &c.usage.GoroutinesBefore)
@@ -524,41 +529,32 @@
 	return strings.Join(why, "; ")
 }
 
-// glimpse tells of the run once a second.
-func (r *Run) glimpse(ctx context.Context, f *front) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		r.mu.Lock()
-		v := r.ledger.Verdict(judge.UsualPrices)
-		g := Glimpse{Now: r.now(), Of: r.spec.Duration, Asked: v.FirstTries, OK: v.OK - r.last.OK, Refused: v.Refused - r.last.Refused,
-			Failed: v.Failed - r.last.Failed, Open: len(r.waiting), Late: r.worst, RulesBroken: v.RulesBroken, Attempts: v.Attempts,
-			FirstTrys: v.FirstTries}
-		r.worst = 0
-		r.last = v
-		for _, n := range r.fleet.Nodes {
-			switch {
-			case n.Cut:
-				g.Cut++
-			case n.Hangs:
-				g.Hanging++
-			case n.Condition == world.Up:
-				g.Up++
-			case n.Condition == world.Draining:
-				g.Draining++
-			default:
-				g.Down++
-			}
+// glimpse tells how the run stands.
+func (r *Run) glimpse(f *front) {
+	r.mu.Lock()
+	v := r.ledger.Verdict(judge.UsualPrices)
+	g := Glimpse{Now: r.now(), Of: r.spec.Duration, Asked: v.FirstTries, OK: v.OK - r.last.OK, Refused: v.Refused - r.last.Refused,
+		Failed: v.Failed - r.last.Failed, Open: len(r.waiting), Late: r.worst, RulesBroken: v.RulesBroken, Attempts: v.Attempts,
+		FirstTrys: v.FirstTries}
+	r.worst = 0
+	r.last = v
+	for _, n := range r.fleet.Nodes {
+		switch {
+		case n.Cut:
+			g.Cut++
+		case n.Hangs:
+			g.Hanging++
+		case n.Condition == world.Up:
+			g.Up++
+		case n.Condition == world.Draining:
+			g.Draining++
+		default:
+			g.Down++
 		}
-		r.mu.Unlock()
-		g.Proxies = f.serving()
-		r.opts.Progress(g)
 	}
+	r.mu.Unlock()
+	g.Proxies = f.serving()
+	r.opts.Progress(g)
 }
 
 // nodeAddr is where a node listens for one proxy: each pair has an address of its own within 127.0.0.0/8, so
