Bound the bytes of bodies by address, and halve client places while two share the limits

Need: one address could hold all bytes for bodies by slow uploads, and in an upgrade two processes counted all client places each.

The door counts bytes of bodies by address and net; while they are short one may hold a part, and 64 KiB for each request of its that was served of late; an address that holds none always gets one in. While two processes share the limits each keeps to half. ADMISSION shows bytes, bounds of requests in hand, and connections closed for want of descriptors. With admission off a request makes no closure any more. Shares of leaving services are added in one place; probes of a vetting end with it also where the module panics.

--- a/cmd/lapisspread/admission.go
+++ b/cmd/lapisspread/admission.go
@@ -24,7 +24,7 @@
 			if err != nil {
 				return err
 			}
-			s, err := f.Settings(1<<16, 0)
+			s, err := f.Settings(door.Room{Places: 1 << 16}, 0)
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,6 +8,7 @@
 //   - While more places are free than are kept for known clients, everyone is taken, but for who is blocked by hand and,
 //     where places are short, addresses over their rate of new connections.
 //   - A known client is taken while known clients hold less than the reserve.
+//   - An address that holds no bytes of bodies may hold those of one request; while there is room, any may hold any.
 //   - Who is closed is of the address or net with the most unproven connections beyond what it has earned, or, while all of
 //     these are within the grace, the one of all that came first.
 //   - Nothing is for ever: earnings and rates fade, blocks have an expiry. An address that stops flooding is as any other
@@ -29,28 +30,39 @@
 
 // Settings are what a Door goes by.
 type Settings struct {
-	Places   int            // connections that it may hold
-	Reserve  float64        // part of them that only known clients may have, 0 to 0.9
-	Grace    time.Duration  // for so long an unproven connection is not closed while another is older
-	HalfLife time.Duration  // of what an address has earned
-	Earned   int            // what one address can have earned at most, in connections that have shown nothing yet
-	Rate     float64        // new connections a second of one address, while places are short; a net has NetTimes as many
-	Short    float64        // places are short while less than this part is free, beside the reserve; 0 to 1
-	Listed   []netip.Prefix // addresses that are known from the start; they count as having earned Earned
-	Tracked  int            // addresses, and nets, whose earnings are remembered while they hold no connection
-	Seed     uint64         // of the hashes: who chooses addresses must not know it
+	Places   int           // connections that it may hold
+	Reserve  float64       // part of them that only known clients may have, 0 to 0.9
+	Grace    time.Duration // for so long an unproven connection is not closed while another is older
+	HalfLife time.Duration // of what an address has earned
+	Earned   int           // what one address can have earned at most, in connections that have shown nothing yet
+	Rate     float64       // new connections a second of one address, while places are short; a net has NetTimes as many
+	Short    float64       // places are short while less than this part is free, beside the reserve; 0 to 1
+	// Bytes is the room for the bodies of all requests in hand; 0 is no bound. While less than Short of it is free, an
+	// address may hold no more than BytesPart of it, 0 to 1, and EarnedBytes for each request served of late.
+	Bytes     int64
+	BytesPart float64
+	Listed    []netip.Prefix // addresses that are known from the start; they count as having earned Earned
+	Tracked   int            // addresses, and nets, whose earnings are remembered while they hold no connection
+	Seed      uint64         // of the hashes: who chooses addresses must not know it
 }
 
 // NetTimes is how many times as much as an address a net may do before it counts as a flooder.
 const NetTimes = 8
 
+// EarnedBytes is how many bytes of bodies an address may hold for each request of its that was served of late: those of
+// many good clients behind one address add up.
+const EarnedBytes = 64 << 10
+
+// LongestBlock is how long a block by hand lasts at most.
+const LongestBlock = 7 * 24 * time.Hour
+
 // KnownFrom is how many requests served, fading, make an address a known one.
 const KnownFrom = 3
 
 // Defaults are settings for so many places.
 func Defaults(places int) Settings {
 	return Settings{Places: places, Reserve: 0.25, Grace: 5 * time.Millisecond, HalfLife: 30 * time.Second, Earned: max(8, places/16),
-		Rate: 200, Short: 0.25, Tracked: 8192}
+		Rate: 200, Short: 0.25, BytesPart: 0.25, Tracked: 8192}
 }
 
 // Check tells what makes no sense, by the field's name.
@@ -68,6 +80,8 @@
 	bad(s.Earned < 1, "earned: %d must be above 0", s.Earned)
 	bad(!(s.Rate > 0 && s.Rate <= 1e6), "rate: %v is not within 0 and 1000000 a second", s.Rate)
 	bad(!(s.Short >= 0 && s.Short <= 1), "short: %v is not within 0 and 1", s.Short)
+	bad(s.Bytes < 0, "bytes: %d is negative", s.Bytes)
+	bad(!(s.BytesPart >= 0 && s.BytesPart <= 1), "bytes_part: %v is not within 0 and 1", s.BytesPart)
 	bad(s.Tracked < 1 || s.Tracked > 1<<20, "tracked: %d is not within 1 and %d", s.Tracked, 1<<20)
 	bad(len(s.Listed) > 4096, "known: %d prefixes; 4096 are the most", len(s.Listed))
 	for i, p := range s.Listed {
--- a/internal/admission/door.go
+++ b/internal/admission/door.go
@@ -23,6 +23,7 @@
 	state  state
 	known  bool // holds a place as a known client
 	proven bool
+	bytes  int64         // of its request's body
 	since  time.Duration // it is in its state
 	groups [2]*group
 	in     [2]*list.Element // among the groups' unproven ones
@@ -37,6 +38,7 @@
 	rates  *sketch
 	conns  map[ID]*conn
 	last   ID
+	bytes  int64        // of the bodies of requests in hand
 	known  int          // connections that hold a place as known clients
 	idle   [2]list.List // of *conn that wait, the longest idle in front: strangers', known clients'
 	silent list.List    // of *conn that have shown nothing yet, the one that came first in front
@@ -50,6 +52,7 @@
 type Counts struct {
 	Arrived, Taken int64
 	Refused        [reasons]int64 // by reason; Room counts those closed for others
+	Crowded        int64          // requests that an address had no bytes for
 	Spared         int64          // were to be closed, and something stood to be read
 }
 
@@ -274,12 +277,43 @@
 	}
 }
 
+// Hold counts bytes of the body of a connection's request, until it is answered or the connection gone. It tells whether its
+// address may hold them: where it may not, nothing is counted.
+func (d *Door) Hold(now time.Duration, id ID, bytes int64) bool {
+	c := d.conns[id]
+	if c == nil || bytes <= 0 {
+		return true
+	}
+	if most := float64(d.set.Bytes); most > 0 && most-float64(d.bytes+bytes) < d.set.Short*most && !c.groups[0].listed {
+		for i, g := range c.groups {
+			t := d.tiers[i]
+			// Danger: who holds nothing may always have one, however long; else a long body could never pass.
+			if g.bytes > 0 && float64(g.bytes+bytes) > d.set.BytesPart*most*t.times+EarnedBytes*t.served(now, g) {
+				d.count.Crowded++
+				return false
+			}
+		}
+	}
+	d.carry(c, bytes)
+	return true
+}
+
+// carry moves what a connection holds.
+func (d *Door) carry(c *conn, bytes int64) {
+	d.bytes += bytes
+	c.bytes += bytes
+	for _, g := range c.groups {
+		g.bytes += bytes
+	}
+}
+
 // Answered notes a request's end, and whether it was served: only that proves anything.
 func (d *Door) Answered(now time.Duration, id ID, served bool) {
 	c := d.conns[id]
 	if c == nil {
 		return
 	}
+	d.carry(c, -c.bytes)
 	if served {
 		c.proven = true
 		for i, g := range c.groups {
@@ -355,6 +389,7 @@
 		d.seen.refused(c.groups[0].prefix)
 	}
 	d.unlist(now, c)
+	d.carry(c, -c.bytes)
 	delete(d.conns, id)
 	if c.known {
 		d.known--
--- a/internal/admission/door_test.go
+++ b/internal/admission/door_test.go
@@ -493,3 +493,58 @@
 		})
 	}
 }
+
+// Bytes of bodies: while they are short an address has its part and what it has earned, and one that holds nothing always
+// gets one body in; nothing that ends leaves anything behind.
+func TestBytesOfAnAddress(t *testing.T) {
+	s := Defaults(100)
+	s.Bytes, s.Listed = 1<<20, []netip.Prefix{netip.MustParsePrefix("10.9.0.0/16")}
+	d, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	take := func(a netip.Addr) ID {
+		id, why := knock(d, 0, a, nil, nil)
+		if id == 0 {
+			t.Fatalf("%v: %v", a, why)
+		}
+		return id
+	}
+	var held []ID
+	for range 12 { // three quarters: there is room yet, anybody may hold it
+		id := take(ip(10, 0, 0, 1))
+		held = append(held, id)
+		if !d.Hold(0, id, 64<<10) {
+			t.Fatal("refused while there was room")
+		}
+	}
+	if d.Hold(0, take(ip(10, 0, 0, 1)), 64<<10) {
+		t.Error("one address has more than its part while bytes are short")
+	}
+	other := take(ip(10, 1, 0, 1))
+	if !d.Hold(0, other, 100<<10) {
+		t.Error("an address that holds nothing is refused its first")
+	}
+	d.Answered(0, other, true) // and has earned room for one more beside its part
+	if !d.Hold(0, other, 64<<10) || !d.Hold(0, take(ip(10, 1, 0, 1)), 200<<10) {
+		t.Error("what was earned does not count")
+	}
+	if known := take(ip(10, 9, 0, 1)); !d.Hold(0, known, 300<<10) || !d.Hold(0, known, 300<<10) {
+		t.Error("a listed address is bounded")
+	}
+	if r := d.Report(0); r.Crowded != 1 || r.Bytes != int64(12*64+64+200+600)<<10 {
+		t.Errorf("%+v", r)
+	}
+	for i, id := range held {
+		if i%2 == 0 {
+			d.Answered(0, id, false)
+		}
+		d.Gone(0, id, false)
+	}
+	for id := range d.conns {
+		d.Gone(0, id, false)
+	}
+	if d.bytes != 0 || d.tiers[0].groups[d.tiers[0].prefix(ip(10, 1, 0, 1))].bytes != 0 {
+		t.Errorf("%d bytes are left", d.bytes)
+	}
+}
--- a/internal/admission/groups.go
+++ b/internal/admission/groups.go
@@ -14,6 +14,7 @@
 	listed   bool
 	unproven list.List // of *conn, the one that came first in front
 	open     int
+	bytes    int64   // of bodies in hand
 	earned   float64 // requests served, fading, as of at
 	at       time.Duration
 
--- a/internal/admission/orders.go
+++ b/internal/admission/orders.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	mostBlocks   = 1024
-	longestBlock = 7 * 24 * time.Hour
-	mostTop      = 32 // addresses that are listed as the busiest
+	mostBlocks = 1024
+	mostTop    = 32 // addresses that are listed as the busiest
 )
 
 // Block turns away an address or a net, for a time: no block is for ever. Those that it holds connections of go on.
@@ -20,8 +19,8 @@
 	switch {
 	case !p.IsValid():
 		return fmt.Errorf("admission: no address or prefix")
-	case span <= 0 || span > longestBlock:
-		return fmt.Errorf("admission: a block lasts for above 0s and at most %v, not %v", longestBlock, span)
+	case span <= 0 || span > LongestBlock:
+		return fmt.Errorf("admission: a block lasts for above 0s and at most %v, not %v", LongestBlock, span)
 	}
 	for q, until := range d.blocks {
 		if until <= now {
@@ -120,6 +119,7 @@
 	Open     int     `json:"open"`
 	Unproven int     `json:"unproven"`
 	Earned   float64 `json:"earned"`
+	Bytes    int64   `json:"bytes"` // of bodies in hand
 	Rate     float64 `json:"new_a_second"`
 	Refused  int64   `json:"refused"`
 }
@@ -130,6 +130,8 @@
 	Open    int              `json:"open"`
 	Known   int              `json:"known"`
 	Waiting int              `json:"waiting"`
+	Bytes   int64            `json:"bytes"` // of bodies in hand
+	Crowded int64            `json:"bytes_refused"`
 	Counts  Counts           `json:"-"`
 	Refused map[string]int64 `json:"refused"`
 	Blocks  map[string]int   `json:"blocks"` // seconds left
@@ -139,7 +141,7 @@
 // Report tells how it stands.
 func (d *Door) Report(now time.Duration) Report {
 	d.rates.fade(now)
-	r := Report{Places: d.set.Places, Open: len(d.conns), Known: d.known, Waiting: d.idle[0].Len() + d.idle[1].Len(), Counts: d.count,
+	r := Report{Places: d.set.Places, Open: len(d.conns), Known: d.known, Waiting: d.idle[0].Len() + d.idle[1].Len(), Bytes: d.bytes, Crowded: d.count.Crowded, Counts: d.count,
 		Refused: map[string]int64{}, Blocks: map[string]int{}}
 	for why := Blocked; why < reasons; why++ {
 		r.Refused[why.String()] = d.count.Refused[why]
@@ -150,7 +152,7 @@
 	for _, s := range d.seen.of {
 		st := Standing{Prefix: s.prefix.String(), Rate: d.rates.rate(d.rates.estimate(d.rates.key(s.prefix))), Refused: s.refused}
 		if g := d.tiers[0].groups[s.prefix]; g != nil {
-			st.Open, st.Unproven, st.Earned = g.open, g.unproven.Len(), d.tiers[0].has(now, g)
+			st.Open, st.Unproven, st.Earned, st.Bytes = g.open, g.unproven.Len(), d.tiers[0].has(now, g), g.bytes
 		}
 		r.Top = append(r.Top, st)
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lapisspread/internal/admission"
@@ -36,13 +37,17 @@
 	conns  map[admission.ID]Conn
 	asked  map[admission.ID]bool      // are being closed to make room
 	blocks map[netip.Prefix]time.Time // until when, by the machine's clock: for the next process
-	most   int
+	file   *File
+	room   Room
+	halved bool
 	seed   uint64
+
+	short atomic.Int64 // connections closed for want of descriptors
 }
 
-// New makes a door for a process with so many places for clients. Blocks are kept at path: see Restore.
-func New(f *File, most int, seed uint64, now func() time.Duration, path string) (*Door, error) {
-	s, err := f.Settings(most, seed)
+// New makes a door for a process with so much room for clients. Blocks are kept at path: see Restore.
+func New(f *File, room Room, seed uint64, now func() time.Duration, path string) (*Door, error) {
+	s, err := f.Settings(room, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -50,18 +55,38 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Door{now: now, path: path, rules: rules, conns: map[admission.ID]Conn{}, asked: map[admission.ID]bool{}, blocks: map[netip.Prefix]time.Time{}, most: most, seed: seed}, nil
+	return &Door{now: now, path: path, rules: rules, conns: map[admission.ID]Conn{}, asked: map[admission.ID]bool{}, blocks: map[netip.Prefix]time.Time{}, file: f, room: room, seed: seed}, nil
 }
 
 // Change takes in other settings. Whom it holds it holds on to; a bad change changes nothing.
 func (d *Door) Change(f *File) error {
-	s, err := f.Settings(d.most, d.seed)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.change(f, d.halved)
+}
+
+// Halve has it keep to half of the room, or to all of it again: for as long as two processes share the limits.
+func (d *Door) Halve(half bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.change(d.file, half)
+}
+
+// change brings the rules to a file. The lock is held.
+func (d *Door) change(f *File, half bool) error {
+	room := d.room
+	if half {
+		room.Places, room.Bytes = max(1, room.Places/2), room.Bytes/2
+	}
+	s, err := f.Settings(room, d.seed)
 	if err != nil {
 		return err
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rules.Change(d.now(), s)
+	if err := d.rules.Change(d.now(), s); err != nil {
+		return err
+	}
+	d.file, d.halved = f, half
+	return nil
 }
 
 // Arrive decides on a connection that has been accepted. Where it is taken it is named by the number, until Gone; else
@@ -108,6 +133,16 @@
 // Request notes a request's whole head: its connection is kept until Answered.
 func (d *Door) Request(id admission.ID) { d.tell(func(now time.Duration) { d.rules.Request(now, id) }) }
 
+// Hold counts bytes of a request's body until Answered or Gone, or tells that the address may hold no more.
+func (d *Door) Hold(id admission.ID, bytes int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rules.Hold(d.now(), id, bytes)
+}
+
+// Short is how many connections were closed for want of descriptors.
+func (d *Door) Short() int64 { return d.short.Load() }
+
 // Answered notes a request's end, and whether it was served.
 func (d *Door) Answered(id admission.ID, served bool) {
 	d.tell(func(now time.Duration) { d.rules.Answered(now, id, served) })
@@ -207,7 +242,7 @@
 		p, err := Prefix(name)
 		if span := time.Until(until); err == nil && span > 0 {
 			// Danger: the machine's clock may have stepped; no block lasts past the longest.
-			if err = d.rules.Block(d.now(), p, min(span, longestBlock)); err == nil {
+			if err = d.rules.Block(d.now(), p, min(span, admission.LongestBlock)); err == nil {
 				d.blocks[p] = until
 			}
 		}
@@ -215,6 +250,3 @@
 	}
 	return errors.Join(errs...)
 }
-
-// longestBlock is the longest that admission takes.
-const longestBlock = 7 * 24 * time.Hour
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s, err := f.Settings(600, 1); err != nil || s.Places != 600 || len(s.Listed) != 2 {
+	if s, err := f.Settings(Room{Places: 600}, 1); err != nil || s.Places != 600 || len(s.Listed) != 2 {
 		t.Errorf("%+v, %v", s, err) // never more than the process has
 	}
 }
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	now := new(time.Duration)
-	d, err := New(f, places, 1, func() time.Duration { return *now }, path)
+	d, err := New(f, Room{Places: places}, 1, func() time.Duration { return *now }, path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -172,7 +172,8 @@
 		t.Fatal(err)
 	}
 	s := &short{Listener: inner, left: 20}
-	l := NewListener(s, slog.New(slog.DiscardHandler))
+	d, _ := testDoor(t, 3, "")
+	l := d.NewListener(s, slog.New(slog.DiscardHandler))
 	came := make(chan error, 1)
 	began := time.Now()
 	go func() {
@@ -213,3 +214,29 @@
 	}
 	t.Error("nobody is taken any more")
 }
+
+// While two processes share the limits each keeps to half, also through a change; whom it holds beyond that it keeps.
+func TestHalfOfTheRoom(t *testing.T) {
+	d, _ := testDoor(t, 4, "")
+	for i := range 4 {
+		if id, why := d.Arrive(from(i), &stub{stays: true}); id == 0 {
+			t.Fatalf("turned away: %v", why)
+		}
+	}
+	f, err := Parse("a.toml", []byte("version = 1\n[connections]\nreserve = 0.5\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(d.Halve(true), d.Change(f)); err != nil {
+		t.Fatal(err)
+	}
+	if r := d.Report(); r.Places != 2 || r.Open != 4 {
+		t.Errorf("%d of %d places", r.Open, r.Places)
+	}
+	if id, _ := d.Arrive(from(9), &stub{stays: true}); id != 0 {
+		t.Error("one more is taken")
+	}
+	if err := d.Halve(false); err != nil || d.Report().Places != 4 {
+		t.Errorf("%v, %d places", err, d.Report().Places)
+	}
+}
--- a/internal/door/file.go
+++ b/internal/door/file.go
@@ -23,15 +23,16 @@
 
 // Connections are who holds a place.
 type Connections struct {
-	Places   int          `toml:"places"`  // the process's for clients if left out, and never more than these
-	Reserve  *float64     `toml:"reserve"` // part of the places that only known clients may have
-	Grace    *strict.Span `toml:"grace"`   // for so long one that has shown nothing is not closed to make room
-	HalfLife *strict.Span `toml:"half_life"`
-	Earned   int          `toml:"earned"`
-	Rate     *float64     `toml:"rate"`  // new connections a second of one address, while places are short
-	Short    *float64     `toml:"short"` // places are short while less than this part of them is free
-	Tracked  int          `toml:"tracked"`
-	Known    []string     `toml:"known"` // addresses or prefixes that are known from the start
+	Places    int          `toml:"places"`  // the process's for clients if left out, and never more than these
+	Reserve   *float64     `toml:"reserve"` // part of the places that only known clients may have
+	Grace     *strict.Span `toml:"grace"`   // for so long one that has shown nothing is not closed to make room
+	HalfLife  *strict.Span `toml:"half_life"`
+	Earned    int          `toml:"earned"`
+	Rate      *float64     `toml:"rate"`       // new connections a second of one address, while places are short
+	BytesPart *float64     `toml:"bytes_part"` // of the bytes of bodies that one address may hold while they are short
+	Short     *float64     `toml:"short"`      // places are short while less than this part of them is free
+	Tracked   int          `toml:"tracked"`
+	Known     []string     `toml:"known"` // addresses or prefixes that are known from the start
 }
 
 // Requests are how many requests are in hand.
@@ -72,7 +73,7 @@
 		return nil, fmt.Errorf("%s: version: %d; this program reads %d", path, f.Version, Version)
 	}
 	var errs []error
-	if _, err := f.Settings(1<<20, 0); err != nil { // whether the rest makes sense does not hang on the process's places
+	if _, err := f.Settings(Room{Places: 1 << 20}, 0); err != nil { // whether the rest makes sense does not hang on the process's places
 		errs = append(errs, fmt.Errorf("connections: %w", err))
 	}
 	if f.Requests != nil {
@@ -90,15 +91,24 @@
 	return f, nil
 }
 
-// Settings are those of the connections, for a process that has so many places for clients.
-func (f *File) Settings(most int, seed uint64) (admission.Settings, error) {
+// Room is what a process has for its clients.
+type Room struct {
+	Places int
+	Bytes  int64 // of the bodies of all requests in hand
+}
+
+// Settings are those of the connections, for a process with so much room.
+func (f *File) Settings(room Room, seed uint64) (admission.Settings, error) {
 	c := &f.Connections
-	places := most
+	places := room.Places
 	if c.Places != 0 {
-		places = min(c.Places, most)
+		places = min(c.Places, places)
 	}
 	s := admission.Defaults(places)
-	s.Seed = seed
+	s.Seed, s.Bytes = seed, room.Bytes
+	if c.BytesPart != nil {
+		s.BytesPart = *c.BytesPart
+	}
 	if c.Reserve != nil {
 		s.Reserve = *c.Reserve
 	}
--- a/internal/door/listener.go
+++ b/internal/door/listener.go
@@ -20,17 +20,17 @@
 // little, so that nothing spins. Requests in hand go on meanwhile.
 type Listener struct {
 	net.Listener
-	log *slog.Logger
+	log   *slog.Logger
+	count func() // one was closed for want of descriptors
 
 	mu    sync.Mutex
 	spare *os.File
 	said  time.Time
-	short int64
 }
 
 // NewListener wraps a listener. It holds one descriptor more.
-func NewListener(l net.Listener, log *slog.Logger) *Listener {
-	out := &Listener{Listener: l, log: log}
+func (d *Door) NewListener(l net.Listener, log *slog.Logger) *Listener {
+	out := &Listener{Listener: l, log: log, count: func() { d.short.Add(1) }}
 	out.hold()
 	return out
 }
@@ -41,13 +41,6 @@
 	}
 }
 
-// Short is how many connections were closed for want of descriptors.
-func (l *Listener) Short() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.short
-}
-
 // Accept waits for a connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -68,7 +61,7 @@
 	defer l.mu.Unlock()
 	if time.Since(l.said) >= sayEvery {
 		l.said = time.Now()
-		l.log.Error("no descriptor is left for clients", "err", why, "closed", l.short)
+		l.log.Error("no descriptor is left for clients", "err", why)
 	}
 	if l.spare != nil {
 		l.spare.Close()
@@ -77,7 +70,7 @@
 			t.SetDeadline(time.Now().Add(shortRest)) // whoever stood there may have left
 			if c, err := l.Listener.Accept(); err == nil {
 				c.Close()
-				l.short++
+				l.count()
 			}
 			t.SetDeadline(time.Time{})
 		}
--- a/internal/door/requests.go
+++ b/internal/door/requests.go
@@ -30,6 +30,13 @@
 	return r.rules.Take(class, tenant, ofConn)
 }
 
+// Limit is how many may be in hand now, and how many are.
+func (r *InHand) Limit() (limit, inHand int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules.Limit()
+}
+
 // Done ends what Take began; took is how long an answer that served took, 0 for any other end.
 func (r *InHand) Done(tenant int, took time.Duration) {
 	r.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -604,9 +604,11 @@
 	}
 	v.begun, v.open = true, 1 // for the call itself
 	l.asking = v
+	defer func() { // also where the module panics: else later probes would count for it
+		l.asking = nil
+		l.vettingLanded(v)
+	}()
 	l.module.Vet(l.clock.Now())
-	l.asking = nil
-	l.vettingLanded(v)
 }
 
 // vetted counts a probe's result.
--- a/internal/proxy/admission_test.go
+++ b/internal/proxy/admission_test.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,7 +17,7 @@
 	"testing"
 	"time"
 
-	"lapisspread/internal/admission"
+	"lapisspread/internal/console"
 )
 
 // guarded is a stage that admits by a file.
@@ -23,7 +26,7 @@
 	if err := os.WriteFile(path, []byte("version = 1\n"+text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return newStage(t, twoServices, func(c *Config) { c.Sockets, c.Admission = sockets, path })
+	return newStage(t, twoServices, func(c *Config) { c.Sockets, c.Admission, c.MemoryMB = sockets, path, 32 })
 }
 
 func clientAt(t *testing.T, from string) *http.Client {
@@ -91,6 +94,7 @@
 			t.Errorf("on a new one: %d %q", status, body)
 		}
 	}
+	askConsoleAmid(t, s.proxy)
 	if status := <-inHand; status != 200 {
 		t.Errorf("the request that was in hand: %d", status)
 	}
@@ -138,7 +142,7 @@
 			t.Fatal(err)
 		}
 		err := s.proxy.rereadDoor()
-		if r, _ := op.Admission(); (err == nil) != (want == 7) || want == 7 && r.(admission.Report).Places != want {
+		if r, _ := op.Admission(); (err == nil) != (want == 7) || want == 7 && r.(doorReport).Places != want {
 			t.Errorf("%q: %v, %+v", text, err, r)
 		}
 	}
@@ -175,3 +179,72 @@
 		t.Errorf("after all: %d", status)
 	}
 }
+
+// Slow bodies from one address do not use up the bytes of all: others are served, and so is that address once it has
+// given some back.
+func TestSlowBodiesOfOneAddress(t *testing.T) {
+	s := guarded(t, "[connections]\nshort = 0.6\n", 512)
+	var slow []net.Conn
+	refused := 0
+	for i := range 60 { // 64 would fill the room
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 5, 0, 1)}}
+		c, err := d.Dial("tcp4", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x.org\r\nX-Request-Id: slow-%d\r\nX-Priority-Class: hand-in\r\nX-Timeout-Ms: 5000\r\nContent-Length: %d\r\n\r\nx", i, bodyBytes)
+		slow = append(slow, c)
+	}
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		if refused = int(s.proxy.conns.door.Report().Crowded); refused > 0 {
+			break
+		}
+		if time.Since(begun) > patience {
+			t.Fatalf("no body was refused: %+v", s.proxy.conns.door.Report())
+		}
+	}
+	if status, body := s.ask(clientAt(t, "127.6.0.1"), "x.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("another address: %d %q", status, body)
+	}
+	for _, c := range slow {
+		c.Close()
+	}
+	for begun := time.Now(); s.proxy.conns.door.Report().Bytes > 0; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatalf("bytes are left: %+v", s.proxy.conns.door.Report())
+		}
+	}
+	if status, body := s.ask(clientAt(t, "127.5.0.1"), "x.org", "/api", "hand-in", 5000); status != 200 {
+		t.Errorf("the same address after it: %d %q", status, body)
+	}
+}
+
+// askConsoleAmid has an operator look at a flood and turn a part of it away: the console has places of its own.
+func askConsoleAmid(t *testing.T, p *Proxy) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { ended <- console.New(operator{p}, slog.New(slog.DiscardHandler)).Serve(ctx, l) }()
+	defer func() { cancel(); <-ended }()
+	for call, want := range map[string]string{"ADMISSION": `"top":[{"address":"127.`, "BLOCK 127.1.0.0/16 1m": "200 127.1.0.0/16", "PING": "200 serving"} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(c, "%s\n", call)
+		line, err := bufio.NewReader(c).ReadString('\n')
+		if err != nil || !strings.Contains(line, want) {
+			t.Errorf("%s: %.200q, %v", call, line, err)
+		}
+		c.Close()
+	}
+	if len(p.conns.door.Report().Blocks) != 1 {
+		t.Error("the block does not hold")
+	}
+}
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -180,31 +180,46 @@
 	c.mu.Unlock()
 }
 
-// begin tells the door of a whole request's head; what it gives tells of its end.
-func (s *clientConns) begin(r *http.Request) (end func()) {
-	c, ours := r.Context().Value(connKey{}).(*clientConn)
-	if !ours || s.door == nil {
-		return func() {}
+// guest is a request's connection as the door has it; nil where there is no door.
+func (s *clientConns) guest(r *http.Request) *clientConn {
+	if s.door == nil {
+		return nil
 	}
-	s.door.Request(c.id)
-	return func() {
-		c.mu.Lock()
-		served := c.served
-		c.served = false
-		c.mu.Unlock()
-		s.door.Answered(c.id, served)
+	c, _ := r.Context().Value(connKey{}).(*clientConn)
+	return c
+}
+
+// begin tells the door of a whole request's head.
+func (c *clientConn) begin() {
+	if c != nil {
+		c.conns.door.Request(c.id)
 	}
 }
 
+// hold counts a body against the client's address, or tells that it may hold no more.
+func (c *clientConn) hold(bytes int64) bool { return c == nil || c.conns.door.Hold(c.id, bytes) }
+
 // noteServed has the request in hand count for its client.
-func (s *clientConns) noteServed(r *http.Request) {
-	if c, ours := r.Context().Value(connKey{}).(*clientConn); ours && s.door != nil {
+func (c *clientConn) noteServed() {
+	if c != nil {
 		c.mu.Lock()
 		c.served = true
 		c.mu.Unlock()
 	}
 }
 
+// end tells the door of the request's end.
+func (c *clientConn) end() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	served := c.served
+	c.served = false
+	c.mu.Unlock()
+	c.conns.door.Answered(c.id, served)
+}
+
 // add enters a connection, or gives nil if there is no place for it: if all are taken, the one that has been
 // silent from its start for longest makes place, else the one that has been idle for longest, but none with
 // a request begun.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -61,7 +61,7 @@
 
 func newFrontend(s *services, cfg *Config, log *slog.Logger, conns *clientConns) *frontend {
 	f := &frontend{services: s, cfg: cfg, clock: engine.NewClock(), log: log, conns: conns, open: map[string]bool{},
-		mostBytes: int64(inHandPart * float64(cfg.MemoryMB) * (1 << 20)), bodyTimeout: bodyTimeout, writeTimeout: writeTimeout}
+		mostBytes: bodyRoom(cfg), bodyTimeout: bodyTimeout, writeTimeout: writeTimeout}
 	// Danger: the server's ReadTimeout and WriteTimeout go on while a request is in hand. One that waits for
 	// longer than they allow would be taken for gone, or its answer be lost. ServeHTTP sets its own.
 	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
@@ -105,7 +105,9 @@
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	taken := time.Now()
-	defer f.conns.begin(r)()
+	guest := f.conns.guest(r)
+	guest.begin()
+	defer guest.end()
 	if err := checkFraming(r); err != nil {
 		f.reject(w, err)
 		return
@@ -138,6 +140,10 @@
 		return
 	}
 	defer f.leave(id, bytes)
+	if !guest.hold(bytes) {
+		f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: "too many bytes of this address are in hand"})
+		return
+	}
 	if svc.gate != nil { // one of several
 		ask := quota.Ask{Service: svc.name, Gate: svc.gate, Class: req.Class, Tenant: req.Tenant, Bytes: bytes}
 		if why, after := f.services.limits.Take(ask); why != "" {
@@ -180,7 +186,7 @@
 	select {
 	case a := <-req.Result():
 		if a.End == engine.Served {
-			f.conns.noteServed(r)
+			guest.noteServed()
 			req.took = time.Since(taken)
 		}
 		f.answer(w, req, u, a)
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lapisspread/internal/admission"
 	"lapisspread/internal/door"
 )
 
@@ -79,12 +80,38 @@
 
 var errNoDoor = errors.New("admission is off: the proxy was started without --admission")
 
+// doorReport is what ADMISSION shows.
+type doorReport struct {
+	admission.Report
+	Short    int64            `json:"closed_without_descriptors"`
+	Requests map[string]bound `json:"requests,omitempty"` // by service
+}
+
+type bound struct {
+	Limit  int `json:"limit"`
+	InHand int `json:"in_hand"`
+}
+
 // Admission is who holds places and why the last were refused.
 func (o operator) Admission() (any, error) {
 	if o.conns.door == nil {
 		return nil, errNoDoor
 	}
-	return o.conns.door.Report(), nil
+	r := doorReport{Report: o.conns.door.Report(), Short: o.conns.door.Short()}
+	if now := o.services.now.Load(); now != nil {
+		for name, svc := range now.byName {
+			if svc.requests == nil {
+				continue
+			}
+			if r.Requests == nil {
+				r.Requests = map[string]bound{}
+			}
+			var b bound
+			b.Limit, b.InHand = svc.requests.Limit()
+			r.Requests[name] = b
+		}
+	}
+	return r, nil
 }
 
 // Block turns an address or a prefix away for a time.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -101,6 +101,11 @@
 		}
 		shared = now
 		p.services.halve(shared)
+		if p.conns.door != nil {
+			if err := p.conns.door.Halve(shared); err != nil {
+				p.log.Error("the old admission stays", "err", err)
+			}
+		}
 		if p.Shared != nil {
 			p.Shared(shared)
 		}
@@ -118,6 +123,9 @@
 	}
 }
 
+// bodyRoom is how many bytes the bodies of all requests in hand may have.
+func bodyRoom(c *Config) int64 { return int64(inHandPart * float64(c.MemoryMB) * (1 << 20)) }
+
 // clientPlaces is how many connections clients may hold.
 func clientPlaces(c *Config) int { return int(clientPart * float64(c.Sockets-spareSockets)) }
 
@@ -153,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := door.New(file, clientPlaces(&p.cfg), p.cfg.Seed, engine.NewClock().Now, p.store.Path("blocks"))
+	d, err := door.New(file, door.Room{Places: clientPlaces(&p.cfg), Bytes: bodyRoom(&p.cfg)}, p.cfg.Seed, engine.NewClock().Now, p.store.Path("blocks"))
 	if err != nil {
 		return err
 	}
@@ -198,7 +206,7 @@
 			listener.Close()
 			return fmt.Errorf("settings: %w", err)
 		}
-		listener = door.NewListener(listener, p.log)
+		listener = p.conns.door.NewListener(listener, p.log)
 	}
 	inner, cancel := context.WithCancel(context.Background())
 	if err := p.services.start(inner, &p.cfg); err != nil {
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -255,7 +255,7 @@
 		t.Requests = int64(openSockets * float64(c.Sockets))
 	}
 	if t.Bytes == 0 {
-		t.Bytes = int64(inHandPart * float64(c.MemoryMB) * (1 << 20))
+		t.Bytes = bodyRoom(c)
 	}
 	return t
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -117,12 +117,7 @@
 		pool  **budget.Pool
 		total int64
 	}{{&next.requests, totals.Requests}, {&next.bytes, totals.Bytes}, {&next.conns, totals.Conns}} { // the same shares: all are good or none
-		shares := f.Shares(k.total)
-		for name := range l.leaving {
-			if _, stays := shares[name]; !stays {
-				shares[name] = budget.Share{}
-			}
-		}
+		shares := withLeaving(f.Shares(k.total), l.leaving)
 		var err error
 		if *k.pool == nil {
 			*k.pool, err = budget.NewPool(f.Terms(k.total), shares)
@@ -138,24 +133,31 @@
 		return err
 	}
 	l.pools, l.attempts = &next, attempts
+	stay := withLeaving(f.Shares(1), l.leaving)
 	for name := range l.refused {
-		if _, stays := f.Shares(1)[name]; !stays && l.leaving[name] == 0 {
+		if _, stays := stay[name]; !stays {
 			delete(l.refused, name)
 		}
 	}
 	return nil
 }
 
+// withLeaving adds services that have not ended yet, without a part kept for them.
+func withLeaving[S any](shares map[string]S, leaving map[string]int) map[string]S {
+	for name := range leaving {
+		if _, stays := shares[name]; !stays {
+			var none S
+			shares[name] = none
+		}
+	}
+	return shares
+}
+
 func (l *Limits) rate(f *services.File, total float64) (*budget.Rate, error) {
 	if total == 0 {
 		return nil, nil
 	}
-	shares := f.RateShares(total)
-	for name := range l.leaving {
-		if _, stays := shares[name]; !stays {
-			shares[name] = budget.RateShare{}
-		}
-	}
+	shares := withLeaving(f.RateShares(total), l.leaving)
 	if l.attempts == nil {
 		r, err := budget.NewRate(total, attemptsBurst, shares)
 		if err != nil {
