--- a/internal/diameter/dictionary.go
+++ b/internal/diameter/dictionary.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"sync"
 
 	"lapisspread/internal/strict"
 )
@@ -65,13 +66,15 @@
 }
 
 // Base is the dictionary of the base protocol and of what a claim uses of credit control.
-func Base() *Dictionary {
+func Base() *Dictionary { return base() }
+
+var base = sync.OnceValue(func() *Dictionary {
 	d := &Dictionary{}
 	if err := d.add("base.toml", baseText); err != nil {
 		panic(err) // it is embedded: a build that has it wrong passes no test
 	}
 	return d
-}
+})
 
 // With adds a site's file to a dictionary, which itself stays as it is. Errors name the file, the line where there is
 // one, and the AVP or command. What is there cannot be defined anew.
@@ -212,7 +215,7 @@
 				return failed(InvalidAVPValue, a.raw, "%s: %d is none of its values", def.Name, v)
 			}
 		}
-		if def.Format == Grouped && depth < MostDepth {
+		if def.Format == Grouped && def.Code != failedAVP && depth < MostDepth {
 			if err := d.checkAVPs(Walk(a.Data), nil, nil, depth+1); err != nil {
 				return err
 			}
--- a/internal/diameter/message.go
+++ b/internal/diameter/message.go
@@ -19,6 +19,7 @@
 	MostAVPs     = 4096    // of one message, grouped ones' counted too
 	MostDepth    = 8       // of grouped AVPs within each other
 	wireVersion  = 1
+	failedAVP    = 279       // its code, section 7.5
 	longestField = 1<<24 - 1 // lengths have 24 bits
 )
 
@@ -99,7 +100,8 @@
 		if d == nil {
 			continue
 		}
-		if def := d.AVP(c.AVP.Vendor, c.AVP.Code); def != nil && def.Format == Grouped {
+		// What a Failed-AVP holds is wrong by its nature: it is not looked into.
+		if def := d.AVP(c.AVP.Vendor, c.AVP.Code); def != nil && def.Format == Grouped && def.Code != failedAVP {
 			if err := walkAll(c.AVP.Data, d, depth+1, count); err != nil {
 				return err
 			}
--- a/internal/diameter/peer/machine.go
+++ b/internal/diameter/peer/machine.go
@@ -223,7 +223,9 @@
 	m.to(now, s, 0)
 	m.reopening = m.wasDown // it must show that it is well first
 	m.wasDown, m.failed, m.waiting, m.suspect, m.answered = false, 0, false, false, 0
-	m.setTick(now)
+	// The first watchdog comes at any time within Tw: peers that all came at once would else tick in step for many minutes, by
+	// the RFC's jitter alone.
+	m.tick = now + m.set.Watchdog/5 + time.Duration(m.rng.Int64N(int64(m.set.Watchdog*4/5)+1))
 	if m.reopening {
 		m.tick = now // at once (RFC 3539: REOPEN begins with a watchdog)
 	}
@@ -389,7 +391,7 @@
 	if e.Kind == CER && e.Side == Responder {
 		return append(out, Action{Do: Reject, Side: Responder}) // another connection, or a second CER: neither is taken
 	}
-	if e.Kind == Connected { // one that was given up
+	if e.Kind == Connected && side == Responder { // one that was given up
 		return append(out, Action{Do: Disconnect, Side: Initiator})
 	}
 	if e.Side != side || e.Kind == ConnectFailed {
