Speak Diameter at the front and to the servers, with a ledger so that no claim runs twice

Need: settlement partners send payout claims over Diameter; the codec, the peers and the ledger were not reachable from the proxy.

A Diameter client also reaches HTTP servers, its AVPs as JSON. TLS with certificates of both sides, read again without a drop (internal/tlskeys). The console shows DIAMETER. A service's file says upstream = "diameter". internal/lab/partner is a partner's server and client, written on the codec alone, with faults at every step. Off on the run line: the platform has no such listener.

Result: both pass the engine's conformance kit (with the longest answer that Diameter can hold, and connections that may be away after a break). A claim sent five times ran once; the next process waits for the ledger of the one before and gives the same answer.

--- /dev/null
+++ b/cmd/lapisspread/diameter.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lapisspread/internal/diameter/claim"
+)
+
+func diameterCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "diameter",
+		Short: "Look at files of Diameter",
+		Args:  noArguments,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	c.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Tell whether a file of Diameter is good and what it comes to, or which line or key is wrong",
+		Args:  oneFile,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, _, err := claim.Load(args[0])
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%s: good: %s of realm %s, %d peers\n", args[0], f.Host, f.Realm, len(f.Peers))
+			for _, c := range f.Commands {
+				what := c.Name
+				if c.RequestedAction != nil {
+					what += fmt.Sprintf(" with Requested-Action %d", *c.RequestedAction)
+				}
+				fmt.Fprintf(out, "  %s is of class %s, its client waits %v\n", what, c.Class, time.Duration(c.GiveUp))
+			}
+			kept := "in memory alone"
+			if f.Ledger.File != "" {
+				kept = "in " + f.Ledger.File + " of the state directory"
+			}
+			fmt.Fprintf(out, "  %d claims are remembered for %v, %s\n", f.Ledger.Entries, time.Duration(f.Ledger.Window), kept)
+			return nil
+		},
+	})
+	return c
+}
--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -60,20 +60,22 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(serveCommand(), configCommand(), routesCommand(), admissionCommand(), versionCommand())
+	root.AddCommand(serveCommand(), configCommand(), routesCommand(), admissionCommand(), diameterCommand(), versionCommand())
 	return root
 }
 
 func serveCommand() *cobra.Command {
-	var profile, services, admission string
+	var profile string
+	var files serveFiles
 	c := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve clients until SIGTERM",
 		Args:  noArguments,
-		RunE:  func(*cobra.Command, []string) error { return serve(profile, services, admission) },
+		RunE:  func(*cobra.Command, []string) error { return serve(profile, files) },
 	}
-	c.Flags().StringVar(&services, "services", "", "serve the services of this file in place of a single one; SIGHUP reads it again")
-	c.Flags().StringVar(&admission, "admission", "", "decide by this file who gets a connection; SIGHUP reads it again")
+	c.Flags().StringVar(&files.services, "services", "", "serve the services of this file in place of a single one; SIGHUP reads it again")
+	c.Flags().StringVar(&files.admission, "admission", "", "decide by this file who gets a connection; SIGHUP reads it again")
+	c.Flags().StringVar(&files.diameter, "diameter", "", "speak Diameter too, by this file; SIGHUP reads its certificates again")
 	c.Flags().StringVar(&profile, "cpu-profile", "", "write a CPU profile (pprof) to this file, with the proxy's name behind it, at the end")
 	return c
 }
--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -19,16 +19,18 @@
 // what it does not count, such as the sockets' buffers and the program itself.
 const memoryPart = 0.7
 
-// serve runs the proxy until SIGTERM, with the services of a file and the admission of another if they are named, and
-// writes a CPU profile likewise. An error says why it could not serve.
-func serve(profile, services, admission string) error {
+// serveFiles are files that are read if they are named: of services, of who is admitted, of Diameter.
+type serveFiles struct{ services, admission, diameter string }
+
+// serve runs the proxy until SIGTERM, and writes a CPU profile if one is named. An error says why it could not serve.
+func serve(profile string, files serveFiles) error {
 	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
 	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := proxy.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
-	cfg.Services, cfg.Admission = services, admission
+	cfg.Services, cfg.Admission, cfg.Diameter = files.services, files.admission, files.diameter
 	if profile != "" {
 		file, err := os.Create(profile + "." + cfg.Name)
 		if err != nil {
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -34,6 +34,7 @@
 func (s *stub) Rejoin()                 { s.note("rejoin") }
 func (s *stub) Routes() (string, error) { return "", errors.New("f.toml: line 3:\nbad") }
 func (s *stub) Admission() (any, error) { return map[string]int{"open": 3}, nil }
+func (s *stub) Diameter() (any, error)  { return nil, errors.New("no Diameter is spoken") }
 func (s *stub) Block(prefix string, span time.Duration) error {
 	s.note("block " + prefix + " " + span.String())
 	return nil
--- a/internal/diameter/data.go
+++ b/internal/diameter/data.go
@@ -135,17 +135,18 @@
 }
 
 func (a AVP) checkIdentity() error {
-	if !validIdentity(a.Data) {
+	if !ValidIdentity(string(a.Data)) {
 		return failed(InvalidAVPValue, a.raw, "AVP %d: no host's or realm's name", a.Code)
 	}
 	return nil
 }
 
-func validIdentity(b []byte) bool {
+// ValidIdentity tells whether a name can be a DiameterIdentity: a host's or a realm's (section 4.3.1).
+func ValidIdentity(b string) bool {
 	if len(b) == 0 || len(b) > mostIdentity {
 		return false
 	}
-	for _, c := range b {
+	for _, c := range []byte(b) {
 		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '.' && c != '-' && c != '_' {
 			return false
 		}
--- a/internal/diameter/dictionary.go
+++ b/internal/diameter/dictionary.go
@@ -161,6 +161,26 @@
 	return def
 }
 
+// Lookup gives the definition of a name, nil if there is none.
+func (d *Dictionary) Lookup(name string) *Definition { return d.byName[name] }
+
+// CommandNamed gives a command by its name, nil if there is none. Where two have the same, it is that of the lowest
+// application.
+func (d *Dictionary) CommandNamed(name string) *Command {
+	var found *Command
+	for _, c := range d.commands {
+		if c.Name == name && (found == nil || c.App < found.App) {
+			found = c
+		}
+	}
+	return found
+}
+
+// Missing is the error that an AVP is not there and should be.
+func (d *Dictionary) Missing(def *Definition) *Error {
+	return failed(MissingAVP, missing(def), "%s is missing", def.Name)
+}
+
 // Command gives a command of an application, nil if there is none. The base protocol's are of application 0.
 func (d *Dictionary) Command(app, code uint32) *Command { return d.commands[[2]uint32{app, code}] }
 
--- a/internal/diameter/node/node.go
+++ b/internal/diameter/node/node.go
@@ -52,7 +52,7 @@
 	Allow func(host, realm string, cert *x509.Certificate) error
 	// Handle takes a request of a peer, in a goroutine of its own. It must call Answer or Drop.
 	Handle func(*Request)
-	TLS    *tls.Config // for connections that we make; nil is plain TCP. A listener brings its own
+	TLS    func() *tls.Config // for a connection that we make; nil is plain TCP. A listener brings its own
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 	Log    *slog.Logger
 	Seed   uint64
@@ -270,7 +270,7 @@
 	if !n.common(cer) {
 		code = uint32(diameter.NoCommonApplication)
 	}
-	if !p.offer(c, peer.Event{Kind: peer.CER, Side: peer.Responder, Host: cer.host, Code: code}) {
+	if !p.offer(c, peer.Event{Kind: peer.CER, Side: peer.Responder, Host: cer.host, Code: code}, cer.realm) {
 		n.Counts.Rejected.Add(1)
 		c.finish()
 		c.wait()
--- a/internal/diameter/node/peer.go
+++ b/internal/diameter/node/peer.go
@@ -33,6 +33,7 @@
 
 	mu        sync.Mutex
 	host      string // its Origin-Host, once that is known
+	realm     string // and its Origin-Realm
 	m         *peer.Machine
 	timer     *time.Timer
 	conns     [2]*conn // by side
@@ -59,6 +60,7 @@
 // call is a request that is out.
 type call struct {
 	conn   *conn
+	id     uint32        // end to end
 	state  atomic.Uint32 // 0 queued, 1 written from, 2 given up before
 	answer chan diameter.Message
 	broken chan error // holds one
@@ -77,6 +79,27 @@
 	return p.host
 }
 
+// Realm is the peer's Origin-Realm as far as it is known.
+func (p *Peer) Realm() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.realm
+}
+
+// Open tells whether a connection to the peer is open.
+func (p *Peer) Open() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open != nil
+}
+
+// Refuse has nothing new sent to the peer from now on.
+func (p *Peer) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+}
+
 // Status is how a peer stands.
 type Status struct {
 	Host        string `json:"host"`
@@ -95,7 +118,7 @@
 }
 
 // offer has the machine decide on a connection that the peer has made; it tells whether it stays.
-func (p *Peer) offer(c *conn, e peer.Event) bool {
+func (p *Peer) offer(c *conn, e peer.Event, realm string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.candidate = c
@@ -103,7 +126,11 @@
 	if p.candidate == c {
 		p.candidate = nil
 	}
-	return p.conns[peer.Responder] == c
+	stays := p.conns[peer.Responder] == c
+	if stays {
+		p.realm = realm
+	}
+	return stays
 }
 
 // step hands the machine an event, of the connection where it is one's.
@@ -199,8 +226,7 @@
 			n.set.Log.Info("diameter peer", "host", p.host, "addr", p.addr, "now", fmt.Sprint(p.m.State()), "by", fmt.Sprint(a.Do))
 		}
 	}
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.signal()
 	p.stopTimer()
 	if next := p.m.Next(); next < 1<<62 && !p.dead {
 		wait := max(0, next-n.now())
@@ -212,6 +238,12 @@
 	}
 }
 
+// signal wakes who waits for a change. The lock is held.
+func (p *Peer) signal() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *Peer) send(c *conn) func(diameter.Message, error) {
 	return func(m diameter.Message, err error) {
 		if err != nil {
@@ -277,7 +309,8 @@
 	n := p.node
 	if !h.IsRequest() {
 		k := p.pending[h.HopByHop]
-		if k == nil || k.conn != c {
+		// Danger: a peer that mixes up its hop-by-hop identifiers would else give one client another's answer.
+		if k == nil || k.conn != c || k.id != h.EndToEnd {
 			n.Counts.Unknown.Add(1)
 			return
 		}
@@ -378,7 +411,7 @@
 	defer cancel()
 	nc, err := n.set.Dial(ctx, p.addr)
 	if err == nil && n.set.TLS != nil {
-		t := tls.Client(nc, n.set.TLS)
+		t := tls.Client(nc, n.set.TLS())
 		if err = t.HandshakeContext(ctx); err != nil {
 			nc.Close()
 			err = fmt.Errorf("TLS: %w", err)
@@ -446,6 +479,7 @@
 	delete(p.pending, h.HopByHop)
 	k.broken <- fmt.Errorf("%w: %w", ErrSpoilt, e)
 	p.sayGoodbye()
+	p.signal()
 }
 
 // eventOf is what a message is to the machine.
@@ -513,24 +547,20 @@
 		return errors.New("no application in common")
 	}
 	p.mu.Lock()
-	p.host = cap.host
+	p.host, p.realm = cap.host, cap.realm
 	p.mu.Unlock()
 	return nil
 }
 
 // Stop says goodbye to the peer, and connects to it no more. Cause is a Disconnect-Cause.
 func (p *Peer) Stop(cause uint32) {
-	p.mu.Lock()
-	p.stopped = true
-	p.mu.Unlock()
+	p.Refuse()
 	p.step(peer.Event{Kind: peer.Stop, Cause: cause}, nil, nil)
 }
 
 // Leave stops the peer once nothing is out to it, or ctx ends, and has the node forget it.
 func (p *Peer) Leave(ctx context.Context, cause uint32) {
-	p.mu.Lock()
-	p.stopped = true
-	p.mu.Unlock()
+	p.Refuse()
 	p.wait(ctx, func() bool { return len(p.pending) == 0 })
 	p.Stop(cause)
 	p.waitClosed(ctx)
@@ -600,6 +630,7 @@
 		if o == k {
 			delete(p.pending, id)
 			p.sayGoodbye()
+			p.signal()
 			break
 		}
 	}
@@ -624,7 +655,7 @@
 		case p.open != nil:
 			id := p.id()
 			m.SetHopByHop(id)
-			k := &call{conn: p.open, answer: make(chan diameter.Message, 1), broken: make(chan error, 1)}
+			k := &call{conn: p.open, id: m.Header().EndToEnd, answer: make(chan diameter.Message, 1), broken: make(chan error, 1)}
 			p.pending[id] = k
 			c := p.open
 			p.mu.Unlock()
--- /dev/null
+++ b/internal/effects/guard/guard_test.go
@@ -0,0 +1,192 @@
+package guard
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lapisspread/internal/effects"
+)
+
+func settings(lost time.Duration) effects.Settings {
+	return effects.Settings{Window: effects.Window, Entries: 100, Bytes: 1 << 20, Lost: lost}
+}
+
+func newGuard(t *testing.T, path string, lost time.Duration) *Guard {
+	t.Helper()
+	began := time.Now()
+	g, err := New(Options{Ledger: settings(lost), Path: path, Now: func() time.Duration { return time.Since(began) }, Wait: 500 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Open(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func key(n int) effects.Key { return effects.Key{Origin: "a", ID: uint32(n)} }
+
+// Many who send the same at once, and after it: it runs once and all have the one answer.
+func TestOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard(t, "", -1)
+		var ran atomic.Int64
+		var all sync.WaitGroup
+		for i := range 300 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				answer, _, v := g.Do(t.Context(), key(i%10), i >= 10, func() ([]byte, End) {
+					ran.Add(1)
+					time.Sleep(100 * time.Millisecond)
+					return fmt.Append(nil, i%10), Answered
+				})
+				if string(answer) != fmt.Sprint(i%10) || v != effects.Begin && v != effects.Join && v != effects.Answered {
+					t.Errorf("%d: %q, %v", i, answer, v)
+				}
+			})
+		}
+		all.Wait()
+		r := g.Report()
+		if ran.Load() != 10 || r.Begun != 10 || r.Joined == 0 || r.Repeated == 0 || r.InHand != 0 {
+			t.Errorf("%d ran; %+v", ran.Load(), r)
+		}
+		time.Sleep(effects.Window + time.Second)
+		if _, _, v := g.Do(t.Context(), key(1), false, func() ([]byte, End) { return nil, NeverRan }); v != effects.Begin {
+			t.Errorf("after the window: %v", v)
+		}
+	})
+}
+
+// What never ran may come again; of what may have run nobody runs it again, also after a panic; who waits for another's
+// answer has an end when his client gives up.
+func TestEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard(t, "", -1)
+		refused := func() ([]byte, End) { return []byte("3004"), NeverRan }
+		for range 2 {
+			if answer, end, v := g.Do(t.Context(), key(1), false, refused); string(answer) != "3004" || end != NeverRan || v != effects.Begin {
+				t.Errorf("%q %v %v", answer, end, v)
+			}
+		}
+		if answer, end, _ := g.Do(t.Context(), key(2), false, func() ([]byte, End) { return []byte("5012"), Uncertain }); string(answer) != "5012" || end != Uncertain {
+			t.Errorf("%q %v", answer, end)
+		}
+		func() {
+			defer func() { _ = recover() }()
+			g.Do(t.Context(), key(3), false, func() ([]byte, End) { panic("a wrong handler") })
+		}()
+		for _, k := range []effects.Key{key(2), key(3)} {
+			if _, _, v := g.Do(t.Context(), k, false, refused); v != effects.MayHaveRun {
+				t.Errorf("%v again: %v", k, v)
+			}
+		}
+		go g.Do(t.Context(), key(4), false, func() ([]byte, End) { time.Sleep(time.Minute); return []byte("late"), Answered })
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		if answer, _, v := g.Do(ctx, key(4), true, refused); v != effects.MayHaveRun || answer != nil || time.Since(began) != time.Second {
+			t.Errorf("%q %v after %v", answer, v, time.Since(began))
+		}
+		time.Sleep(time.Minute)
+		if answer, _, v := g.Do(t.Context(), key(4), true, refused); v != effects.Answered || string(answer) != "late" {
+			t.Errorf("%q %v", answer, v)
+		}
+	})
+}
+
+// Without a disk a process that is new can't know what the one before had in hand.
+func TestMemoryAloneForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard(t, "", 0)
+		run := func() ([]byte, End) { return []byte("x"), Answered }
+		if _, _, v := g.Do(t.Context(), key(1), true, run); v != effects.MayHaveRun {
+			t.Errorf("a repeat right after the start: %v", v)
+		}
+		if _, _, v := g.Do(t.Context(), key(2), false, run); v != effects.Begin {
+			t.Errorf("a new one: %v", v)
+		}
+		time.Sleep(effects.Window)
+		if _, _, v := g.Do(t.Context(), key(3), true, run); v != effects.Begin {
+			t.Errorf("a repeat after the window: %v", v)
+		}
+	})
+}
+
+// With a disk the next process knows: an answer is given again, what was in hand may have run. It waits for the process
+// that has the file yet; until then nothing unsafe is taken.
+func TestTheNextProcessKnows(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "effects.db")
+	g := newGuard(t, path, 0)
+	if answer, _, v := g.Do(t.Context(), key(1), true, func() ([]byte, End) { return []byte("paid"), Answered }); v != effects.Begin || string(answer) != "paid" {
+		t.Fatalf("%q %v: a repeat of what a whole ledger does not know is new", answer, v)
+	}
+	g.Do(t.Context(), key(2), false, func() ([]byte, End) { return []byte("3004"), NeverRan })
+	inHand, release := make(chan struct{}), make(chan struct{})
+	go g.Do(t.Context(), key(3), false, func() ([]byte, End) { close(inHand); <-release; return []byte("later"), Answered })
+	<-inHand
+	began := time.Now()
+	next, err := New(Options{Ledger: settings(0), Path: path, Now: func() time.Duration { return time.Since(began) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, v := next.Do(t.Context(), key(9), false, func() ([]byte, End) { t.Error("it ran"); return nil, Answered }); v != effects.Full || next.Report().Ready {
+		t.Errorf("before the file is read: %v", v)
+	}
+	opened := make(chan error, 1)
+	go func() { opened <- next.Open(t.Context()) }()
+	time.Sleep(20 * time.Millisecond)
+	// The old one dies with a request in hand.
+	if err := g.disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-opened; err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	for n, want := range map[int]effects.Verdict{1: effects.Answered, 2: effects.Begin, 3: effects.MayHaveRun} {
+		answer, _, v := next.Do(t.Context(), key(n), true, func() ([]byte, End) { return []byte("new"), Answered })
+		if v != want || n == 1 && string(answer) != "paid" {
+			t.Errorf("%d: %q %v, want %v", n, answer, v, want)
+		}
+	}
+	close(release)
+}
+
+// A disk that fails: what is unsafe is not begun, and what was begun has its answer all the same.
+func TestADiskThatFails(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "effects.db")
+	g := newGuard(t, path, 0)
+	answer, _, v := g.Do(t.Context(), key(1), false, func() ([]byte, End) {
+		if err := g.disk.Close(); err != nil {
+			t.Error(err)
+		}
+		return []byte("paid"), Answered
+	})
+	if string(answer) != "paid" || v != effects.Begin || g.Report().DiskErrors != 1 {
+		t.Errorf("%q %v %+v", answer, v, g.Report())
+	}
+	if _, _, v := g.Do(t.Context(), key(2), false, func() ([]byte, End) { t.Error("it ran"); return nil, Answered }); v != effects.Full {
+		t.Errorf("%v", v)
+	}
+	if answer, _, v := g.Do(t.Context(), key(1), false, nil); v != effects.Answered || string(answer) != "paid" {
+		t.Errorf("%q %v", answer, v)
+	}
+	if err := os.WriteFile(path, []byte("no database"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	broken, err := New(Options{Ledger: settings(0), Path: path, Now: func() time.Duration { return 0 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := broken.Open(t.Context()); err == nil || broken.Report().Ready {
+		t.Errorf("a broken file: %v", err)
+	}
+}
--- a/internal/effects/store/store.go
+++ b/internal/effects/store/store.go
@@ -18,12 +18,14 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 
 	"lapisspread/internal/effects"
 )
@@ -42,8 +44,11 @@
 	forgetMax = 2048            // old records that one transaction drops besides
 )
 
-// ErrClosed says that the store was closed.
-var ErrClosed = errors.New("effects: the store is closed")
+// Why a store can't be used.
+var (
+	ErrClosed = errors.New("effects: the store is closed")
+	ErrHeld   = errors.New("effects: another process holds the store")
+)
 
 // Store is a file of effects. It is for any goroutine.
 type Store struct {
@@ -78,6 +83,9 @@
 		o.Now = time.Now
 	}
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWait, FreelistType: bbolt.FreelistMapType})
+	if errors.Is(err, berrors.ErrTimeout) {
+		return nil, nil, fmt.Errorf("%s: %w", path, ErrHeld)
+	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("effects: %s: %w", path, err)
 	}
@@ -176,6 +184,7 @@
 		case <-s.stop:
 			return
 		}
+		runtime.Gosched() // those who are about to ask share the flush
 	more:
 		for len(batch) < mostBatch {
 			select {
--- a/internal/engine/enginetest/frontend.go
+++ b/internal/engine/enginetest/frontend.go
@@ -147,6 +147,8 @@
 	// Answer is what its upstream would give for a body, and Stream for a long one that breaks off if broken is set.
 	Answer func(body []byte) any
 	Stream func(body []byte, broken bool) engine.Stream
+	// Most is the longest answer that its protocol can hold, in bytes; 0 is any.
+	Most int
 }
 
 // Test runs a front end against all that it must bear.
@@ -189,7 +191,11 @@
 		}
 	})
 	t.Run("a long answer", func(t *testing.T) {
-		long := make([]byte, 300<<10)
+		n := 300 << 10
+		if f.Most > 0 {
+			n = min(n, f.Most)
+		}
+		long := make([]byte, n)
 		for i := range long {
 			long[i] = byte(i * 7)
 		}
@@ -204,7 +210,7 @@
 		end, body, err := ask(t, 2*time.Second, "safe", func(int, engine.Attempt) Reply {
 			return Reply{Stream: func() engine.Stream { return f.Stream(make([]byte, 300<<10), true) }}
 		})
-		if err == nil {
+		if err == nil && end == engine.Served {
 			t.Errorf("the client cannot tell that it is not whole: %v, %d bytes", end, len(body))
 		}
 	})
--- a/internal/engine/enginetest/upstream.go
+++ b/internal/engine/enginetest/upstream.go
@@ -34,6 +34,8 @@
 	Start func(t *testing.T, b Behaviour) (engine.Upstream, engine.List)
 	// Message makes a message for an attempt.
 	Message func() engine.Message
+	// Shared says that many requests share a connection: one that broke may be away for a while, and what comes then never runs.
+	Shared bool
 	// Body gives the bytes of an answer.
 	Body func(answer any) []byte
 }
@@ -63,6 +65,7 @@
 				for _, w := range k.want {
 					ok = ok || got == w
 				}
+				ok = ok || n > 0 && u.Shared && got == decision.ConnectFailed
 				if !ok {
 					t.Fatalf("attempt %d: %v, want one of %v", n, got, k.want)
 				}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -21,6 +21,7 @@
 	PassedSocket string // the descriptor of the clients' listening socket; none if empty
 	Services     string // the file of several services; there is one if empty
 	Admission    string // the file of who is admitted; whoever comes if empty
+	Diameter     string // the file of Diameter; none is spoken if empty
 	StateDir     string // what outlives this process is kept there; nothing is if empty
 
 	Seed     uint64
--- /dev/null
+++ b/internal/proxy/diameter_test.go
@@ -0,0 +1,186 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lapisspread/internal/diameter"
+	"lapisspread/internal/lab/partner"
+)
+
+const diameterFile = `
+version = 1
+host = "proxy.kigali.example"
+realm = "pay.example.org"
+listen = "ADDR"
+[[peer]]
+realm = "partner.example"
+[[command]]
+command = "Credit-Control"
+requested_action = 1
+class = "hand-in"
+give_up = "2s"
+path = "/claims"
+[[command]]
+command = "Credit-Control"
+requested_action = 2
+class = "fetch-work"
+give_up = "2s"
+[ledger]
+file = "effects.db"
+`
+
+// freeAddr is an address that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// diameterStage is a stage that speaks Diameter too, and a client of it.
+func diameterStage(t *testing.T, services string, change func(*Config)) (*stage, *partner.Client) {
+	t.Helper()
+	dir, addr := t.TempDir(), freeAddr(t)
+	path := filepath.Join(dir, "diameter.toml")
+	if err := os.WriteFile(path, []byte(strings.Replace(diameterFile, "ADDR", addr, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := newStage(t, services, func(c *Config) {
+		c.Diameter, c.StateDir = path, dir
+		if change != nil {
+			change(c)
+		}
+	})
+	return s, diameterClient(t, addr, 1)
+}
+
+func diameterClient(t *testing.T, addr string, action uint32) *partner.Client {
+	c := &partner.Client{Host: "claims.partner.example", Realm: "partner.example", To: "pay.example.org", Action: action, GiveUp: 3 * time.Second,
+		Tries: 40, Rest: 20 * time.Millisecond, Dial: func(ctx context.Context) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", addr)
+		}}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// A Diameter client reaches HTTP servers, by the routes; what a server has begun and never ends may have run.
+func TestDiameterClientsReachHTTPServers(t *testing.T) {
+	s, client := diameterStage(t, twoServices, nil)
+	for range 3 {
+		if o := client.Claim(t.Context(), 12500); o.Code != diameter.Success || o.Body != "slow-5" {
+			t.Fatalf("%+v", o)
+		}
+	}
+	if path := s.first["slow-5"].Load(); path == nil || *path != "/claims" {
+		t.Errorf("asked for %v", path)
+	}
+	s.stall["slow-5"].Store(60_000)
+	began := time.Now()
+	if o := client.Claim(t.Context(), 1); o.Code != diameter.UnableToComply || o.Tries != 1 || time.Since(began) > 2500*time.Millisecond {
+		t.Errorf("%+v after %v", o, time.Since(began))
+	}
+	report, err := operator{s.proxy}.Diameter()
+	if err != nil || report.(map[string]any)["requests"].(map[string]int64)["served"] != 3 {
+		t.Errorf("%v, %v", report, err)
+	}
+	if r := s.proxy.diameter.guard.Report(); !r.Durable || !r.Ready || r.Entries != 4 || r.Flushes == 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Servers that speak Diameter, over a whole service: no claim runs twice, and the HTTP front end says that it can't go there.
+func TestDiameterServers(t *testing.T) {
+	server := &partner.Server{Host: "n1.pay.example", Realm: "pay.example.org", Act: func(n int64) partner.Act {
+		return [...]partner.Act{partner.Serve, partner.Busy, partner.Twice, partner.Slowly, partner.Stray}[n%5]
+	}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go server.Serve(l)
+	defer server.Drop()
+	text := strings.Replace(twoServices, `name = "settlement"`, "name = \"settlement\"\nupstream = \"diameter\"", 1)
+	s, client := diameterStage(t, text, nil)
+	s.lists <- listText(2, true, memberText("id-fast", s.backend["fast-5"], "active"),
+		strings.Replace(memberText("id-slow", l.Addr().String(), "active"), `"fast-5"`, `"slow-5"`, 1))
+	var all sync.WaitGroup
+	for range 60 {
+		all.Go(func() {
+			if o := client.Claim(t.Context(), 100); o.Code != diameter.Success || o.Body != "the answer" {
+				t.Errorf("%+v", o)
+			}
+		})
+	}
+	all.Wait()
+	for name, n := range server.Executed() {
+		if n != 1 {
+			t.Errorf("%v ran %d times", name, n)
+		}
+	}
+	if status, body := s.ask(clientAt(t, "127.0.0.1"), "pay.example.org", "/api", "hand-in", 2000); status != 501 || !strings.Contains(body, "Diameter") {
+		t.Errorf("by HTTP: %d %q", status, body)
+	}
+}
+
+// Without the state directory, or with one, a process that ends lets the next one have the address and the ledger.
+func TestTheNextProcessHasTheLedger(t *testing.T) {
+	s, client := diameterStage(t, twoServices, nil)
+	first := client.Claim(t.Context(), 5)
+	if first.Code != diameter.Success {
+		t.Fatalf("%+v", first)
+	}
+	cfg := s.proxy.cfg
+	next := newStage(t, twoServices, func(c *Config) { c.Diameter, c.StateDir = cfg.Diameter, cfg.StateDir })
+	if next.proxy.diameter.guard.Report().Ready {
+		t.Error("two processes have the ledger")
+	}
+	s.stall["slow-5"].Store(300)
+	inHand := make(chan partner.Outcome, 1)
+	go func() { inHand <- client.Claim(t.Context(), 6) }()
+	for begun := time.Now(); s.proxy.diameter.guard.Report().InHand == 0; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("the claim does not arrive")
+		}
+	}
+	s.proxy.diameter.drain()
+	if o := <-inHand; o.Code != diameter.Success || o.Tries != 1 {
+		t.Errorf("in hand at the end: %+v", o)
+	}
+	if o := client.Claim(t.Context(), 7); o.Code != diameter.Success {
+		t.Errorf("by the next process: %+v", o)
+	}
+	before := next.served["slow-5"].Load()
+	again := client.Again(t.Context(), first, 5)
+	if again.Code != diameter.Success || again.Body != first.Body || next.served["slow-5"].Load() != before {
+		t.Errorf("the first one again: %+v", again)
+	}
+}
+
+func TestBadDiameterFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "d.toml")
+	if err := os.WriteFile(path, []byte(strings.NewReplacer(`"ADDR"`, `"127.0.0.1:0"`, `"hand-in"`, `"nothing"`).Replace(diameterFile)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := parseConfig(configText(listText(1, true)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Diameter = path
+	if err := New(cfg, nil).openDiameter(); err == nil || !strings.Contains(err.Error(), `command[0]: class: there is none by the name of "nothing"`) {
+		t.Errorf("a class that is not there: %v", err)
+	}
+	if _, err := (operator{New(cfg, nil)}).Diameter(); err == nil {
+		t.Error("without Diameter")
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -17,7 +17,6 @@
 
 	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
-	"lapisspread/internal/quota"
 )
 
 const (
@@ -144,21 +143,12 @@
 		f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: "too many bytes of this address are in hand"})
 		return
 	}
-	if svc.gate != nil { // one of several
-		ask := quota.Ask{Service: svc.name, Gate: svc.gate, Class: req.Class, Tenant: req.Tenant, Bytes: bytes}
-		if why, after := f.services.limits.Take(ask); why != "" {
-			f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: why, after: after})
-			return
-		}
-		defer f.services.limits.Give(ask)
-	}
-	if svc.requests != nil {
-		if why, after := svc.requests.Take(req.Class, req.Tenant, 0); why != "" {
-			f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: why, after: after})
-			return
-		}
-		defer func() { svc.requests.Done(req.Tenant, req.took) }()
+	ticket, why, after := f.services.admit(svc, req.Class, req.Tenant, bytes)
+	if why != "" {
+		f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: why, after: after})
+		return
 	}
+	defer func() { ticket.end(req.took) }()
 	if err := f.readAhead(w, r, req); err != nil {
 		f.turnAway(w, req, err)
 		return
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -114,6 +114,14 @@
 	return r, nil
 }
 
+// Diameter is who our peers are, and what the ledger of effects holds.
+func (o operator) Diameter() (any, error) {
+	if o.diameter == nil {
+		return nil, errors.New("no Diameter is spoken: the proxy was started without --diameter")
+	}
+	return o.diameter.report(), nil
+}
+
 // Block turns an address or a prefix away for a time.
 func (o operator) Block(prefix string, span time.Duration) error {
 	p, err := o.prefix(prefix)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,7 +29,8 @@
 	conns   *clientConns
 
 	services *services
-	ready    atomic.Bool // it takes clients
+	diameter *diameterSide // nil is none
+	ready    atomic.Bool   // it takes clients
 
 	// Shared is told whether another process of this proxy lives beside this one, at the start and at each change:
 	// the limits are for both together. It may be nil.
@@ -74,6 +75,7 @@
 				p.log.Error("the old services stay", "err", err)
 				p.own.ReloadsFailed.Add(1)
 			}
+			p.diameter.reread()
 			if err := p.rereadDoor(); err != nil {
 				p.log.Error("the old admission stays", "err", err)
 				p.own.ReloadsFailed.Add(1)
@@ -208,6 +210,12 @@
 		}
 		listener = p.conns.door.NewListener(listener, p.log)
 	}
+	if p.cfg.Diameter != "" {
+		if err := p.openDiameter(); err != nil {
+			listener.Close()
+			return fmt.Errorf("settings: %w", err)
+		}
+	}
 	inner, cancel := context.WithCancel(context.Background())
 	if err := p.services.start(inner, &p.cfg); err != nil {
 		cancel()
@@ -226,6 +234,9 @@
 			p.log.Error("what the other process has written can't be read", "err", err)
 		})
 	})
+	if p.diameter != nil {
+		running.Go(func() { p.diameter.run(inner) })
+	}
 	var err error
 	served := make(chan error, 1)
 	go func() { served <- f.serve(listener) }()
@@ -238,6 +249,9 @@
 		listener.Close()
 	case <-ctx.Done():
 		p.ready.Store(false)
+		if p.diameter != nil {
+			running.Go(p.diameter.drain)
+		}
 		f.drain(listener, p.cfg.PassedSocket != "" && p.store.Succeeded())
 		err = <-served
 	}
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -16,6 +16,7 @@
 	"lapisspread/decision"
 	"lapisspread/internal/admission"
 	"lapisspread/internal/budget"
+	"lapisspread/internal/diameter/upstream"
 	"lapisspread/internal/door"
 	"lapisspread/internal/engine"
 	"lapisspread/internal/figures"
@@ -39,7 +40,8 @@
 	roster  *roster
 	gate    *budget.Gate // of its share of the process; nil for the only one
 
-	requests *door.InHand // bounds those in hand; nil is no bound
+	requests *door.InHand       // bounds those in hand; nil is no bound
+	diameter *upstream.Upstream // where its servers speak that; nil is HTTP
 
 	inHand atomic.Int64 // requests that hold it
 	ending atomic.Bool  // it takes no more
@@ -294,7 +296,7 @@
 
 // keeps tells whether a service can live on under another configuration.
 func (s *service) keeps(spec *config.Service, module decision.Config) bool {
-	return slices.Equal(s.spec.Kinds, spec.Kinds) && slices.Equal(s.spec.Cells, spec.Cells) && slices.Equal(s.module.Classes, module.Classes) &&
+	return s.spec.Upstream == spec.Upstream && slices.Equal(s.spec.Kinds, spec.Kinds) && slices.Equal(s.spec.Cells, spec.Cells) && slices.Equal(s.module.Classes, module.Classes) &&
 		s.module.Caps.MaxOpen == module.Caps.MaxOpen && s.module.RetryShare == module.RetryShare
 }
 
@@ -363,15 +365,25 @@
 			return nil, err
 		}
 	}
+	var up engine.Upstream = svc.pool
+	if spec.Upstream == "diameter" {
+		if svc.diameter, err = s.p.diameterUpstream(&module); err != nil {
+			return nil, err
+		}
+		up = svc.diameter
+	}
 	source, known := s.source(discovery, &spec)
 	svc.engine, err = engine.New(engine.Options{Module: module, Seed: seed, Known: known, Repeat: svc.mayRepeat(s.limits), Zones: s.p.cfg.Zones, Kinds: s.p.cfg.Kinds,
-		Upstream: svc.pool, Source: source, Log: s.p.log, Out: s.p.store.Out, Wake: svc.roster.wake, Listed: svc.roster.add,
+		Upstream: up, Source: source, Log: s.p.log, Out: s.p.store.Out, Wake: svc.roster.wake, Listed: svc.roster.add,
 		Census: func(known, excluded int) {
 			fig.BackendsKnown.Store(int64(known))
 			fig.BackendsExcluded.Store(int64(excluded))
 		}})
 	if err != nil {
 		source.Close()
+		if svc.diameter != nil {
+			svc.diameter.Close()
+		}
 		return nil, err
 	}
 	svc.clock = svc.engine.Clock()
@@ -383,6 +395,9 @@
 		both.Go(func() { svc.engine.Run(inner) })
 		both.Go(func() { svc.pool.runRetire(inner) })
 		both.Wait()
+		if svc.diameter != nil {
+			svc.diameter.Close()
+		}
 	})
 	return svc, nil
 }
@@ -439,12 +454,17 @@
 
 // route gives the service for a request, held until it leaves it.
 func (s *services) route(r *http.Request) (*service, error) {
+	return s.pick(func(now *installed) (*service, error) { return now.find(r) })
+}
+
+// pick gives the service that find names, where there are several, held until it is left.
+func (s *services) pick(find func(now *installed) (*service, error)) (*service, error) {
 	for {
 		now := s.now.Load()
 		svc := now.only
 		if svc == nil {
 			var err error
-			if svc, err = now.find(r); err != nil {
+			if svc, err = find(now); err != nil {
 				return nil, err
 			}
 		}
@@ -459,7 +479,16 @@
 
 func (n *installed) find(r *http.Request) (*service, error) {
 	q := route.Request{Host: r.Host, Path: r.URL.Path, Method: r.Method, Class: r.Header.Get("X-Priority-Class"), Tenant: r.Header.Get("X-Tenant-Id")}
-	rule, verdict := n.table.Lookup(&q)
+	svc, err := n.lookup(&q, func() string { return r.URL.Query().Get("key") }, r.Header.Get("X-Request-Id"))
+	if err == nil && svc.diameter != nil {
+		return nil, &rejection{status: http.StatusNotImplemented, text: "the servers behind this route speak Diameter"}
+	}
+	return svc, err
+}
+
+// lookup finds a request's service by the routes; key and id are what a route that splits may go by.
+func (n *installed) lookup(q *route.Request, key func() string, id string) (*service, error) {
+	rule, verdict := n.table.Lookup(q)
 	switch verdict {
 	case route.Found:
 	case route.WrongHost:
@@ -475,10 +504,10 @@
 		case "tenant":
 			by = q.Tenant
 		case "request":
-			by = r.Header.Get("X-Request-Id")
+			by = id
 		default:
-			if by = r.URL.Query().Get("key"); by == "" {
-				by = r.Header.Get("X-Request-Id")
+			if by = key(); by == "" {
+				by = id
 			}
 		}
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -192,6 +192,9 @@
 	return &download{length: length, rest: rest, close: func() {}, ended: make(chan error, 1)}
 }
 
+// Read reads the answer.
+func (d *download) Read(p []byte) (int, error) { return d.rest.Read(p) }
+
 // End says how the reading of the answer went.
 func (d *download) End(err error) {
 	select {
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -38,6 +38,7 @@
 	Kinds     []string `toml:"kinds"`     // of the list, only these kinds of machine; all if left out
 	Cells     []int    `toml:"cells"`     // and only these cells
 	Classes   []Class  `toml:"class"`     // left out, those of the process's settings
+	Upstream  string   `toml:"upstream"`  // what its servers speak: "http", which is also what it is if left out, or "diameter"
 	Share     Share    `toml:"share"`
 	Repeats   float64  `toml:"repeats"` // further attempts, as a share of first tries, 0 to 1; a tenth if left out
 }
