--- a/internal/diameter/front/front.go
+++ b/internal/diameter/front/front.go
@@ -112,20 +112,24 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), came.Add(ask.GiveUp-f.slack(&ask)/2))
 	defer cancel()
-	answer, _, verdict := f.set.Guard.Do(ctx, ask.Name, ask.Repeat, func() ([]byte, guard.End) {
+	answer, end, verdict := f.set.Guard.Do(ctx, ask.Name, ask.Repeat, func() ([]byte, guard.End) {
 		return f.run(r, &ask, svc, came, false)
 	})
 	switch verdict {
 	case effects.Begin:
 	case effects.Join, effects.Answered:
 		f.Counts.Repeated.Add(1)
+		svc.Ended(endOf(end, verdict), 0)
 	case effects.Full:
+		svc.Ended(engine.Refused, 0)
 		f.end(r, claim.Full, 0)
 		return
 	case effects.TooLong:
+		svc.Ended(engine.Failed, 0)
 		f.end(r, claim.TooLong, 0)
 		return
 	default:
+		svc.Ended(engine.Failed, 0)
 		f.end(r, claim.RanBefore, 0)
 		return
 	}
@@ -136,6 +140,17 @@
 	r.Answer(f.readdress(r, answer))
 }
 
+// endOf is how a request has ended that was not carried out again.
+func endOf(end guard.End, v effects.Verdict) engine.End {
+	switch {
+	case v == effects.Answered || end == guard.Answered:
+		return engine.Served
+	case end == guard.NeverRan:
+		return engine.Refused
+	}
+	return engine.Failed
+}
+
 // readdress is an answer that was another's, with this request's identifiers: the end-to-end identifier is the same.
 func (f *Front) readdress(r *node.Request, answer []byte) diameter.Message {
 	m := append(diameter.Message(nil), answer...)
--- a/internal/effects/store/store_test.go
+++ b/internal/effects/store/store_test.go
@@ -253,3 +253,50 @@
 		})
 	}
 }
+
+// BenchmarkRecovery opens a file of many claims that have ended, as a process does that starts: EFFECTS_ENTRIES=1000000 go test
+// -run - -bench Recovery -benchtime 3x ./internal/effects/store.
+func BenchmarkRecovery(b *testing.B) {
+	entries := 20_000
+	if n, err := strconv.Atoi(os.Getenv("EFFECTS_ENTRIES")); err == nil {
+		entries = n
+	}
+	path := filepath.Join(b.TempDir(), "effects")
+	s, _, err := Open(path, Options{Window: time.Hour})
+	if err != nil {
+		b.Fatal(err)
+	}
+	answer := make([]byte, 280) // about that of a claim
+	began := time.Now()
+	var all sync.WaitGroup
+	const writers = 512
+	for w := range writers {
+		all.Go(func() {
+			for i := w; i < entries; i += writers {
+				if err := s.Write(b.Context(), effects.Record{Key: effects.Key{Origin: "claims.partner.example", ID: uint32(i)}, Ended: true, Answer: answer}); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	wrote := time.Since(began)
+	size, err := s.Size()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		s, records, err := Open(path, Options{Window: time.Hour})
+		if err != nil || len(records) != entries {
+			b.Fatalf("%d records, %v", len(records), err)
+		}
+		s.Close()
+	}
+	b.ReportMetric(float64(size)/float64(entries), "disk-B/entry")
+	b.ReportMetric(float64(entries)/wrote.Seconds(), "writes/s")
+	b.ReportMetric(float64(entries), "entries")
+}
