Let the engines outlive the Diameter drain, and find servers well again at once

Need: lapislab payouts showed that a process that ended kept the ledger for 10 s and left claims without an answer: the engines ended as soon as HTTP had drained, while claims were in hand. A server whose connection had broken was away for 4 s, so that with servers that drop now and then most of them were.

Both drains end before the engines do; a request without an end from its engine is answered at its time all the same. Servers whose connection broke must answer three watchdogs 100 ms apart.

--- a/cmd/lapislab/diametersend.go
+++ b/cmd/lapislab/diametersend.go
@@ -75,7 +75,7 @@
 				took = append(took, time.Since(began))
 			}
 			if n == 1 {
-				fmt.Fprintf(w, "%s, end-to-end %#08x: Result-Code %d after %d tries, %q\n", o.Session, o.Name.ID, o.Code, o.Tries, o.Body)
+				fmt.Fprintf(w, "%s, end-to-end %#08x: Result-Code %d after %d tries, %q %s\n", o.Session, o.Name.ID, o.Code, o.Tries, o.Body, o.Why)
 			}
 		})
 	}
--- a/cmd/lapislab/payouts.go
+++ b/cmd/lapislab/payouts.go
@@ -87,6 +87,7 @@
 	c.Flags().BoolVar(&speed, "speed", false, "measure the cost of a claim without faults: by HTTP, by Diameter, and with the ledger on disk")
 	c.Flags().Float64Var(&p.Again, "again", 0.05, "part of the paid claims that are sent again within 10 s")
 	c.Flags().Uint64Var(&p.Seed, "seed", 1, "what chance comes from")
+	c.Flags().StringVar(&p.Keep, "keep", "", "leave the proxy's logs and files in this directory")
 	c.Flags().StringVar(&jsonPath, "json", "", "write the results to this file")
 	return c
 }
--- a/internal/diameter/claim/file.go
+++ b/internal/diameter/claim/file.go
@@ -136,6 +136,11 @@
 	if len(f.Realms) == 0 {
 		f.Realms = []string{f.Realm}
 	}
+	for i := range f.Commands {
+		if f.Commands[i].Path == "" {
+			f.Commands[i].Path = "/"
+		}
+	}
 	if len(f.Applications) == 0 {
 		f.Applications = []uint32{4}
 	}
@@ -225,7 +230,7 @@
 		bad(def == nil, "command[%d]: command: the dictionary has none by the name of %q", i, c.Name)
 		bad(c.Class == "", "command[%d]: class: missing", i)
 		bad(c.GiveUp <= 0 || time.Duration(c.GiveUp) > longestGiveUp, "command[%d]: give_up: %v is not within 0s and %v", i, time.Duration(c.GiveUp), longestGiveUp)
-		bad(c.Path != "" && c.Path[0] != '/', "command[%d]: path: %q does not begin with /", i, c.Path)
+		bad(c.Path[0] != '/', "command[%d]: path: %q does not begin with /", i, c.Path)
 		if c.Deadline != "" {
 			c.deadline = d.Lookup(c.Deadline)
 			bad(c.deadline == nil || c.deadline.Format != diameter.Unsigned32, "command[%d]: deadline: %q is no Unsigned32 of the dictionary", i, c.Deadline)
--- a/internal/diameter/front/front.go
+++ b/internal/diameter/front/front.go
@@ -179,11 +179,16 @@
 		gone = r.Gone()
 	}
 	var end engine.Result
+	late := time.NewTimer(time.Until(came.Add(a.GiveUp - f.slack(a)/4)))
+	defer late.Stop()
 	select {
 	case end = <-x.Result():
+	case <-late.C: // the engine has ended: whoever ends it first waits for what is in hand, but an answer is owed all the same
+		f.set.Log.Error("a request has no end from its engine")
+		end = engine.Result{End: engine.Failed, TimedOut: true, MayHaveRun: true}
 	case <-gone:
 		svc.Engine.Post(func() { svc.Engine.Gone(x) })
-		end = <-x.Result()
+		end = engine.Result{End: engine.Failed, Gone: true, MayHaveRun: true} // nobody waits for it
 	}
 	answer, fate := f.answer(r, end)
 	switch fate {
--- a/internal/diameter/node/node.go
+++ b/internal/diameter/node/node.go
@@ -37,8 +37,8 @@
 	StateID     uint32   // Origin-State-Id: greater after each start; 0 is not sent
 	Dict        *diameter.Dictionary
 
-	Watchdog, Handshake, Goodbye, Reconnect time.Duration // see peer.Settings
-	WriteTimeout                            time.Duration // for what is written to a peer
+	Watchdog, Handshake, Goodbye, Reconnect, Reopen time.Duration // see peer.Settings
+	WriteTimeout                                    time.Duration // for what is written to a peer
 
 	Peers       int   // connections of peers at most, ours to them besides
 	Handshakes  int   // connections at most that have not said who they are
@@ -140,7 +140,7 @@
 	if s.Host == "" || s.Realm == "" {
 		errs = append(errs, fmt.Errorf("host %q and realm %q must be given", s.Host, s.Realm))
 	}
-	probe := peer.Settings{Host: s.Host, Watchdog: s.Watchdog, Handshake: s.Handshake, Goodbye: s.Goodbye, Reconnect: s.Reconnect}
+	probe := peer.Settings{Host: s.Host, Watchdog: s.Watchdog, Handshake: s.Handshake, Goodbye: s.Goodbye, Reconnect: s.Reconnect, Reopen: s.Reopen}
 	if s.Host != "" {
 		errs = append(errs, probe.Check())
 	}
@@ -164,6 +164,7 @@
 // newPeer enters a peer. The lock is held.
 func (n *Node) newPeer(addr, host string) *Peer {
 	s := peer.Settings{Host: n.set.Host, Watchdog: n.set.Watchdog, Handshake: n.set.Handshake, Goodbye: n.set.Goodbye, Persistent: true}
+	s.Reopen = n.set.Reopen
 	if addr != "" {
 		s.Reconnect = n.set.Reconnect
 	}
--- a/internal/diameter/peer/machine.go
+++ b/internal/diameter/peer/machine.go
@@ -133,6 +133,7 @@
 	Watchdog   time.Duration // Tw; 6 s at least (RFC 3539)
 	Handshake  time.Duration // for a connection, and for CEA
 	Goodbye    time.Duration // for a DPA
+	Reopen     time.Duration // between the watchdogs that a peer which was down must answer first; 0 is a third of Watchdog
 	Reconnect  time.Duration // Tc: before we connect again; 0 leaves connecting to the peer
 	Persistent bool          // connect again after it was closed, unless we are stopped
 }
@@ -146,7 +147,7 @@
 	if s.Watchdog < 6*time.Second {
 		errs = append(errs, fmt.Errorf("watchdog: %v is under 6s, the least that RFC 3539 allows", s.Watchdog))
 	}
-	if s.Handshake <= 0 || s.Goodbye <= 0 || s.Reconnect < 0 {
+	if s.Handshake <= 0 || s.Goodbye <= 0 || s.Reconnect < 0 || s.Reopen < 0 {
 		errs = append(errs, fmt.Errorf("handshake %v, goodbye %v, reconnect %v: wanted above 0, above 0, 0 or above", s.Handshake, s.Goodbye, s.Reconnect))
 	}
 	return errors.Join(errs...)
@@ -427,7 +428,7 @@
 			return out // only watchdogs show that a peer which was down is well again
 		}
 		if m.answered++; m.answered < reopenAfter {
-			m.tick = min(m.tick, now+m.set.Watchdog/reopenAfter) // sooner than the RFC has it: well in one Tw, not three
+			m.tick = min(m.tick, now+m.reopen()) // sooner than the RFC has it: well in one Tw at most, not three
 			return out
 		}
 		m.reopening = false
@@ -442,6 +443,13 @@
 	return out
 }
 
+func (m *Machine) reopen() time.Duration {
+	if m.set.Reopen > 0 {
+		return m.set.Reopen
+	}
+	return m.set.Watchdog / reopenAfter
+}
+
 func (m *Machine) stop(now time.Duration, cause uint32, out []Action) []Action {
 	m.wanted = false
 	if side, open := m.Open(); open {
--- a/internal/lab/partner/client.go
+++ b/internal/lab/partner/client.go
@@ -38,7 +38,9 @@
 	Name    Name
 	Code    diameter.ResultCode // 0 is no answer at all
 	Body    string
+	Why     string // its Error-Message
 	Tries   int
+	Unknown bool // a try before the last was sent and had no answer: what a refusal says is of the last alone
 	Session string
 }
 
@@ -96,6 +98,7 @@
 		}
 		a, sent, err := c.send(ctx, t, o, amount, maybeSent)
 		maybeSent = maybeSent || sent
+		o.Unknown = o.Unknown || sent && err != nil
 		if err != nil {
 			c.rest(ctx)
 			continue
@@ -104,6 +107,9 @@
 			n, _ := v.Uint32()
 			o.Code = diameter.ResultCode(n)
 		}
+		if v, found := a.Find(0, c.dict.Named("Error-Message").Code); found {
+			o.Why = string(v.Data)
+		}
 		if info, found := a.Find(0, c.dict.Named("Service-Parameter-Info").Code); found {
 			v, _ := info.Find(0, c.dict.Named("Service-Parameter-Value").Code)
 			o.Body = string(v.Data)
--- a/internal/proxy/diameter.go
+++ b/internal/proxy/diameter.go
@@ -36,6 +36,7 @@
 	diameterDrain = 10 * time.Second       // for requests in hand, and goodbyes
 	serversLeave  = 5 * time.Second        // for what is out to a server that drains
 	watchdogLeast = 6 * time.Second        // of servers: one that is silent is found out as soon as the RFC allows
+	serversWell   = 100 * time.Millisecond // between the watchdogs that one whose connection broke must answer first: the module probes it besides
 	serversBack   = 200 * time.Millisecond // before a server is connected to again
 	keysEvery     = time.Minute            // the certificate's files are looked at
 )
@@ -107,7 +108,7 @@
 		return nil, errors.New("upstream: \"diameter\" asks for --diameter: it says who we are")
 	}
 	s := d.settings()
-	s.Watchdog, s.Reconnect, s.Queue, s.Handshake = watchdogLeast, serversBack, 1<<20, module.Caps.ConnectTimeout
+	s.Watchdog, s.Reopen, s.Reconnect, s.Queue, s.Handshake = watchdogLeast, serversWell, serversBack, 1<<20, module.Caps.ConnectTimeout
 	if d.keys != nil {
 		s.TLS = func() *tls.Config { return d.keys.Client("") }
 	}
@@ -281,11 +282,7 @@
 	if a.Repeat {
 		h.Set("X-Retried", "1")
 	}
-	path := a.Path
-	if path == "" {
-		path = "/"
-	}
-	return &message{method: http.MethodPost, host: a.Realm, url: url.URL{Path: path, RawQuery: "key=" + url.QueryEscape(a.Session)}, header: h, body: body}, nil
+	return &message{method: http.MethodPost, host: a.Realm, url: url.URL{Path: a.Path, RawQuery: "key=" + url.QueryEscape(a.Session)}, header: h, body: body}, nil
 }
 
 // report is what DIAMETER shows.
--- a/internal/proxy/diameter_test.go
+++ b/internal/proxy/diameter_test.go
@@ -249,3 +249,20 @@
 		t.Errorf("after the change: %+v", o)
 	}
 }
+
+// A claim that is in hand at the end of the process has its answer, also when it takes longer than all that HTTP waits for.
+func TestAnEndWaitsForClaims(t *testing.T) {
+	s, client := diameterStage(t, twoServices, nil)
+	s.stall["slow-5"].Store(1600)
+	outcome := make(chan partner.Outcome, 1)
+	go func() { outcome <- client.Claim(t.Context(), 6) }()
+	for begun := time.Now(); s.proxy.diameter.guard.Report().InHand == 0; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("the claim does not arrive")
+		}
+	}
+	s.stop()
+	if o := <-outcome; o.Code != diameter.Success || o.Tries != 1 {
+		t.Errorf("%+v", o)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -249,10 +249,12 @@
 		listener.Close()
 	case <-ctx.Done():
 		p.ready.Store(false)
-		if p.diameter != nil {
-			running.Go(p.diameter.drain)
+		var both sync.WaitGroup
+		if p.diameter != nil { // the engines must outlive both
+			both.Go(p.diameter.drain)
 		}
 		f.drain(listener, p.cfg.PassedSocket != "" && p.store.Succeeded())
+		both.Wait()
 		err = <-served
 	}
 	cancel()
--- a/internal/proxy/services_test.go
+++ b/internal/proxy/services_test.go
@@ -31,6 +31,7 @@
 	served  map[string]*atomic.Int64 // by kind of backend
 	stall   map[string]*atomic.Int64 // ms that a kind takes
 	ids     atomic.Int64
+	stop    context.CancelFunc // as SIGTERM does
 	lists   chan string   // answers to the register's watch
 	release chan struct{} // lets long answers end
 	backend map[string]string
@@ -97,6 +98,7 @@
 	s.addr = l.Addr().String()
 	s.proxy = New(cfg, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
 	ended := make(chan error, 1)
 	go func() { ended <- s.proxy.serve(ctx, l) }()
 	t.Cleanup(func() {
