--- a/internal/proxy/services_test.go
+++ b/internal/proxy/services_test.go
@@ -32,8 +32,8 @@
 	stall   map[string]*atomic.Int64 // ms that a kind takes
 	ids     atomic.Int64
 	stop    context.CancelFunc // as SIGTERM does
-	lists   chan string   // answers to the register's watch
-	release chan struct{} // lets long answers end
+	lists   chan string        // answers to the register's watch
+	release chan struct{}      // lets long answers end
 	backend map[string]string
 	first   map[string]*atomic.Pointer[string] // the path that a kind was asked for first
 }
