--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -12,6 +12,7 @@
 	"runtime/pprof"
 	"syscall"
 
+	"lapisspread/internal/logline"
 	"lapisspread/internal/proxy"
 )
 
@@ -46,7 +47,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE) // a log whose reader has died must not take the proxy with it
-	writer := proxy.NewLogWriter(os.Stderr)
+	writer := logline.New(os.Stderr)
 	defer writer.Close()
 	log := slog.New(slog.NewTextHandler(writer, nil)).With("proxy", cfg.Name)
 	p := proxy.New(cfg, log)
--- a/internal/proxy/log.go
+++ b/internal/logline/logline.go
@@ -1,4 +1,5 @@
-package proxy
+// Package logline writes log lines at a bounded rate to readers that may stand still.
+package logline
 
 import (
 	"fmt"
@@ -15,9 +16,9 @@
 	logFlush = 100 * time.Millisecond
 )
 
-// LogWriter passes lines on at a bounded rate, and never waits for their reader: where everything fails,
+// Writer passes lines on at a bounded rate, and never waits for their reader: where everything fails,
 // each failure's line would cost more than the failure, and a reader that stands still would stop the loop.
-type LogWriter struct {
+type Writer struct {
 	to     io.Writer
 	queue  chan []byte
 	done   chan struct{}
@@ -28,9 +29,9 @@
 	closed bool
 }
 
-// NewLogWriter makes one that writes to w until it is closed.
-func NewLogWriter(w io.Writer) *LogWriter {
-	l := &LogWriter{to: w, queue: make(chan []byte, logQueue), done: make(chan struct{})}
+// New makes one that writes to w until it is closed.
+func New(w io.Writer) *Writer {
+	l := &Writer{to: w, queue: make(chan []byte, logQueue), done: make(chan struct{})}
 	go func() {
 		defer close(l.done)
 		for line := range l.queue {
@@ -41,7 +42,7 @@
 }
 
 // Write takes one line.
-func (l *LogWriter) Write(line []byte) (int, error) {
+func (l *Writer) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := time.Now(); now.Sub(l.since) >= logSpan {
@@ -59,7 +60,7 @@
 }
 
 // pass queues a line; it gives 0 or, if the line can't be taken, what is then missed.
-func (l *LogWriter) pass(line []byte, lost int) int {
+func (l *Writer) pass(line []byte, lost int) int {
 	if l.closed {
 		return lost
 	}
@@ -72,7 +73,7 @@
 }
 
 // Close waits a little for what is queued.
-func (l *LogWriter) Close() error {
+func (l *Writer) Close() error {
 	l.mu.Lock()
 	if !l.closed {
 		l.closed = true
