Refuse an answer in place of a request where Diameter requests are classed

The node hands on requests alone, so nobody could reach it by the network.

It is refused with 3008.

--- a/internal/diameter/claim/claim.go
+++ b/internal/diameter/claim/claim.go
@@ -43,6 +43,10 @@
 
 // Classify tells what a request is, or what is wrong with it in the RFC's terms. The message must have been parsed.
 func (r *Rules) Classify(m diameter.Message, from From) (Ask, *diameter.Error) {
+	h := m.Header()
+	if !h.IsRequest() { // the rules of an answer are others: what a request must have could be missing
+		return Ask{}, &diameter.Error{Code: diameter.InvalidHdrBits, What: "an answer in place of a request"}
+	}
 	if err := r.dict.Check(m); err != nil {
 		e, ok := diameter.AsError(err)
 		if !ok {
@@ -50,7 +54,6 @@
 		}
 		return Ask{}, e
 	}
-	h := m.Header()
 	if len(r.commands[[2]uint32{h.App, h.Command}]) == 0 {
 		return Ask{}, &diameter.Error{Code: diameter.CommandUnsupported, What: fmt.Sprintf("command %d of application %d is not taken here", h.Command, h.App)}
 	}
