Forget claims of unknown end after a time of their own, on disk as in memory

Such claims are remembered for 'uncertain' (an hour if left out, never less than the window), from when their end was lost, or from the restart that found them. On disk they have a state of their own.

--- a/internal/diameter/claim/file.go
+++ b/internal/diameter/claim/file.go
@@ -75,10 +75,11 @@
 
 // Ledger is what is remembered so that nothing runs twice.
 type Ledger struct {
-	Window  strict.Span `toml:"window"`
-	Entries int         `toml:"entries"`
-	Bytes   int         `toml:"bytes"` // of the answers that are kept
-	File    string      `toml:"file"`  // in the state directory; without it, or without that, it is memory alone
+	Window    strict.Span `toml:"window"`
+	Uncertain strict.Span `toml:"uncertain"` // for which claims are remembered of which nobody knows how they ended
+	Entries   int         `toml:"entries"`
+	Bytes     int         `toml:"bytes"` // of the answers that are kept
+	File      string      `toml:"file"`  // in the state directory; without it, or without that, it is memory alone
 }
 
 // mostFile is the longest file that is read, in bytes.
@@ -147,6 +148,9 @@
 	if f.Ledger.Window == 0 {
 		f.Ledger.Window = strict.Span(effects.Window)
 	}
+	if f.Ledger.Uncertain == 0 {
+		f.Ledger.Uncertain = max(strict.Span(time.Hour), f.Ledger.Window)
+	}
 	if f.Ledger.Entries == 0 {
 		f.Ledger.Entries = 20_000
 	}
@@ -248,7 +252,7 @@
 
 // LedgerSettings are those of the ledger; lost is when it began without what was known before, below 0 if nothing was lost.
 func (f *File) LedgerSettings(lost time.Duration) effects.Settings {
-	return effects.Settings{Window: time.Duration(f.Ledger.Window), Entries: f.Ledger.Entries, Bytes: f.Ledger.Bytes, Lost: lost}
+	return effects.Settings{Window: time.Duration(f.Ledger.Window), Uncertain: time.Duration(f.Ledger.Uncertain), Entries: f.Ledger.Entries, Bytes: f.Ledger.Bytes, Lost: lost}
 }
 
 // Dictionary is what the rules were made with.
--- a/internal/effects/guard/guard.go
+++ b/internal/effects/guard/guard.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	for {
-		disk, records, err := store.Open(g.o.Path, store.Options{Window: g.o.Ledger.Window})
+		disk, records, err := store.Open(g.o.Path, store.Options{Window: g.o.Ledger.Window, Uncertain: g.o.Ledger.Uncertain})
 		if err == nil {
 			s := g.o.Ledger
 			s.Lost = -1 // the disk has it all
@@ -222,6 +222,8 @@
 		})
 	case NeverRan:
 		err = g.write(ctx, func(ctx context.Context) error { return disk.Drop(ctx, k) })
+	default:
+		err = g.write(ctx, func(ctx context.Context) error { return disk.Write(ctx, effects.Record{Key: k, Lost: true}) })
 	}
 	if err != nil { // the answer is true all the same; after a restart its request is one that may have run
 		g.o.Log.Error("an end could not be written", "err", err)
--- a/internal/effects/guard/guard_test.go
+++ b/internal/effects/guard/guard_test.go
@@ -15,7 +15,7 @@
 )
 
 func settings(lost time.Duration) effects.Settings {
-	return effects.Settings{Window: effects.Window, Entries: 100, Bytes: 1 << 20, Lost: lost}
+	return effects.Settings{Window: effects.Window, Uncertain: effects.Window, Entries: 100, Bytes: 1 << 20, Lost: lost}
 }
 
 func newGuard(t *testing.T, path string, lost time.Duration) *Guard {
--- a/internal/effects/ledger.go
+++ b/internal/effects/ledger.go
@@ -32,9 +32,11 @@
 
 // Settings are what a Ledger goes by.
 type Settings struct {
-	Window  time.Duration // for which what has ended is remembered
-	Entries int           // at most
-	Bytes   int           // of the answers that are kept, at most
+	Window time.Duration // for which what has ended is remembered
+	// Uncertain is for how long that of which nobody knows how it ended is: longer, since somebody must look into the books.
+	Uncertain time.Duration
+	Entries   int // at most
+	Bytes     int // of the answers that are kept, at most
 	// Lost is when the ledger began without what a process before knew; a repeat of what it does not know may have run
 	// up to a window after that. Below 0 nothing was lost: the ledger is durable, or this is the first process.
 	Lost time.Duration
@@ -46,6 +48,9 @@
 	if s.Window < Window {
 		errs = append(errs, fmt.Errorf("window: %v is under %v", s.Window, Window))
 	}
+	if s.Uncertain < s.Window {
+		errs = append(errs, fmt.Errorf("uncertain: %v is under the window, %v", s.Uncertain, s.Window))
+	}
 	if s.Entries < 1 || s.Bytes < 1 {
 		errs = append(errs, fmt.Errorf("entries %d and bytes %d must be above 0", s.Entries, s.Bytes))
 	}
@@ -92,7 +97,8 @@
 type Ledger struct {
 	set     Settings
 	entries map[Key]*entry
-	over    list.List // of *entry that have ended or are unknown, those to be forgotten first in front
+	over    list.List // of *entry that have ended, those to be forgotten first in front
+	lost    list.List // of *entry of which nobody knows how they ended, likewise
 	bytes   int
 }
 
@@ -164,30 +170,39 @@
 }
 
 func (l *Ledger) settle(now time.Duration, e *entry, s state) {
-	e.state, e.until = s, now+l.set.Window
-	if e.at != nil {
-		l.over.Remove(e.at)
+	if e.at != nil { // one that may have run, and its answer is found
+		l.lost.Remove(e.at)
+	}
+	e.state = s
+	if s == unknown {
+		e.until = now + l.set.Uncertain
+		e.at = l.lost.PushBack(e)
+		return
 	}
-	e.at = l.over.PushBack(e) // all have the same window: the order is that of their ends
+	e.until = now + l.set.Window
+	e.at = l.over.PushBack(e) // all of a list have the same span: the order is that of their ends
 }
 
 // forget drops what has ended a window ago.
 func (l *Ledger) forget(now time.Duration) {
-	for at := l.over.Front(); at != nil; at = l.over.Front() {
-		e := at.Value.(*entry)
-		if e.until > now {
-			return
+	for _, ended := range []*list.List{&l.over, &l.lost} {
+		for at := ended.Front(); at != nil; at = ended.Front() {
+			e := at.Value.(*entry)
+			if e.until > now {
+				break
+			}
+			ended.Remove(at)
+			l.bytes -= len(e.answer)
+			delete(l.entries, e.key)
 		}
-		l.over.Remove(at)
-		l.bytes -= len(e.answer)
-		delete(l.entries, e.key)
 	}
 }
 
-// Record is an entry as it is written down: an intent, or an end.
+// Record is an entry as it is written down: an intent, an end, or that its end will not be known.
 type Record struct {
 	Key    Key
 	Ended  bool
+	Lost   bool
 	Answer []byte
 }
 
--- a/internal/effects/ledger_test.go
+++ b/internal/effects/ledger_test.go
@@ -20,8 +20,9 @@
 
 func TestSettings(t *testing.T) {
 	for want, s := range map[string]Settings{
-		"window":  {Window: time.Minute, Entries: 1, Bytes: 1},
-		"entries": {Window: Window, Bytes: 1},
+		"window":    {Window: time.Minute, Entries: 1, Bytes: 1},
+		"entries":   {Window: Window, Uncertain: Window, Bytes: 1},
+		"uncertain": {Window: Window, Uncertain: time.Minute, Entries: 1, Bytes: 1},
 	} {
 		if _, err := New(s); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", want, err)
@@ -30,7 +31,7 @@
 }
 
 func TestARepeatGetsTheSameAnswer(t *testing.T) {
-	l := ledger(t, Settings{Window: Window, Entries: 10, Bytes: 100, Lost: -1})
+	l := ledger(t, Settings{Window: Window, Uncertain: 2 * Window, Entries: 10, Bytes: 100, Lost: -1})
 	k := Key{"partner.example", 7}
 	for i, step := range []struct {
 		at   time.Duration
@@ -43,8 +44,9 @@
 		{Window, nil, Answered},
 		{Window + 2*time.Second, nil, Begin}, // the identifier is another request's by now
 		{Window + 3*time.Second, func() { l.Lose(Window+3*time.Second, k) }, MayHaveRun},
-		{2*Window + 4*time.Second, nil, Begin},
-		{2*Window + 4*time.Second, func() { l.Drop(k) }, Begin},
+		{2*Window + 4*time.Second, nil, MayHaveRun}, // for longer than an answer
+		{3*Window + 4*time.Second, nil, Begin},
+		{3*Window + 4*time.Second, func() { l.Drop(k) }, Begin},
 	} {
 		if step.do != nil {
 			step.do()
@@ -61,7 +63,7 @@
 
 // After a restart that has forgotten, a repeat of what is not known may have run, for a window; what is new may begin.
 func TestAfterARestart(t *testing.T) {
-	l := ledger(t, Settings{Window: Window, Entries: 10, Bytes: 100, Lost: time.Minute})
+	l := ledger(t, Settings{Window: Window, Uncertain: Window, Entries: 10, Bytes: 100, Lost: time.Minute})
 	if v, _ := l.Come(time.Minute, Key{"a", 1}, true); v != MayHaveRun {
 		t.Errorf("a repeat: %v", v)
 	}
@@ -74,7 +76,7 @@
 }
 
 func TestRestore(t *testing.T) {
-	l := ledger(t, Settings{Window: Window, Entries: 3, Bytes: 8, Lost: -1})
+	l := ledger(t, Settings{Window: Window, Uncertain: Window, Entries: 3, Bytes: 8, Lost: -1})
 	err := l.Restore(0, []Record{{Key: Key{"a", 1}}, {Key: Key{"a", 2}}, {Key: Key{"a", 1}, Ended: true, Answer: []byte("paid")},
 		{Key: Key{"a", 3}, Ended: true, Answer: []byte("too long to keep")}})
 	if err != nil {
@@ -93,7 +95,7 @@
 // Any order of events keeps the promises of the package: beside a memory that forgets nothing.
 func TestNeverTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := Settings{Window: Window, Entries: rapid.IntRange(1, 8).Draw(t, "entries"), Bytes: rapid.IntRange(1, 60).Draw(t, "bytes"), Lost: -1}
+		s := Settings{Window: Window, Uncertain: Window * time.Duration(rapid.IntRange(1, 3).Draw(t, "uncertain")), Entries: rapid.IntRange(1, 8).Draw(t, "entries"), Bytes: rapid.IntRange(1, 60).Draw(t, "bytes"), Lost: -1}
 		l, err := New(s)
 		if err != nil {
 			t.Fatal(err)
@@ -113,6 +115,10 @@
 			case 0, 1, 2:
 				v, answer := l.Come(now, k, rapid.Bool().Draw(t, "T"))
 				fresh := m == nil || !m.open && now >= m.ended+s.Window
+				if m != nil && m.answer == "lost" {
+					fresh = now >= m.ended+s.Uncertain
+				}
+				known := m != nil && (m.open || now < m.ended+s.Uncertain) // an answer that is too long to be kept counts as lost
 				switch {
 				case v == Begin && !fresh:
 					t.Fatalf("%v begins again at %v: %+v", k, now, m)
@@ -120,7 +126,7 @@
 					t.Fatalf("%v joins nothing", k)
 				case v == Answered && (m == nil || m.open || m.answer != string(answer)):
 					t.Fatalf("%v has the answer %q: %+v", k, answer, m)
-				case v == MayHaveRun && fresh, v == Full && !fresh:
+				case v == MayHaveRun && !known, v == Full && !fresh:
 					t.Fatalf("%v: %v: %+v", k, v, m)
 				case v == Begin:
 					all[k] = &memory{open: true}
@@ -151,7 +157,7 @@
 }
 
 func BenchmarkComeAndEnd(b *testing.B) {
-	l := ledger(b, Settings{Window: Window, Entries: 1 << 20, Bytes: 1 << 28, Lost: -1})
+	l := ledger(b, Settings{Window: Window, Uncertain: Window, Entries: 1 << 20, Bytes: 1 << 28, Lost: -1})
 	answer := make([]byte, 180)
 	i := uint32(0)
 	b.ReportAllocs()
--- a/internal/effects/store/store.go
+++ b/internal/effects/store/store.go
@@ -7,7 +7,8 @@
 // records that wait (group commit).
 //
 // The layout: in the bucket "effects" the key is the origin, a zero byte and the end-to-end identifier (4 bytes, big
-// endian); the value is the state (1 intent, 2 ended), the time in Unix nanoseconds (8 bytes) and the answer. In the bucket
+// endian); the value is the state (1 intent, 2 ended, 3 nobody knows how), a time in Unix nanoseconds (8 bytes; of an intent when it was written, else when it
+// may be forgotten) and the answer. In the bucket
 // "order" the key is the time and that key, for forgetting.
 package store
 
@@ -38,6 +39,7 @@
 const (
 	intent = 1
 	end    = 2
+	lost   = 3
 
 	mostBatch = 512             // records of one transaction
 	openWait  = 3 * time.Second // for another process to let go of the file
@@ -52,9 +54,9 @@
 
 // Store is a file of effects. It is for any goroutine.
 type Store struct {
-	db     *bbolt.DB
-	window time.Duration
-	now    func() time.Time
+	db                *bbolt.DB
+	window, uncertain time.Duration
+	now               func() time.Time
 
 	commits atomic.Int64
 
@@ -72,8 +74,9 @@
 
 // Options are how a store is opened.
 type Options struct {
-	Window time.Duration    // for which what has ended is kept
-	Now    func() time.Time // the machine's clock; nil is time.Now
+	Window    time.Duration    // for which what has ended is kept
+	Uncertain time.Duration    // for which that of which nobody knows how it ended is; Window if it is shorter
+	Now       func() time.Time // the machine's clock; nil is time.Now
 }
 
 // Open opens or makes a file, and gives what it holds in the order in which it was written, without what is older than
@@ -89,7 +92,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("effects: %s: %w", path, err)
 	}
-	s := &Store{db: db, window: o.Window, now: o.Now, queue: make(chan *waiter, mostBatch), stop: make(chan struct{}), done: make(chan struct{})}
+	s := &Store{db: db, window: o.Window, uncertain: max(o.Window, o.Uncertain), now: o.Now, queue: make(chan *waiter, mostBatch), stop: make(chan struct{}), done: make(chan struct{})}
 	records, err := s.load()
 	if err != nil {
 		db.Close()
@@ -106,26 +109,36 @@
 		r  effects.Record
 	}
 	var all []dated
-	oldest := s.now().Add(-s.window).UnixNano()
+	now := s.now()
+	type half struct{ key, value []byte }
+	var begun []half // intents of a process that has died
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{effectsBucket, orderBucket} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 				return err
 			}
 		}
-		return tx.Bucket(effectsBucket).ForEach(func(k, v []byte) error {
+		err := tx.Bucket(effectsBucket).ForEach(func(k, v []byte) error {
 			key, err := keyOf(k)
-			if err != nil || len(v) < 9 || v[0] != intent && v[0] != end {
+			if err != nil || len(v) < 9 || v[0] != intent && v[0] != end && v[0] != lost {
 				return fmt.Errorf("a record that makes no sense: %x: %x", k, v[:min(len(v), 16)])
 			}
 			at := int64(binary.BigEndian.Uint64(v[1:]))
-			// Danger: an intent without an end may have run however long ago: only what has ended grows old.
-			if v[0] == end && at < oldest {
+			// Danger: an intent without an end may have run, however long ago that was: its time begins now.
+			if v[0] == intent {
+				begun = append(begun, half{bytes.Clone(k), bytes.Clone(v)})
+			} else if at < now.UnixNano() {
 				return nil
 			}
-			all = append(all, dated{at, effects.Record{Key: key, Ended: v[0] == end, Answer: bytes.Clone(v[9:])}})
+			all = append(all, dated{at, effects.Record{Key: key, Ended: v[0] == end, Lost: v[0] != end, Answer: bytes.Clone(v[9:])}})
 			return nil
 		})
+		for _, h := range begun {
+			if err == nil {
+				err = put(tx, h.key, lost, now.Add(s.uncertain), nil)
+			}
+		}
+		return err
 	})
 	if err != nil {
 		return nil, err
@@ -216,24 +229,37 @@
 			}
 			continue
 		}
-		v := make([]byte, 9, 9+len(w.record.Answer))
-		v[0] = intent
-		binary.BigEndian.PutUint64(v[1:], uint64(now.UnixNano()))
-		if w.record.Ended {
-			v[0] = end
-			v = append(v, w.record.Answer...)
-			if err := order.Put(append(bytes.Clone(v[1:9]), k...), nil); err != nil {
-				return err
-			}
+		var err error
+		switch {
+		case w.record.Ended:
+			err = put(tx, k, end, now.Add(s.window), w.record.Answer)
+		case w.record.Lost:
+			err = put(tx, k, lost, now.Add(s.uncertain), nil)
+		default:
+			v := make([]byte, 9)
+			v[0] = intent
+			binary.BigEndian.PutUint64(v[1:], uint64(now.UnixNano()))
+			err = all.Put(k, v)
 		}
-		if err := all.Put(k, v); err != nil {
+		if err != nil {
 			return err
 		}
 	}
-	return s.forget(all, order, now.Add(-s.window))
+	return s.forget(all, order, now)
+}
+
+// put writes what is to be forgotten at a time.
+func put(tx *bbolt.Tx, key []byte, state byte, until time.Time, answer []byte) error {
+	v := make([]byte, 9, 9+len(answer))
+	v[0] = state
+	binary.BigEndian.PutUint64(v[1:], uint64(until.UnixNano()))
+	if err := tx.Bucket(orderBucket).Put(append(bytes.Clone(v[1:]), key...), nil); err != nil {
+		return err
+	}
+	return tx.Bucket(effectsBucket).Put(key, append(v, answer...))
 }
 
-// forget drops what has ended before a time, some at a time.
+// forget drops what was to be forgotten before a time, some at a time.
 func (s *Store) forget(all, order *bbolt.Bucket, before time.Time) error {
 	var old [][]byte
 	c := order.Cursor()
--- a/internal/effects/store/store_test.go
+++ b/internal/effects/store/store_test.go
@@ -18,11 +18,14 @@
 	"lapisspread/internal/effects"
 )
 
-const window = effects.Window
+const (
+	window    = effects.Window
+	uncertain = time.Hour
+)
 
 func open(t testing.TB, path string, now func() time.Time) (*Store, map[effects.Key]effects.Record) {
 	t.Helper()
-	s, records, err := Open(path, Options{Window: window, Now: now})
+	s, records, err := Open(path, Options{Window: window, Uncertain: uncertain, Now: now})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,14 +65,23 @@
 	if len(by) != 2 || !by[a].Ended || string(by[a].Answer) != "paid" || by[b].Ended {
 		t.Errorf("%+v", by)
 	}
-	clock = clock.Add(window + time.Second) // what has ended grows old; an intent without an end does not
+	clock = clock.Add(window + time.Second) // what has ended grows old; of an intent without an end the time begins when it is found
 	if err := s.Write(ctx, effects.Record{Key: effects.Key{Origin: "z", ID: 9}}); err != nil {
 		t.Fatal(err)
 	}
 	s.Close()
-	if _, by = open(t, path, now); len(by) != 2 || by[a].Ended {
+	s, by = open(t, path, now)
+	if len(by) != 2 || by[a].Ended || !by[b].Lost {
 		t.Errorf("a window later: %+v", by)
 	}
+	clock = clock.Add(uncertain + time.Second)
+	if err := s.Write(ctx, effects.Record{Key: effects.Key{Origin: "y", ID: 9}, Lost: true}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	if _, by = open(t, path, now); len(by) != 1 || !by[effects.Key{Origin: "y", ID: 9}].Lost {
+		t.Errorf("long after: %+v", by)
+	}
 }
 
 func TestAFileThatIsNone(t *testing.T) {
@@ -174,7 +186,7 @@
 		if err != nil {
 			t.Fatalf("round %d: %v", round, err)
 		}
-		l, err := effects.New(effects.Settings{Window: window, Entries: 1 << 20, Bytes: 1 << 24, Lost: -1})
+		l, err := effects.New(effects.Settings{Window: window, Uncertain: window, Entries: 1 << 20, Bytes: 1 << 24, Lost: -1})
 		if err != nil {
 			t.Fatal(err)
 		}
