Count from the process's start how long a ledger in memory may have forgotten something

The guard takes its own clock at the start. Its tests run on a clock that began long before; the short run of payouts in the tests plays without a disk too.

--- a/internal/effects/guard/guard.go
+++ b/internal/effects/guard/guard.go
@@ -36,8 +36,8 @@
 
 // Options are what a Guard is made of.
 type Options struct {
-	Ledger effects.Settings
-	Path   string // of the store; empty is none
+	Ledger effects.Settings // Lost below 0 says that no process before could have known anything; else it is set to now
+	Path   string           // of the store; empty is none
 	Now    func() time.Duration
 	Log    *slog.Logger
 	// Wait bounds how long a write to disk may take; a disk that does not answer is one that fails.
@@ -73,6 +73,9 @@
 	if o.Wait == 0 {
 		o.Wait = defaultWait
 	}
+	if o.Ledger.Lost >= 0 {
+		o.Ledger.Lost = o.Now() // clocks need not begin at 0
+	}
 	g := &Guard{o: o, hands: map[effects.Key]*hand{}}
 	rules, err := effects.New(o.Ledger)
 	if err != nil {
--- a/internal/effects/guard/guard_test.go
+++ b/internal/effects/guard/guard_test.go
@@ -20,7 +20,7 @@
 
 func newGuard(t *testing.T, path string, lost time.Duration) *Guard {
 	t.Helper()
-	began := time.Now()
+	began := time.Now().Add(-30 * time.Hour) // a clock that began long before
 	g, err := New(Options{Ledger: settings(lost), Path: path, Now: func() time.Duration { return time.Since(began) }, Wait: 500 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/payouts/payouts.go
+++ b/internal/lab/payouts/payouts.go
@@ -34,12 +34,13 @@
 	Rate    float64 // claims a second
 	Clients int     // peers that they come from
 	Servers int
-	Faults  float64 // how often what Chances says goes wrong does, 1 is as it says
-	Kills   int     // times that the process is killed, spread over the run
-	Ends    int     // times that it is ended in order, with the next one beside it
-	Durable bool    // with a ledger on disk
-	HTTP    bool    // by HTTP, to HTTP servers that do not fail: to hold the cost against
-	Again   float64 // part of the claims with an answer that are sent once more later
+	Faults  float64       // how often what Chances says goes wrong does, 1 is as it says
+	Kills   int           // times that the process is killed, spread over the run
+	Ends    int           // times that it is ended in order, with the next one beside it
+	Durable bool          // with a ledger on disk
+	HTTP    bool          // by HTTP, to HTTP servers that do not fail: to hold the cost against
+	Again   float64       // part of the claims with an answer that are sent once more,
+	Soon    time.Duration // within this; 10s if it is 0
 	Seed    uint64
 	Keep    string // a directory that the logs of all processes and their files are left in; empty keeps nothing
 	Say     func(format string, args ...any)
@@ -125,6 +126,9 @@
 
 // Play plays a plan. An error is trouble with the run itself: what the proxy did wrong stands in the table.
 func Play(ctx context.Context, p Plan) (*Table, error) {
+	if p.Soon == 0 {
+		p.Soon = 10 * time.Second
+	}
 	if p.Say == nil {
 		p.Say = func(string, ...any) {}
 	}
@@ -477,7 +481,7 @@
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	for i := range s.paced(ctx) {
-		c, again, later := clients[i%len(clients)], rng.Float64() < s.plan.Again, time.Duration(rng.Int64N(int64(10*time.Second)))
+		c, again, later := clients[i%len(clients)], rng.Float64() < s.plan.Again, time.Duration(rng.Int64N(int64(s.plan.Soon)))
 		all.Go(func() {
 			amount := int64(1000 + i)
 			o := c.Claim(ctx, amount)
--- a/internal/lab/payouts/payouts_test.go
+++ b/internal/lab/payouts/payouts_test.go
@@ -1,10 +1,12 @@
 package payouts
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"lapisspread/internal/lab/partner"
 )
@@ -16,16 +18,22 @@
 	if text, err := exec.Command("go", "build", "-o", binary, "lapisspread/cmd/lapisspread").CombinedOutput(); err != nil {
 		t.Fatalf("building the proxy: %v: %s", err, text)
 	}
-	table, err := Play(t.Context(), Plan{Binary: binary, Claims: 600, Rate: 200, Clients: 4, Servers: 3, Faults: 2, Kills: 2, Ends: 1, Durable: true, Again: 0.05, Seed: 7})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%+v", *table)
-	if err := table.Broken(true); err != nil {
-		t.Error(err)
-	}
-	if table.Claims != 600 || table.Paid < 300 || table.Kills != 2 || table.NoAnswer > 0 || len(table.Recovery) != 4 {
-		t.Errorf("%+v", *table)
+	for _, durable := range []bool{true, false} {
+		t.Run(fmt.Sprint("durable ", durable), func(t *testing.T) {
+			t.Parallel()
+			table, err := Play(t.Context(), Plan{Binary: binary, Claims: 600, Rate: 200, Clients: 4, Servers: 3, Faults: 2, Kills: 2, Ends: 1, Durable: durable,
+				Again: 0.3, Soon: 2 * time.Second, Seed: 7})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", *table)
+			if err := table.Broken(durable); err != nil {
+				t.Error(err)
+			}
+			if table.Claims != 600 || table.Paid < 300 || table.Kills != 2 || table.NoAnswer > 0 || len(table.Recovery) != 4 || table.Asked == 0 {
+				t.Errorf("%+v", *table)
+			}
+		})
 	}
 }
 
