Let an address that holds no bytes have its first body whatever its neighbours hold

Need: with a small bytes_part the net's share could be used up by others, and an address with nothing in hand be refused, against what the package promises.

The bound holds for addresses that hold something alone.

--- a/internal/admission/door.go
+++ b/internal/admission/door.go
@@ -284,11 +284,13 @@
 	if c == nil || bytes <= 0 {
 		return true
 	}
-	if most := float64(d.set.Bytes); most > 0 && most-float64(d.bytes+bytes) < d.set.Short*most && !c.groups[0].listed {
+	// Danger: who holds nothing may always have one, however long, and whatever its neighbours hold; else a long body could
+	// never pass.
+	bounded := !c.groups[0].listed && c.groups[0].bytes > 0
+	if most := float64(d.set.Bytes); bounded && most > 0 && most-float64(d.bytes+bytes) < d.set.Short*most {
 		for i, g := range c.groups {
 			t := d.tiers[i]
-			// Danger: who holds nothing may always have one, however long; else a long body could never pass.
-			if g.bytes > 0 && float64(g.bytes+bytes) > d.set.BytesPart*most*t.times+EarnedBytes*t.served(now, g) {
+			if float64(g.bytes+bytes) > d.set.BytesPart*most*t.times+EarnedBytes*t.served(now, g) {
 				d.count.Crowded++
 				return false
 			}
--- a/internal/admission/door_test.go
+++ b/internal/admission/door_test.go
@@ -529,10 +529,14 @@
 	if !d.Hold(0, other, 64<<10) || !d.Hold(0, take(ip(10, 1, 0, 1)), 200<<10) {
 		t.Error("what was earned does not count")
 	}
+	d.set.BytesPart = 0.01 // so little that its net has too much by itself
+	if neighbour := take(ip(10, 0, 0, 77)); !d.Hold(0, neighbour, 10<<10) || d.Hold(0, neighbour, 100<<10) {
+		t.Error("an address is refused its first for its neighbours, or has all that it asks for")
+	}
 	if known := take(ip(10, 9, 0, 1)); !d.Hold(0, known, 300<<10) || !d.Hold(0, known, 300<<10) {
 		t.Error("a listed address is bounded")
 	}
-	if r := d.Report(0); r.Crowded != 1 || r.Bytes != int64(12*64+64+200+600)<<10 {
+	if r := d.Report(0); r.Crowded != 2 || r.Bytes != int64(12*64+64+200+10+600)<<10 {
 		t.Errorf("%+v", r)
 	}
 	for i, id := range held {
