--- a/internal/diameter/claim/claim.go
+++ b/internal/diameter/claim/claim.go
@@ -38,7 +38,7 @@
 }
 
 type avps struct {
-	session, originHost, originRealm, destRealm, destHost, routeRecord, requestType, requestedAction, errorMessage, validity *diameter.Definition
+	session, originHost, originRealm, destRealm, destHost, routeRecord, requestType, requestedAction *diameter.Definition
 }
 
 // Classify tells what a request is, or what is wrong with it in the RFC's terms. The message must have been parsed.
--- a/internal/diameter/claim/file.go
+++ b/internal/diameter/claim/file.go
@@ -185,7 +185,7 @@
 	r := &Rules{file: f, dict: d, commands: map[[2]uint32][]*Command{}, peers: map[string]*Peer{}, realms: map[string]*Peer{}, serves: map[string]bool{}}
 	for name, at := range map[string]**diameter.Definition{"Session-Id": &r.avp.session, "Origin-Host": &r.avp.originHost, "Origin-Realm": &r.avp.originRealm,
 		"Destination-Realm": &r.avp.destRealm, "Destination-Host": &r.avp.destHost, "Route-Record": &r.avp.routeRecord, "CC-Request-Type": &r.avp.requestType,
-		"Requested-Action": &r.avp.requestedAction, "Error-Message": &r.avp.errorMessage, "Validity-Time": &r.avp.validity} {
+		"Requested-Action": &r.avp.requestedAction} {
 		*at = d.Named(name)
 	}
 	var errs []error
--- a/internal/diameter/node/messages.go
+++ b/internal/diameter/node/messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"net/netip"
 
@@ -154,22 +153,3 @@
 	}
 	return w.Message()
 }
-
-// Refuse answers a request with an error in the RFC's terms.
-func (n *Node) Refuse(r *Request, code diameter.ResultCode, format string, args ...any) {
-	n.RefuseWith(r, &diameter.Error{Code: code, What: fmt.Sprintf(format, args...)})
-}
-
-// RefuseWith answers a request with an error that was found in it.
-func (n *Node) RefuseWith(r *Request, e *diameter.Error) {
-	m, err := n.set.Dict.Refusal(r.Message, r.Header, e, n.set.Host, n.set.Realm)
-	if err != nil { // what it would have to carry does not fit: the code alone does
-		m, err = n.set.Dict.Refusal(nil, r.Header, e, n.set.Host, n.set.Realm)
-	}
-	if err != nil {
-		n.set.Log.Error("an answer could not be worded", "err", err)
-		r.Drop()
-		return
-	}
-	r.Answer(m)
-}
--- a/internal/diameter/node/node.go
+++ b/internal/diameter/node/node.go
@@ -155,9 +155,6 @@
 
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
-// Host is our Origin-Host.
-func (n *Node) Host() string { return n.set.Host }
-
 // Dictionary is what AVPs and commands the node knows.
 func (n *Node) Dictionary() *diameter.Dictionary { return n.set.Dict }
 
--- a/internal/lab/partner/client.go
+++ b/internal/lab/partner/client.go
@@ -44,7 +44,7 @@
 	Session string
 }
 
-// Result is one answer.
+// answer is what comes back of one try.
 type answer struct {
 	m   diameter.Message
 	err error
