Answer a waiting keyed request when its window ends, not half its time later

To give up is to answer now.

Ruled out: the second attempt was not held by a late list (its group was listed as ready throughout), nor by the timer of what waits (it came each 5 ms). At fault: dispatch, which asked pick again and again and let the request wait until waitUntil, half of what is left of its time; only place asked whether it may be sent anywhere at all.

Both ask it now, by isSpent. TestAKeyedRequestIsAnsweredOnceItsWindowEnds fails before (no answer 10 ms after the window) and passes after.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -634,7 +634,7 @@
 
 // place lets a request that nothing is out for wait for the next dispatch, if it may still be sent.
 func (b *Balancer) place(r *request) {
-	if len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, func(t *target) bool { return b.maySend(r, t) }) {
+	if b.isSpent(r) {
 		b.end(r, b.interval)
 		return
 	}
@@ -643,6 +643,11 @@
 	b.waiting = append(b.waiting, r)
 }
 
+// isSpent tells whether a request that was sent may be sent nowhere any more.
+func (b *Balancer) isSpent(r *request) bool {
+	return len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, func(t *target) bool { return b.maySend(r, t) })
+}
+
 // gain is what serving a request now adds to the goal for each unit of its work: its part of all worth, of
 // its class's and tenant's if worst served, times the chance that the answer comes in time.
 func (b *Balancer) gain(r *request) float64 {
@@ -702,7 +707,9 @@
 			misses++
 		}
 		asked := len(r.pair) > 0 && b.now < r.askUntil
-		if !asked && b.now >= r.waitUntil || len(b.waiting) >= most && !b.asksFirst() {
+		// Danger: a keyed one's window may end while it waits.
+		full := len(b.waiting) >= most && !b.asksFirst()
+		if !asked && b.now >= r.waitUntil || full || b.isSpent(r) {
 			b.end(r, b.interval)
 			continue
 		}
--- /dev/null
+++ b/decision/faults_test.go
@@ -0,0 +1,24 @@
+package decision
+
+import "testing"
+
+// Faults that the model found, each as plain as it can be shown.
+
+// A keyed request whose window ends while it waits can be sent nowhere any more: it is answered then, not parked.
+func TestAKeyedRequestIsAnsweredOnceItsWindowEnds(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 2)
+	b.Request(second, Request{ID: 1, Class: keyed, Deadline: 9 * second})
+	b.requests[1].aimAt = 9 * second // much time is left beside the window of 1 s
+	to := h.take("send")[0].to
+	for _, other := range b.targets { // those of its zone have no room
+		other.own.limit, other.own.out, other.own.load = 1, 9, 9
+	}
+	b.Outcome(second+900*milli, Outcome{ID: 1, Backend: to, Result: Reset})
+	if got := h.take("send", "refuse", "fail"); len(got) != 0 {
+		t.Fatalf("it does not wait: %v", got)
+	}
+	b.Timer(2*second+10*milli, timerDispatch<<56)
+	if got := h.take("send", "refuse", "fail"); len(got) != 1 || got[0].verb != "fail" {
+		t.Errorf("after the end of its window: %v, want its failure", got)
+	}
+}
