Count the window of a keyed request with a long body from its send, not its last byte

Ruled out: lists and groups (the repeat stayed in its group), and outcomes that came twice (each counted once). At fault: waitFrom in state.go sets the attempt's sent to the moment of the body's last byte, from which its answer is waited for, and maySend in balancer.go counted the window from that: a body of 0.9 s stretched it by as much.

An attempt keeps both times now.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -803,7 +803,7 @@
 			return false
 		}
 		if first < 0 {
-			first = a.sent
+			first = a.left
 		}
 	}
 	return first < 0 || b.now < first+c.Window-b.cfg.Tick
@@ -816,7 +816,7 @@
 		return false
 	}
 	e := b.expected(r.Class, millis(r.Cost))
-	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, sent: b.now, work: work,
+	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, left: b.now, sent: b.now, work: work,
 		weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), rounds: b.rounds(t), mayRun: true}
 	a.expected = e * a.rounds
 	a.begin()
--- a/decision/faults_test.go
+++ b/decision/faults_test.go
@@ -22,3 +22,15 @@
 		t.Errorf("after the end of its window: %v, want its failure", got)
 	}
 }
+
+// The window counts from the first send that may have run, also where the body's end comes later.
+func TestTheWindowOfAStreamedRequestCountsFromItsSend(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 4)
+	b.Request(second, Request{ID: 1, Class: keyed, Deadline: 9 * second, Streamed: true})
+	to := h.take("send")[0].to
+	b.Whole(second+900*milli, 1, 9*second)
+	b.Outcome(2*second+100*milli, Outcome{ID: 1, Backend: to, Result: Reset})
+	if got := h.take("send", "fail"); len(got) != 1 || got[0].verb != "fail" {
+		t.Errorf("1.1 s after its send, with a window of 1 s: %v, want its failure", got)
+	}
+}
--- a/decision/state.go
+++ b/decision/state.go
@@ -132,7 +132,7 @@
 	req                            *request
 	n, zone, cell                  int
 	to                             *target
-	sent                           time.Duration
+	left, sent                     time.Duration // sent: from when on an answer is waited for
 	in                             []use
 	expected, work, weight, rounds float64 // rounds: what was before it, in times its own
 	done, mayRun, cancelled, again bool    // again: its end asks for another attempt
