Take a server that left the list and returns for a new target in every case

Ruled out: probe results that came late or twice (the model counts the first after each probe, and agreed). At fault: forgetGone keeps the entry of a gone server while something is out, which the books need, and Membership found that entry again with the status of its earlier life. What hung on it was chance: whether a probe had just gone out.

Membership begins the status anew; what is known of its start stays, for the cold budget.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -140,6 +140,8 @@
 			}
 			t = b.newTarget(e)
 			t.nextProbe = now + jitter(b.rng, restProbe*b.interval)
+		} else if t.State == Gone && e.State != Gone { // it left and is back: a new target
+			t.healthy, t.fails, t.passes = true, 0, 0
 		}
 		t.Backend = e
 		b.starts(t, e.Started)
--- a/decision/faults_test.go
+++ b/decision/faults_test.go
@@ -34,3 +34,23 @@
 		t.Errorf("1.1 s after its send, with a window of 1 s: %v, want its failure", got)
 	}
 }
+
+// A server that left the list and returns is a new target, whether or not something was still out there.
+func TestAServerThatReturnsIsANewTarget(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		b, _ := newBalancer(t, testConfig(), 2)
+		id := list(2)[0].ID
+		for range runToFail {
+			b.probe(b.byID[id])
+			b.Probed(second, ProbeResult{Backend: id, Result: Timeout})
+		}
+		if busy {
+			b.probe(b.byID[id])
+		}
+		b.Membership(2*second, Membership{Kind: ListDelta, Backends: []Backend{{ID: id, State: Gone}}})
+		b.Membership(3*second, Membership{Kind: ListFull, Backends: list(2)})
+		if _, excluded := b.Census(); excluded != 0 {
+			t.Errorf("a probe still out is %v: %d avoided on its return", busy, excluded)
+		}
+	}
+}
