--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -647,7 +647,8 @@
 
 // isSpent tells whether a request that was sent may be sent nowhere any more.
 func (b *Balancer) isSpent(r *request) bool {
-	return len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, func(t *target) bool { return b.maySend(r, t) })
+	may := func(t *target) bool { return b.maySend(r, t) }
+	return len(r.attempts) > 0 && !slices.ContainsFunc(b.ready, may)
 }
 
 // gain is what serving a request now adds to the goal for each unit of its work: its part of all worth, of
@@ -818,8 +819,8 @@
 		return false
 	}
 	e := b.expected(r.Class, millis(r.Cost))
-	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, left: b.now, sent: b.now, work: work,
-		weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), rounds: b.rounds(t), mayRun: true}
+	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, left: b.now, sent: b.now,
+		work: work, weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), rounds: b.rounds(t), mayRun: true}
 	a.expected = e * a.rounds
 	a.begin()
 	// Danger: a budget lets light ones through, and handshakes are work too. None counts under the mean.
