Drop load reports that hold no numbers, which stopped a proxy for good

Ruled out: lists, orders by hand, probes (all servers ready and healthy in its census), cold budgets (spent long before). At fault: report in state.go took NaN and infinite values. One in the field of what waits makes atOnce NaN, so rounds NaN, so an attempt's expected delay NaN, and from there the class's mean delay, for ever: every slack becomes the least duration there is, and each request is given up as it comes.

A report with a value that is negative, not finite or past a million is dropped. TestALoadReportThatIsNoNumberIsDropped fails before (mean delay NaN) and passes after.

--- a/decision/state.go
+++ b/decision/state.go
@@ -243,15 +243,20 @@
 	}
 }
 
-// report enters a load report, whose values come in the order of fields.
+// report enters a load report, whose values come in the order of fields. Danger: a value that is no number, or
+// none that can be true, would stay in all means that it goes into.
 func (t *target) report(now time.Duration, fields []ReportField, values []float32) {
+	const most = 1e6
 	held, waiting := -1.0, 0.0
 	for i := range min(len(fields), len(values)) {
+		if !(values[i] >= 0 && values[i] < most) {
+			return
+		}
 		switch fields[i] {
 		case FieldHeld:
-			held = max(0, float64(values[i]))
+			held = float64(values[i])
 		case FieldWaiting:
-			waiting = max(0, float64(values[i]))
+			waiting = float64(values[i])
 		}
 	}
 	if held >= 0 {
