Find the rate of requests again after a long silence, and forget within five minutes

Ruled out: attempts still out (none), health, limits and cold budgets (all open in a dump of the state). At fault: reach in balancer.go takes the rate of requests as a mean since a time that only every 256 requests bring nearer, so a silence stays in it until thousands have come; and the span is so many requests over that rate, without a bound. The same mean sets how many servers are used: after a night, three in each zone however many requests come.

The mean is taken over five minutes at most, and the span is no longer than that. A proxy with a request a second or more sees no change.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -34,10 +34,12 @@
 	leastTook  = 0.1   // ms that an answer takes at least
 	classKeep  = 0.998 // weight of a class's earlier delays as each new one comes: some 500 count
 	meanOver   = 256   // requests over which overall means are taken
-	reachPart  = 0.5   // of a probe interval, in which requests come for as many backends as a proxy uses,
-	reachLeast = 3     // or so many: two to compare after one is lost
-	localGain  = 0.5   // how much worse the own zone's pick may be before one elsewhere is taken
-	keyWait    = 0.15  // share of its aim for which a request waits for its key's own two
+	// Over at most so long the rate of requests is taken, and measures are kept.
+	rateOver   = 5 * time.Minute
+	reachPart  = 0.5  // of a probe interval, in which requests come for as many backends as a proxy uses,
+	reachLeast = 3    // or so many: two to compare after one is lost
+	localGain  = 0.5  // how much worse the own zone's pick may be before one elsewhere is taken
+	keyWait    = 0.15 // share of its aim for which a request waits for its key's own two
 
 	// Probing before the choice.
 	askPrice    = 0.01 // what two probes a request may cost of the result, to be asked before each choice,
@@ -230,6 +232,10 @@
 // of the probe interval, in its own zone and elsewhere, by an order that stays as others come and go.
 // Danger: many proxies with connections to all fill the backends' tables and know none of them.
 func (b *Balancer) reach() {
+	// Danger: hours of silence in that mean would hide the rate of the morning from thousands of requests.
+	for b.now-b.since > rateOver {
+		b.seen, b.since = b.seen/2, b.now-(b.now-b.since)/2
+	}
 	rate := b.seen / (b.now - b.since + b.interval).Seconds()
 	n := max(reachLeast, math.Ceil(rate*b.interval.Seconds()*reachPart))
 	if b.cfg.WarmKeys {
@@ -238,7 +244,7 @@
 	// Danger: a proxy that meets each only now and then forgets a slow one before it comes to it again.
 	b.span = memory * b.interval
 	if rate > 0 {
-		b.span = max(b.span, time.Duration(kept*float64(len(b.ready))/rate*float64(time.Second)))
+		b.span = max(b.span, span(1000*min(kept*float64(len(b.ready))/rate, rateOver.Seconds())))
 	}
 	b.ready = b.ready[:0]
 	left := [2]float64{n, n}
--- a/decision/faults_test.go
+++ b/decision/faults_test.go
@@ -96,3 +96,27 @@
 		t.Errorf("the slow one counts as %v, the other as %v", d, other)
 	}
 }
+
+// After a day without a request a proxy finds its rate again in seconds, and remembers nothing for hours.
+func TestTheRateIsFoundAgainAfterADayOfSilence(t *testing.T) {
+	b, h := newBalancer(t, testConfig(), 400)
+	now := second
+	for i := range 2000 {
+		if now += 10 * milli; i == 1000 {
+			now += 24 * time.Hour
+			b.Timer(now, timerSweep<<56)
+			if b.span > 10*time.Minute {
+				t.Errorf("what was measured is remembered for %v", b.span)
+			}
+		}
+		id := RequestID(i + 1)
+		b.Request(now, Request{ID: id, Class: safe, Deadline: now + second})
+		for _, a := range h.take("send") {
+			b.Outcome(now, Outcome{ID: a.id, Backend: a.to, Final: true})
+		}
+		b.Gone(now, id)
+	}
+	if b.reach(); len(b.ready) <= 2*reachLeast {
+		t.Errorf("10 s on, at 100 requests a second, it uses %d of 400 servers", len(b.ready))
+	}
+}
