Remove load reports and the probing of two servers before a choice

Cause: the module had a second way to choose, for sites whose probes bring load reports. The pick of two by this proxy's own measures, which is the design, covers every choice.

The wire passes over reports.

--- a/decision/api.go
+++ b/decision/api.go
@@ -96,17 +96,6 @@
 	MaxOpen                                 int // requests that may be open; more can't come. 0 is no such limit
 }
 
-// ReportField names a figure of a load report.
-type ReportField uint8
-
-// The fields of load reports. FieldOther is one that is not used here.
-const (
-	FieldOther   ReportField = iota
-	FieldHeld                // requests in hand
-	FieldWaiting             // requests waiting
-	FieldErrors              // errors a second
-)
-
 // WeightKind says what Backend.Weight stands for.
 type WeightKind uint8
 
@@ -130,8 +119,7 @@
 	MarksRetry      bool    // clients mark their repeats
 	OnRequest       bool    // the list comes only when asked for
 	Weights         WeightKind
-	Report          []ReportField // order of the values of a load report
-	RetryShare      float64       // further attempts, as a share of the requests; 0 is the usual tenth
+	RetryShare      float64 // further attempts, as a share of the requests; 0 is the usual tenth
 	Goal            Goal
 	Prices          Prices
 	Obligations     Obligations
@@ -214,7 +202,6 @@
 	Took    time.Duration
 	Final   bool // the request is over; not set: a final answer is still owed
 	Spent   bool // the body has passed by: there can be no further attempt
-	Load    []float32
 }
 
 // ProbeResult is the end of a probe.
@@ -222,7 +209,6 @@
 	Backend BackendID
 	Result  Result
 	Took    time.Duration
-	Load    []float32
 }
 
 // FirstByte says that a streamed answer has begun: one of a streamed class, or a long one.
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -22,8 +22,7 @@
 	probeShare   = 0.1 // probes, as a share of the requests,
 	probeLeast   = 2   // and in each rest span, or in this if that is less, as many
 	probeFloor   = 2 * time.Second
-	diesFor      = 2  // this part of a probe interval without an answer goes by before a start is suspected
-	probeMean    = 16 // probes over which their usual time is taken
+	diesFor      = 2 // this part of a probe interval without an answer goes by before a start is suspected
 
 	// The delay estimate.
 	memory     = 4     // probe intervals over which what was measured fades
@@ -41,15 +40,6 @@
 	localGain  = 0.5  // how much worse the own zone's pick may be before one elsewhere is taken
 	keyWait    = 0.15 // share of its aim for which a request waits for its key's own two
 
-	// Probing before the choice.
-	askPrice    = 0.01 // what two probes a request may cost of the result, to be asked before each choice,
-	askShare    = 0.02 // and what share of a request's delay a probe may take
-	askPatience = 3    // probes' usual time that a choice waits for reports
-	askMost     = 4    // pairs drawn in a row before a request waits
-	askRest     = 0.25 // of its expected delay
-	askIdle     = 0.5  // share of that delay that must be left where nothing is before it,
-	askBusy     = 1.5  // and in a queue
-
 	// The cold budget.
 	servedOver = 8    // probe intervals over which the work that backends serve is taken
 	coldPart   = 0.8  // of what would make a cold backend fall, that it may be sent
@@ -272,8 +262,6 @@
 	t.probing = false
 	switch p.Result {
 	case OK:
-		b.probeTook = smooth(b.probeTook, millis(p.Took), probeMean)
-		t.report(now, b.cfg.Report, p.Load)
 		t.fails, t.passes = 0, t.passes+1
 		if !t.healthy && t.passes >= runToHeal {
 			t.healthy = true
@@ -297,9 +285,6 @@
 			}
 		}
 	}
-	if b.asksFirst() {
-		b.dispatch()
-	}
 }
 
 // probeDue probes the targets whose time has come, those in doubt first, as far as the budget goes.
@@ -449,9 +434,8 @@
 // pick finds the backend for an attempt, or nil. Only if none is fit are the others asked.
 func (b *Balancer) pick(r *request) *target {
 	work, keyed := b.workOf(r), b.cfg.WarmKeys && r.Key != 0
-	asks := b.asksFirst() && !keyed
 	part := b.partFor(r)
-	if !asks && b.full(part) {
+	if b.full(part) {
 		return nil
 	}
 	for _, fit := range [2]bool{true, false} {
@@ -468,9 +452,6 @@
 		if fresh {
 			b.pool = slices.DeleteFunc(b.pool, func(t *target) bool { return tried(r, t) })
 		}
-		if asks && len(b.pool) > 0 {
-			return b.ask(r)
-		}
 		noRoom := func(t *target) bool { return !b.room(t, part) }
 		// Danger: where all are at their limits, keys that go wherever there is room find nothing warm,
 		// and their extra work keeps all at their limits. So a key waits for its own two.
@@ -494,65 +475,7 @@
 // score is the expected delay. Danger: a backend may lose one class's requests and serve the others as usual.
 func (b *Balancer) score(r *request, t *target) float64 {
 	lost := t.lost[r.Class].fade(b.now, lostMemory*b.span)
-	return (b.inFlight(t) + 1) * b.estimate(t) * (1 + lostWeight*lost)
-}
-
-// asksFirst tells whether the two sampled are probed before the choice: where probes bring reports and cost
-// next to nothing. It covers whatever makes a proxy's own sight sparse. Danger: where a report is older than
-// its probe, many proxies that see the same short queue fill it together.
-func (b *Balancer) asksFirst() bool {
-	return b.cfg.Caps.Probes && slices.Contains(b.cfg.Report, FieldHeld) && b.probeTook > 0 &&
-		2*b.cfg.Prices.Probe <= askPrice && b.probeTook <= askShare*b.mean*b.median
-}
-
-// ask samples two from b.pool, probes them, and once they have reported takes the lower expected delay. A
-// pair in which neither can answer in time is drawn anew.
-func (b *Balancer) ask(r *request) *target {
-	e := b.expected(r.Class, millis(r.Cost))
-	away := b.cfg.Prices.CrossZone * millis(r.aimAt-r.arrived) / e // what crossing zones costs, as a delay
-	for draws := 0; draws < askMost && b.now >= r.askAgain; draws++ {
-		if len(r.pair) == 0 {
-			r.pair, r.askUntil = append(r.pair, b.pool...), min(b.now+b.askWait(), b.lastUseful(r))
-			b.rng.Shuffle(len(r.pair), func(i, j int) { r.pair[i], r.pair[j] = r.pair[j], r.pair[i] })
-			r.pair = r.pair[:min(2, len(r.pair))]
-			for _, t := range r.pair {
-				if !b.fresh(t) && !t.probing {
-					b.probe(t)
-				}
-			}
-		}
-		best, least, pending := (*target)(nil), 0.0, false
-		for _, t := range r.pair {
-			if !b.fresh(t) {
-				pending = true
-			} else if d := b.score(r, t) + away*float64(t.away); best == nil || d < least {
-				best, least = t, d
-			}
-		}
-		if pending && b.now < r.askUntil {
-			return nil
-		}
-		r.pair = r.pair[:0]
-		// Danger: where no probe is answered, all would wait for reports.
-		if best == nil {
-			if r.silent++; r.silent >= askMost {
-				return b.sample(r, b.pool)
-			}
-		} else {
-			// Danger: a heavy one in a queue is lost; alone it may well be in time, and nothing waits for it.
-			fits := askBusy * b.rounds(best)
-			if fits == askBusy {
-				fits = askIdle
-			}
-			if b.now+span(e*b.estimate(best)*fits) <= b.lastUseful(r) {
-				return best
-			}
-		}
-	}
-	if b.now >= r.askAgain {
-		r.askAgain = b.now + span(askRest*e)
-	}
-	return nil
+	return (t.load + 1) * b.estimate(t) * (1 + lostWeight*lost)
 }
 
 // choose takes one of two from b.pool: the key's own two where keys stay warm, else two sampled.
@@ -716,10 +639,9 @@
 			}
 			misses++
 		}
-		asked := len(r.pair) > 0 && b.now < r.askUntil
 		// Danger: a keyed one's window may end while it waits.
-		full := len(b.waiting) >= most && !b.asksFirst()
-		if !asked && b.now >= r.waitUntil || full || b.isSpent(r) {
+		// Danger: a keyed one's window may end while it waits.
+		if b.now >= r.waitUntil || len(b.waiting) >= most || b.isSpent(r) {
 			b.end(r, b.interval)
 			continue
 		}
@@ -827,8 +749,7 @@
 	}
 	e := b.expected(r.Class, millis(r.Cost))
 	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, left: b.now, sent: b.now,
-		work: work, weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), rounds: b.rounds(t), mayRun: true}
-	a.expected = e * a.rounds
+		work: work, expected: e, weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), mayRun: true}
 	a.begin()
 	// Danger: a budget lets light ones through, and handshakes are work too. None counts under the mean.
 	t.tokens -= max(work, b.meanWork)
@@ -910,7 +831,7 @@
 			b.book(r, func(t *tally) { t.served += v })
 		}
 		b.tails[r.Class].learn(took/max(1, a.expected/b.expected(r.Class, 0)), tailPart, tailStep)
-		b.classes[r.Class].learn(millis(r.Cost), took/a.rounds, classKeep)
+		b.classes[r.Class].learn(millis(r.Cost), took, classKeep)
 		t.note(b.now, b.span, took/a.expected, 1)
 		t.served.add(a.work, b.now, servedOver*b.interval)
 		t.servedLately.add(a.work, b.now, b.cfg.Obligations.Fall)
@@ -1054,9 +975,7 @@
 		return
 	}
 	if b.cfg.Caps.SecondCopies {
-		if t := b.pick(r); t == nil && len(r.pair) > 0 {
-			b.host.After(b.askWait(), timerAttempt<<56|uint64(a.n)<<32|uint64(r.ID))
-		} else if t != nil && !tried(r, t) && b.send(r, t) {
+		if t := b.pick(r); t != nil && !tried(r, t) && b.send(r, t) {
 			b.retries--
 		}
 		return
--- a/decision/state.go
+++ b/decision/state.go
@@ -44,7 +44,6 @@
 	meanGain               float64 // of requests as they come, times what all ask for
 	meanDensity            float64 // likewise of what they bring for each ms that they are open
 	open                   int     // requests without a final answer
-	probeTook              float64 // by the mean of probes that pass, ms
 	seen                   float64 // requests since the time in since
 	since                  time.Duration
 	lastLog                time.Duration
@@ -71,9 +70,6 @@
 	lastOK               time.Duration
 	badSince, failsSince time.Duration // the first of those in a row
 	lost                 []decaying    // attempts of each class without an answer, halved by each that got one
-	held, atOnce         float64       // by its reports: requests in hand, and the most seen in work at once
-	sentSince            float64       // attempts since the last report
-	reportAt             time.Duration
 	coldSince, tokensAt  time.Duration // coldSince: last known or suspected start; 0 is long ago
 	tokens, coldRate     float64       // what a cold backend may be sent, ms of work, and that a second
 	served, servedLately decaying      // work
@@ -117,9 +113,6 @@
 type request struct {
 	Request
 	arrived, aimAt, waitUntil time.Duration
-	pair                      []*target // sampled for it, and asked for their load
-	askUntil, askAgain        time.Duration
-	silent                    int // pairs that have not answered
 	attempts                  []*attempt
 	out                       int
 	ended, streaming, closed  bool // closed: no longer counted as open
@@ -134,7 +127,7 @@
 	to                             *target
 	left, sent                     time.Duration // sent: from when on an answer is waited for
 	in                             []use
-	expected, work, weight, rounds float64 // rounds: what was before it, in times its own
+	expected, work, weight         float64
 	done, mayRun, cancelled, again bool    // again: its end asks for another attempt
 	uploading                      bool    // its body is on its way: no answer is waited for yet
 	full                           float64 // its weight from then on
@@ -162,7 +155,6 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	t.out = append(t.out, a)
-	t.sentSince++
 	if a.uploading = r.Streamed; a.uploading {
 		a.full, a.weight = a.weight, 0
 		return
@@ -243,28 +235,6 @@
 	}
 }
 
-// report enters a load report, whose values come in the order of fields. Danger: a value that is no number, or
-// none that can be true, would stay in all means that it goes into.
-func (t *target) report(now time.Duration, fields []ReportField, values []float32) {
-	const most = 1e6
-	held, waiting := -1.0, 0.0
-	for i := range min(len(fields), len(values)) {
-		if !(values[i] >= 0 && values[i] < most) {
-			return
-		}
-		switch fields[i] {
-		case FieldHeld:
-			held = float64(values[i])
-		case FieldWaiting:
-			waiting = float64(values[i])
-		}
-	}
-	if held >= 0 {
-		t.held, t.sentSince, t.reportAt = held, 0, now
-		t.atOnce = max(t.atOnce, math.Round(held-waiting))
-	}
-}
-
 // log prints a line now and then.
 func (b *Balancer) log(line string) {
 	if b.lastLog == 0 || b.now-b.lastLog >= logEvery {
@@ -303,22 +273,6 @@
 	return 0
 }
 
-// inFlight is what is out at a backend: by a fresh report all that it holds, else what this proxy has there.
-func (b *Balancer) inFlight(t *target) float64 {
-	if b.fresh(t) {
-		return t.held + t.sentSince
-	}
-	return t.load
-}
-
-// rounds is how many times a request's own time it takes there, with what is before it, by a fresh report.
-func (b *Balancer) rounds(t *target) float64 {
-	if b.fresh(t) {
-		return max(1, (t.held+t.sentSince+1)/max(1, t.atOnce))
-	}
-	return 1
-}
-
 // listReady brings those listed ready and not taken out into this proxy's order, each with its size over the mean.
 func (b *Balancer) listReady() {
 	b.listed = b.listed[:0]
@@ -363,12 +317,6 @@
 	return b.expected(r.Class, 0)
 }
 
-// askWait is how long a choice waits for reports.
-func (b *Balancer) askWait() time.Duration { return span(askPatience*b.probeTook) + 2*b.cfg.Tick }
-
-// fresh tells whether a report is young enough to choose by.
-func (b *Balancer) fresh(t *target) bool { return t.reportAt > 0 && b.now <= t.reportAt+2*b.askWait() }
-
 // expected is the delay in ms that class and hint lead one to expect of any backend.
 func (b *Balancer) expected(class int, cost float64) float64 {
 	c := &b.classes[class]
--- a/internal/wire/bootinfo.go
+++ b/internal/wire/bootinfo.go
@@ -83,9 +83,6 @@
 	case "live":
 		c.Weights = decision.WeightLive
 	}
-	if how := s.word("Feedback.How", "off", "inline", "on_probe"); how != "off" {
-		c.Report = s.fields("Feedback.Names")
-	}
 	for i := range s.items("Services.count") {
 		c.Classes = append(c.Classes, s.class(fmt.Sprintf("Services.%d.", i)))
 	}
@@ -116,18 +113,6 @@
 	return c
 }
 
-func (s *settings) fields(key string) []decision.ReportField {
-	known := map[string]decision.ReportField{"busy_reqs": decision.FieldHeld, "pending": decision.FieldWaiting,
-		"failed_ps": decision.FieldErrors}
-	var fields []decision.ReportField
-	if list := s.text(key); list != "" {
-		for name := range strings.SplitSeq(list, ",") {
-			fields = append(fields, known[strings.TrimSpace(name)])
-		}
-	}
-	return fields
-}
-
 func (s *settings) text(key string) string { return s.values[key].text }
 
 func (s *settings) bad(key, want string) {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -133,7 +133,6 @@
 	data []byte
 	pos  int
 	err  error
-	load []float32
 	rows []decision.Backend
 }
 
@@ -190,14 +189,8 @@
 	return time.Duration(math.Round(ms*1000)) * time.Microsecond, nil
 }
 
-func (d *decoder) loads() []float32 {
-	n := int(d.u8())
-	d.load = d.load[:0]
-	for i := 0; i < n && d.err == nil; i++ {
-		d.load = append(d.load, d.f32())
-	}
-	return d.load
-}
+// report passes over a load report: nothing is decided by one.
+func (d *decoder) report() { d.take(4 * int(d.u8())) }
 
 // results gives the outcomes by their code on the wire.
 var results = [...]decision.Result{decision.Error, decision.OK, decision.Full, decision.Timeout,
@@ -266,15 +259,15 @@
 			Backend: decision.BackendID(d.u32()), Took: d.time()}
 	case Returned:
 		ev.Outcome = decision.Outcome{ID: decision.RequestID(d.u32()), Attempt: int(d.u8()),
-			Backend: decision.BackendID(d.u32()), Result: d.result(), Took: d.time(), Final: d.u8() != 0,
-			Load: d.loads()}
+			Backend: decision.BackendID(d.u32()), Result: d.result(), Took: d.time(), Final: d.u8() != 0}
+		d.report()
 	case Aborted:
 		ev.ID = decision.RequestID(d.u32())
 	case Elapsed:
 		ev.Token = d.u64()
 	case Probed:
-		ev.Probe = decision.ProbeResult{Backend: decision.BackendID(d.u32()), Result: d.result(), Took: d.time(),
-			Load: d.loads()}
+		ev.Probe = decision.ProbeResult{Backend: decision.BackendID(d.u32()), Result: d.result(), Took: d.time()}
+		d.report()
 	case Peer:
 		from := int(d.u16())
 		ev.Message = decision.PeerMessage{From: from, Body: d.take(int(d.u16()))}
