Derive a server's load, its zone's distance and what is out, in place of storing them

A target's load was always that of its own limiter; a request's count of attempts out is told by the attempts; closed beside ended only told whether it was still counted as open; and whether a server is in the own zone was set once, so that one listed anew in another zone kept the old answer.

Change: own.load, isOut and away stand in for the four; the code that kept them in step is gone.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -239,14 +239,14 @@
 	b.ready = b.ready[:0]
 	left := [2]float64{n, n}
 	for _, t := range b.listed {
-		if left[t.away] >= 1 {
+		if left[b.away(t)] >= 1 {
 			b.ready = append(b.ready, t)
 			t.own.unit = max(1, float64(len(b.listed))/(2*n)) / float64(b.cfg.Instances)
 			if t.own.limit == 0 {
 				t.own = newLimiter(t.own.unit, limitCut, 0)
 			}
 			if t.healthy {
-				left[t.away]--
+				left[b.away(t)]--
 			}
 		}
 	}
@@ -348,7 +348,7 @@
 func (b *Balancer) estimate(t *target) float64 {
 	age := max(0, millis(b.now)*t.ageB-t.ageA)
 	sum, n := t.delays.fade(b.now, b.span), t.answers.fade(b.now, b.span)
-	return (sum + age + prior*b.medians[t.away]) / (n + prior)
+	return (sum + age + prior*b.medians[b.away(t)]) / (n + prior)
 }
 
 // cold gives the share of its capacity that a backend surely has, and whether it is still cold.
@@ -475,7 +475,7 @@
 // score is the expected delay. Danger: a backend may lose one class's requests and serve the others as usual.
 func (b *Balancer) score(r *request, t *target) float64 {
 	lost := t.lost[r.Class].fade(b.now, lostMemory*b.span)
-	return (t.load + 1) * b.estimate(t) * (1 + lostWeight*lost)
+	return (t.own.load + 1) * b.estimate(t) * (1 + lostWeight*lost)
 }
 
 // choose takes one of two from b.pool: the key's own two where keys stay warm, else two sampled.
@@ -484,7 +484,7 @@
 	if keyed {
 		return best
 	}
-	near := slices.DeleteFunc(b.pool, func(t *target) bool { return t.away > 0 })
+	near := slices.DeleteFunc(b.pool, func(t *target) bool { return b.away(t) > 0 })
 	if len(near) == 0 {
 		return best
 	}
@@ -688,13 +688,12 @@
 
 // finish marks the request as over and cancels its other attempts.
 func (b *Balancer) finish(r *request, winner *attempt) {
-	r.ended = true
-	if !r.closed {
-		r.closed = true
+	if !r.ended {
+		r.ended = true
 		b.open--
 	}
 	b.cancelOthers(r, winner)
-	if r.out == 0 {
+	if !r.isOut() {
 		delete(b.requests, r.ID)
 	}
 }
@@ -722,7 +721,7 @@
 	if r.ended || r.streaming || len(r.attempts) >= b.cfg.Caps.MaxAttempts || b.now >= r.Deadline {
 		return false
 	}
-	if r.out > 0 && (!b.cfg.Caps.SecondCopies || r.Streamed) {
+	if r.isOut() && (!b.cfg.Caps.SecondCopies || r.Streamed) {
 		return false
 	}
 	first := time.Duration(-1)
@@ -786,13 +785,12 @@
 		return
 	}
 	b.land(a, o)
-	r.ended = r.ended || o.Final
 	defer b.dispatch()
-	if r.ended {
+	if r.ended || o.Final {
 		b.finish(r, a)
 		return
 	}
-	if r.out > 0 {
+	if r.isOut() {
 		return
 	}
 	// A connection that failed cost no work, and a timer's attempt is paid for: both are free.
--- a/decision/state.go
+++ b/decision/state.go
@@ -57,16 +57,14 @@
 	healthy, probing     bool
 	detached             bool   // taken out by order
 	order                uint64 // where it stands among those this proxy may use
-	away                 int    // 0 in the own zone, else 1
 	fails, passes        int    // probes in a row
 	nextProbe            time.Duration
 	out                  []*attempt // oldest first
-	load                 float64    // what is out, heavy requests counting for more
 	size                 float64    // as registered, over the mean; 1 where that is not told
-	own                  limiter
-	delays, answers      decaying // sum of delay ratios, and their number
-	ageA, ageB           float64  // of what is out: the sums of sent/expected and 1/expected
-	bad                  int      // attempts in a row that got no answer
+	own                  limiter    // with what is out there
+	delays, answers      decaying   // sum of delay ratios, and their number
+	ageA, ageB           float64    // of what is out: the sums of sent/expected and 1/expected
+	bad                  int        // attempts in a row that got no answer
 	lastOK               time.Duration
 	badSince, failsSince time.Duration // the first of those in a row
 	lost                 []decaying    // attempts of each class without an answer, halved by each that got one
@@ -114,8 +112,7 @@
 	Request
 	arrived, aimAt, waitUntil time.Duration
 	attempts                  []*attempt
-	out                       int
-	ended, streaming, closed  bool // closed: no longer counted as open
+	ended, streaming          bool
 	whole                     bool // its streamed body has gone by
 	stream                    *attempt
 	worth, over, rank         float64 // over: part of its tenant's traffic that is beyond its share
@@ -133,6 +130,11 @@
 	full                           float64 // its weight from then on
 }
 
+// isOut tells whether an attempt is out.
+func (r *request) isOut() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.done })
+}
+
 func tried(r *request, t *target) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.to == t })
 }
@@ -141,25 +143,28 @@
 func (b *Balancer) newTarget(e Backend) *target {
 	t := &target{Backend: e, lost: make([]decaying, len(b.cfg.Classes)), healthy: true, tokensAt: b.now, order: mix(uint64(b.cfg.Rank)+1, e.ID)}
 	_, t.detached = b.detached[e.ID]
-	if e.Zone != b.cfg.Zone {
-		t.away = 1
-	}
 	b.byID[e.ID] = t
 	b.targets = append(b.targets, t)
 	return t
 }
 
+// away is 0 for a backend in the own zone, else 1.
+func (b *Balancer) away(t *target) int {
+	if t.Zone == b.cfg.Zone {
+		return 0
+	}
+	return 1
+}
+
 // begin enters an attempt in its request's and its backend's books.
 func (a *attempt) begin() {
 	r, t := a.req, a.to
 	r.attempts = append(r.attempts, a)
-	r.out++
 	t.out = append(t.out, a)
 	if a.uploading = r.Streamed; a.uploading {
 		a.full, a.weight = a.weight, 0
 		return
 	}
-	t.load += a.weight
 	a.waitFrom(a.sent)
 }
 
@@ -170,7 +175,6 @@
 	t.ageA, t.ageB = t.ageA+millis(now)/a.expected, t.ageB+1/a.expected
 	if a.uploading {
 		a.uploading, a.weight = false, a.full
-		t.load += a.weight
 		for i := range a.in {
 			u := &a.in[i]
 			u.mean(now)
@@ -185,7 +189,6 @@
 func (a *attempt) finish(now time.Duration) {
 	t := a.to
 	a.done = true
-	a.req.out--
 	if i := slices.Index(t.out, a); i >= 0 {
 		t.out = slices.Delete(t.out, i, i+1)
 	}
@@ -197,8 +200,8 @@
 			c.out, c.load = 0, 0
 		}
 	}
-	if t.load -= a.weight; len(t.out) == 0 {
-		t.load, t.ageA, t.ageB = 0, 0, 0
+	if len(t.out) == 0 {
+		t.ageA, t.ageB = 0, 0
 	} else if !a.uploading {
 		t.ageA, t.ageB = t.ageA-millis(a.sent)/a.expected, t.ageB-1/a.expected
 	}
@@ -251,7 +254,7 @@
 		from := len(b.ratios)
 		for _, t := range b.ready {
 			sum, n := t.delays.fade(b.now, b.span), t.answers.fade(b.now, b.span)
-			if t.healthy && n > prior && t.away == away {
+			if t.healthy && n > prior && b.away(t) == away {
 				b.ratios = append(b.ratios, sum/n)
 			}
 		}
--- a/decision/stream_test.go
+++ b/decision/stream_test.go
@@ -11,8 +11,8 @@
 	}
 	to := b.targets[0]
 	b.now = 6 * second
-	if e := b.estimate(to); to.load != 0 || e > 1.01 {
-		t.Errorf("load %v, estimate %v while the body is on its way", to.load, e)
+	if e := b.estimate(to); to.own.load != 0 || e > 1.01 {
+		t.Errorf("load %v, estimate %v while the body is on its way", to.own.load, e)
 	}
 	b.Timer(6*second, timerAttempt<<56|1)
 	if got := h.take("send", "refuse", "fail"); len(got) != 0 {
@@ -20,12 +20,12 @@
 	}
 	b.Whole(6*second, 1, 7*second)
 	b.now = 6*second + 500*milli
-	if e := b.estimate(to); to.load <= 0 || e < 2 {
-		t.Errorf("load %v, estimate %v half a second after its last byte", to.load, e)
+	if e := b.estimate(to); to.own.load <= 0 || e < 2 {
+		t.Errorf("load %v, estimate %v half a second after its last byte", to.own.load, e)
 	}
 	b.Outcome(6*second+600*milli, Outcome{ID: 1, Backend: to.ID, Result: OK, Final: true})
-	if to.load != 0 || to.own.load != 0 || to.ageB != 0 || b.all[0].served == 0 {
-		t.Errorf("load %v and %v, ages %v, served %v at the end", to.load, to.own.load, to.ageB, b.all[0].served)
+	if to.own.load != 0 || to.ageB != 0 || b.all[0].served == 0 {
+		t.Errorf("load %v, ages %v, served %v at the end", to.own.load, to.ageB, b.all[0].served)
 	}
 }
 
@@ -49,8 +49,8 @@
 	b.Request(second, Request{ID: 1, Class: safe, Deadline: 2 * second})
 	to := h.take("send")[0].to
 	b.FirstByte(second+20*milli, FirstByte{ID: 1, Backend: to, Took: 20 * milli})
-	if got := b.targets[0]; got.load != 0 || got.answers.sum == 0 || b.classes[safe].mean() != 20 {
-		t.Errorf("load %v, answers %v, class mean %v", got.load, got.answers.sum, b.classes[safe].mean())
+	if got := b.targets[0]; got.own.load != 0 || got.answers.sum == 0 || b.classes[safe].mean() != 20 {
+		t.Errorf("load %v, answers %v, class mean %v", got.own.load, got.answers.sum, b.classes[safe].mean())
 	}
 	b.Timer(30*second, timerDispatch<<56)
 	b.Outcome(30*second, Outcome{ID: 1, Backend: to, Result: Reset, Took: 29 * second, Final: true})
