--- /dev/null
+++ b/decision/convicts_test.go
@@ -0,0 +1,168 @@
+package decision_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// flawed is the module behind hands that spoil it in one way: what it is told, or what it does.
+type flawed struct {
+	*decision.Balancer
+	list func(decision.Membership) []decision.Membership // in place of each list
+	deaf bool                                            // orders by hand are lost
+}
+
+func (f *flawed) Membership(now time.Duration, m decision.Membership) {
+	if f.list == nil {
+		f.Balancer.Membership(now, m)
+		return
+	}
+	for _, l := range f.list(m) {
+		f.Balancer.Membership(now, l)
+	}
+}
+
+func (f *flawed) Detach(now time.Duration, id decision.BackendID) {
+	if !f.deaf {
+		f.Balancer.Detach(now, id)
+	}
+}
+
+// hands is a host that does something else.
+type hands struct {
+	decision.Host
+	send   func(h decision.Host, id decision.RequestID, to decision.BackendID, until time.Duration)
+	refuse func(h decision.Host, id decision.RequestID)
+}
+
+func (h hands) Send(id decision.RequestID, to decision.BackendID, until time.Duration) {
+	if h.send == nil {
+		h.Host.Send(id, to, until)
+		return
+	}
+	h.send(h.Host, id, to, until)
+}
+
+func (h hands) Refuse(id decision.RequestID, after time.Duration) {
+	if h.refuse == nil {
+		h.Host.Refuse(id, after)
+		return
+	}
+	h.refuse(h.Host, id)
+}
+
+// Each flaw breaks one rule, and the model says which.
+func TestTheModelConvictsFlawedPolicies(t *testing.T) {
+	entries := func(change func(*decision.Backend)) func(*flawed, *hands) {
+		return func(f *flawed, _ *hands) {
+			f.list = func(m decision.Membership) []decision.Membership {
+				var all []decision.Backend
+				for _, e := range m.Backends {
+					change(&e)
+					all = append(all, e)
+				}
+				m.Backends = all
+				return []decision.Membership{m}
+			}
+		}
+	}
+	for _, k := range []struct {
+		name, rule string
+		calm       bool
+		cfg        func(*decision.Config)
+		spoil      func(*flawed, *hands)
+	}{
+		{"answers twice", "rule 1", false, nil, func(_ *flawed, h *hands) {
+			h.refuse = func(h decision.Host, id decision.RequestID) { h.Refuse(id, 0); h.Fail(id) }
+		}},
+		{"never refuses", "rule 1", false, nil, func(_ *flawed, h *hands) {
+			h.refuse = func(decision.Host, decision.RequestID) {}
+		}},
+		{"repeats what may not be", "rule 2", false, func(c *decision.Config) {
+			for i := range c.Classes {
+				c.Classes[i].Effect = decision.Safe
+			}
+		}, nil},
+		{"leaves the group of a keyed request", "rule 2", false, func(c *decision.Config) {
+			for i := range c.Classes {
+				c.Classes[i].Group = decision.GroupAll
+			}
+		}, nil},
+		{"forgets the window", "rule 2", false, func(c *decision.Config) {
+			for i := range c.Classes {
+				c.Classes[i].Window = time.Hour
+			}
+		}, nil},
+		{"sends two at once", "rule 2", false, func(c *decision.Config) { c.Caps.SecondCopies = true }, nil},
+		{"sends on to what drains", "rule 3: send", false, nil, entries(func(e *decision.Backend) { e.State = decision.Ready })},
+		{"sends to what is out by hand", "rule 3: send", false, nil, func(f *flawed, _ *hands) { f.deaf = true }},
+		{"sends to what nobody listed", "listed", false, nil, entries(func(e *decision.Backend) { e.ID += 100 })},
+		{"sends all to the one that started last", "rule 4", true, nil, func(f *flawed, h *hands) {
+			last := decision.Backend{}
+			f.list = func(m decision.Membership) []decision.Membership {
+				for _, e := range m.Backends {
+					if e.Started > last.Started {
+						last = e
+					}
+				}
+				return []decision.Membership{m}
+			}
+			h.send = func(h decision.Host, id decision.RequestID, to decision.BackendID, until time.Duration) {
+				if last.ID != 0 {
+					to = last.ID
+				}
+				h.Send(id, to, until)
+			}
+		}},
+		{"builds its checker anew with each list", "health", false, nil, func(f *flawed, _ *hands) {
+			f.list = func(m decision.Membership) []decision.Membership {
+				return []decision.Membership{{Kind: decision.ListFull}, m}
+			}
+		}},
+		{"keeps an answer back", "parked", false, nil, func(f *flawed, h *hands) {
+			h.refuse = func(h decision.Host, id decision.RequestID) {
+				x := h.(*proxy)
+				if r := x.model.byID[id]; !r.Streamed {
+					x.at(r.Deadline-x.now-10*milli, "kept back", func() { x.model.now = x.now; x.Refuse(id, 0) })
+				} else {
+					x.Refuse(id, 0)
+				}
+			}
+		}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			make := func(cfg decision.Config, seed uint64, h decision.Host) (policy, error) {
+				f, spoilt := &flawed{}, &hands{Host: h}
+				if k.spoil != nil {
+					k.spoil(f, spoilt)
+				}
+				cfg.Classes = append([]decision.Class(nil), cfg.Classes...)
+				if k.cfg != nil {
+					k.cfg(&cfg)
+				}
+				b, err := decision.New(cfg, seed, spoilt)
+				f.Balancer = b
+				return f, err
+			}
+			found := ""
+			for seed := uint64(0); seed < 40 && !strings.HasPrefix(found, k.rule); seed++ {
+				broken, _, _, err := play(seed, make, k.calm, strings.HasPrefix(k.rule, "rule 3"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(broken) > 0 && !strings.HasPrefix(found, k.rule) {
+					found = broken[0]
+				}
+			}
+			if !strings.HasPrefix(found, k.rule) {
+				t.Errorf("one that %s is not convicted of %s: %q", k.name, k.rule, found)
+			} else {
+				t.Logf("one that %s: %s", k.name, found)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/decision/draw_test.go
@@ -0,0 +1,617 @@
+package decision_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+const milli = time.Millisecond
+
+// policy is what is under test: the module, or a flawed one.
+type policy interface {
+	Start(now time.Duration)
+	Membership(now time.Duration, m decision.Membership)
+	Request(now time.Duration, q decision.Request)
+	Outcome(now time.Duration, o decision.Outcome)
+	FirstByte(now time.Duration, f decision.FirstByte)
+	Whole(now time.Duration, id decision.RequestID, deadline time.Duration)
+	Probed(now time.Duration, p decision.ProbeResult)
+	Gone(now time.Duration, id decision.RequestID)
+	Timer(now time.Duration, token uint64)
+	Detach(now time.Duration, id decision.BackendID)
+	Attach(now time.Duration, id decision.BackendID)
+	Census() (known, excluded int)
+}
+
+// maker makes a policy.
+type maker func(cfg decision.Config, seed uint64, h decision.Host) (policy, error)
+
+func theModule(cfg decision.Config, seed uint64, h decision.Host) (policy, error) {
+	return decision.New(cfg, seed, h)
+}
+
+// drawn is a run drawn from a seed: servers, some proxies, and what happens to them.
+type drawn struct {
+	rng     *rand.Rand
+	cfg     decision.Config
+	now     time.Duration
+	queue   []event
+	serial  int
+	step    int
+	proxies []*proxy
+	servers map[decision.BackendID]*machine
+	fleet   *books
+	lastID  decision.RequestID
+	odd     bool // events come twice, late, or for what is no more
+	instant bool // answers take no time
+	hints   bool // requests tell of their work
+	trace   []string
+	broken  []string
+}
+
+type event struct {
+	at     time.Duration
+	serial int
+	name   string
+	do     func()
+}
+
+// machine is a server as it is, whatever lists say.
+type machine struct {
+	decision.Backend
+	mood decision.Result // how it answers; decision.OK is well
+	free time.Duration   // when what it has is done
+	slow float64
+}
+
+// proxy is a host for a policy, with a model beside it.
+type proxy struct {
+	*drawn
+	model *model
+	p     policy
+	tells int // lists that this proxy was told
+}
+
+func (d *drawn) at(in time.Duration, name string, do func()) {
+	d.serial++
+	e := event{d.now + max(in, 0), d.serial, name, do}
+	i, _ := slices.BinarySearchFunc(d.queue, e, func(a, b event) int { // the next one comes last
+		return cmp.Or(cmp.Compare(b.at, a.at), cmp.Compare(b.serial, a.serial))
+	})
+	d.queue = slices.Insert(d.queue, i, e)
+}
+
+func (d *drawn) note(format string, args ...any) {
+	d.trace = append(d.trace, fmt.Sprintf("%d %v ", d.step, d.now)+fmt.Sprintf(format, args...))
+}
+
+// tell hands an event to a proxy and to its model, and looks at what came of it.
+func (x *proxy) tell(what string, model, real func()) {
+	if what != "timer" {
+		x.note("proxy %d: %s", slices.Index(x.proxies, x), what)
+	}
+	x.model.now = x.now
+	model()
+	real()
+	x.model.settled(x.p.Census())
+	if len(x.model.broken) > 0 && len(x.broken) == 0 {
+		for _, b := range x.model.broken {
+			x.broken = append(x.broken, b)
+		}
+	}
+}
+
+// event is tell, and now and then the list changes right after.
+func (x *proxy) event(what string, model, real func()) {
+	x.tell(what, model, real)
+	if x.rng.IntN(8) == 0 {
+		x.list()
+	}
+}
+
+// list tells of servers as they are now, in one of the forms.
+func (x *proxy) list() {
+	l := decision.Membership{Version: math.MaxUint32 - 3 + uint32(x.tells)} // wraps
+	x.tells++
+	var all []decision.Backend
+	for _, id := range x.ids() {
+		all = append(all, x.servers[id].Backend)
+	}
+	switch x.rng.IntN(10) {
+	case 0:
+		l.Kind = decision.ListFailed
+	case 1, 2, 3:
+		l.Kind = []decision.ListKind{decision.ListFull, decision.ListCached}[x.rng.IntN(2)]
+		l.Backends = slices.DeleteFunc(all, func(e decision.Backend) bool { return e.State == decision.Gone })
+	default:
+		l.Kind, l.Backends = decision.ListDelta, all
+		if len(all) > 0 {
+			l.Backends = all[:1+x.rng.IntN(len(all))]
+		}
+	}
+	x.tell(fmt.Sprintf("list %d %s", l.Kind, brief(l.Backends)), func() { x.model.list(l) },
+		func() { x.p.Membership(x.now, l) })
+}
+
+func brief(bs []decision.Backend) (s string) {
+	for _, b := range bs {
+		s += fmt.Sprintf(" %d%c", b.ID, "grd"[b.State])
+	}
+	return s
+}
+
+func (d *drawn) ids() []decision.BackendID {
+	var ids []decision.BackendID
+	for id := range d.servers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ---- host ----
+
+func (x *proxy) Send(id decision.RequestID, to decision.BackendID, until time.Duration) {
+	x.note("  send %d to %d until %v", id, to, until)
+	x.model.send(id, to)
+	r, s := x.model.byID[id], x.servers[to]
+	if r == nil || s == nil || len(r.tries) == 0 {
+		return
+	}
+	n := len(r.tries) - 1
+	if until <= 0 || until > r.Deadline || r.Streamed {
+		until = r.Deadline
+	}
+	took := x.serve(s, r.work)
+	result := s.mood
+	switch result {
+	case decision.ConnectFailed:
+		took = x.cfg.Caps.ConnectTimeout
+	case decision.Timeout:
+		took = math.MaxInt64 / 4
+	case decision.Error, decision.Reset, decision.Full, decision.Cancelled, decision.Moot:
+		took = time.Duration(x.rng.IntN(3)) * 5 * milli
+	}
+	if x.odd && x.rng.IntN(20) == 0 {
+		took = 0
+	}
+	if r.Streamed && !r.whole { // whole goes on with it
+		if result != decision.OK && result != decision.Timeout {
+			x.at(took, "outcome", func() { x.ends(id, n, result) })
+		}
+		return
+	}
+	x.later(r, n, result, took, until)
+}
+
+// later has an attempt end after some time, or at its time-out.
+func (x *proxy) later(r *asked, n int, result decision.Result, took, until time.Duration) {
+	if x.now+took >= until {
+		took, result = max(0, until-x.now), decision.Timeout
+	}
+	if result == decision.OK && (x.cfg.Classes[r.Class].Stream || x.rng.IntN(20) == 0) {
+		x.at(took, "first byte", func() { x.begins(r.ID, n) })
+		return
+	}
+	x.at(took, "outcome", func() { x.ends(r.ID, n, result) })
+}
+
+// serve is how long a server takes for work that comes now: one after the other.
+func (x *proxy) serve(s *machine, ms time.Duration) time.Duration {
+	speed := x.fleet.speed[s.ID] / s.slow
+	o := x.cfg.Obligations
+	if age := x.now - s.Started; s.Started > 0 && age < o.Cold {
+		speed *= o.StartCapacity + (1-o.StartCapacity)*float64(age)/float64(o.Cold)
+	}
+	if x.instant {
+		return 0
+	}
+	s.free = max(s.free, x.now) + time.Duration(float64(ms)/speed)
+	return s.free - x.now + milli
+}
+
+func (x *proxy) begins(id decision.RequestID, n int) {
+	r := x.model.byID[id]
+	if r.over || r.streams { // nobody wants it any more
+		x.ends(id, n, decision.OK)
+		return
+	}
+	if r.tries[n].over {
+		return
+	}
+	f := decision.FirstByte{ID: id, Attempt: n, Backend: r.tries[n].to, Took: x.now - r.tries[n].sent}
+	x.event(fmt.Sprintf("first byte of %d/%d", id, n), func() { r.streams = true }, func() { x.p.FirstByte(x.now, f) })
+	x.at(time.Duration(x.rng.IntN(500))*milli, "end of a stream", func() {
+		x.ends(id, n, []decision.Result{decision.OK, decision.Reset}[x.rng.IntN(2)])
+	})
+}
+
+// ends brings an outcome, now and then once more later, or another one.
+func (x *proxy) ends(id decision.RequestID, n int, result decision.Result) {
+	r := x.model.byID[id]
+	t := r.tries[n]
+	if !t.over {
+		spent := r.Streamed && result != decision.OK && x.rng.IntN(2) == 0
+		o := decision.Outcome{ID: id, Attempt: n, Backend: t.to, Result: result, Took: x.now - t.sent, Spent: spent}
+		if x.odd && x.rng.IntN(10) == 0 {
+			o.Took = []time.Duration{0, -time.Hour, math.MaxInt64, math.MinInt64}[x.rng.IntN(4)]
+		}
+		x.event(fmt.Sprintf("outcome %d of %d/%d", result, id, n), func() { x.model.outcome(id, n, result, spent) },
+			func() { o.Final = r.over; x.p.Outcome(x.now, o) })
+	}
+	if !x.odd || x.rng.IntN(6) > 0 {
+		return
+	}
+	x.at(time.Duration(x.rng.IntN(2000))*milli, "an outcome again", func() {
+		o := decision.Outcome{ID: id, Attempt: n, Backend: t.to, Result: decision.Result(x.rng.IntN(8)), Final: r.over}
+		x.event(fmt.Sprintf("outcome %d of %d/%d again", o.Result, id, n), func() {}, func() { x.p.Outcome(x.now, o) })
+	})
+}
+
+func (x *proxy) Refuse(id decision.RequestID, after time.Duration) {
+	x.note("  refuse %d", id)
+	if after < 0 || after > x.cfg.Caps.MaxRetryAfter {
+		x.model.breaks("listed", "request %d is to come again after %v", id, after)
+	}
+	x.model.final(id, true)
+}
+
+func (x *proxy) Fail(id decision.RequestID) {
+	x.note("  fail %d", id)
+	x.model.final(id, false)
+}
+
+func (x *proxy) Cancel(id decision.RequestID, n int) {
+	x.note("  cancel %d/%d", id, n)
+	if x.model.cancel(id, n); len(x.model.broken) == 0 {
+		x.at(0, "cancelled", func() { x.ends(id, n, decision.Cancelled) })
+	}
+}
+
+func (x *proxy) Probe(id decision.BackendID) {
+	x.note("  probe %d", id)
+	x.model.probe(id)
+	s := x.servers[id]
+	if s == nil {
+		return
+	}
+	took := time.Duration(1+x.rng.IntN(10)) * milli
+	if s.mood == decision.Timeout || s.mood == decision.ConnectFailed {
+		took = x.cfg.Caps.ConnectTimeout
+	}
+	told := took
+	if x.odd && x.rng.IntN(8) == 0 {
+		told = []time.Duration{0, -time.Hour, math.MaxInt64, math.MinInt64}[x.rng.IntN(4)]
+	}
+	results := 1
+	if x.odd && x.rng.IntN(6) == 0 {
+		results = 2
+	}
+	for i := range results {
+		x.at(took+time.Duration(i*x.rng.IntN(3000))*milli, "probed", func() {
+			p := decision.ProbeResult{Backend: id, Result: s.mood, Took: told}
+			if i > 0 {
+				p.Result = decision.Result(x.rng.IntN(8))
+			}
+			x.event(fmt.Sprintf("probe of %d: %d", id, p.Result), func() { x.model.probed(id, p.Result) },
+				func() { x.p.Probed(x.now, p) })
+		})
+	}
+}
+
+func (x *proxy) Release(decision.BackendID) {}
+func (x *proxy) Tell(uint32, []byte)        {}
+func (x *proxy) Log(string)                 {}
+func (x *proxy) Fetch()                     { x.Watch(true) }
+func (x *proxy) Watch(bool)                 { x.at(20*milli, "watch", x.list) }
+func (x *proxy) After(in time.Duration, token uint64) {
+	x.at(max(in, milli), "timer", func() { x.event("timer", func() {}, func() { x.p.Timer(x.now, token) }) })
+}
+
+// ---- what happens ----
+
+func (d *drawn) trouble() {
+	id := decision.BackendID(1 + d.rng.IntN(len(d.servers)))
+	s := d.servers[id]
+	switch d.rng.IntN(9) {
+	case 0, 1:
+		s.mood = []decision.Result{decision.OK, decision.OK, decision.Timeout, decision.Error, decision.Full,
+			decision.ConnectFailed, decision.Reset, decision.Moot}[d.rng.IntN(8)]
+		d.note("server %d answers with %d", id, s.mood)
+	case 2:
+		s.State = []decision.State{decision.Draining, decision.Gone}[d.rng.IntN(2)]
+	case 3, 4: // it starts again: where it was, or after it had left
+		s.State, s.Started, s.mood, s.free = decision.Ready, d.now, decision.OK, d.now
+	case 5: // it returns as it was
+		s.State = decision.Ready
+	case 6: // all but one go, or all
+		for _, o := range d.servers {
+			o.State = decision.Gone
+		}
+		if d.rng.IntN(2) == 0 {
+			s.State = decision.Ready
+		}
+		d.at(time.Second, "back", func() {
+			for _, id := range d.ids() {
+				d.servers[id].State = decision.Ready
+			}
+			d.lists()
+		})
+	case 7: // an order by hand
+		x := d.proxies[d.rng.IntN(len(d.proxies))]
+		x.tell(fmt.Sprintf("detach %d", id), func() { x.model.out[id] = true }, func() { x.p.Detach(d.now, id) })
+		d.at(time.Duration(d.rng.IntN(1500))*milli, "attach", func() {
+			x.tell(fmt.Sprintf("attach %d", id), func() { delete(x.model.out, id) }, func() { x.p.Attach(d.now, id) })
+		})
+	case 8:
+		if !d.odd {
+			return
+		}
+		x := d.proxies[d.rng.IntN(len(d.proxies))]
+		none := decision.RequestID(d.rng.Uint32())
+		x.event("odd", func() {}, func() {
+			x.p.Outcome(d.now, decision.Outcome{ID: none, Attempt: d.rng.IntN(9) - 4})
+			x.p.Probed(d.now, decision.ProbeResult{Backend: 9999, Took: math.MinInt64})
+			x.p.FirstByte(d.now, decision.FirstByte{ID: none, Attempt: -1})
+			x.p.Whole(d.now, none, 0)
+			x.p.Gone(d.now, none)
+		})
+	}
+	d.lists()
+}
+
+// lists tells all proxies, each after a time of its own.
+func (d *drawn) lists() {
+	for _, x := range d.proxies {
+		d.at(time.Duration(d.rng.IntN(300))*milli, "list", x.list)
+	}
+}
+
+func (x *proxy) ask() {
+	x.lastID++
+	id, class := x.lastID, x.rng.IntN(len(x.cfg.Classes))
+	if _, used := x.model.byID[id]; used {
+		return
+	}
+	ms := time.Duration(10+x.rng.IntN(40)) * milli // of work
+	cost := ms
+	if !x.hints {
+		cost = 0
+	}
+	give := time.Duration(100+x.rng.IntN(2900)) * milli
+	q := decision.Request{ID: id, Class: class, Key: uint64(x.rng.IntN(20)), Cost: cost,
+		Deadline: x.now + give, Tenant: x.rng.IntN(4) - 1, Streamed: x.rng.IntN(12) == 0}
+	x.event(fmt.Sprintf("request %d class %d", id, class), func() { x.model.request(q, ms) }, func() { x.p.Request(x.now, q) })
+	r := x.model.byID[id]
+	if q.Streamed {
+		x.at(time.Duration(x.rng.IntN(3000))*milli, "whole", func() {
+			if !r.over && !r.streams {
+				x.event(fmt.Sprintf("whole %d", id), func() { r.whole, r.Deadline = true, x.now+give },
+					func() { x.p.Whole(x.now, id, x.now+give) })
+			}
+			for n, t := range r.tries {
+				if !t.over {
+					s := x.servers[t.to]
+					x.later(r, n, s.mood, x.serve(s, r.work), max(x.now, r.Deadline))
+				}
+			}
+		})
+	} else if x.rng.IntN(40) == 0 {
+		x.at(time.Duration(x.rng.IntN(200))*milli, "leaves", func() {
+			if !r.over && !r.streams {
+				x.event(fmt.Sprintf("client of %d leaves", id), func() { r.over = true }, func() { x.p.Gone(x.now, id) })
+			}
+		})
+	}
+}
+
+// play draws a run and gives what it broke, with the step and what went before.
+func play(seed uint64, make maker, calm, graceOnly bool) (broken, trace []string, steps int, err error) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	cfg := drawnConfig(rng)
+	d := &drawn{rng: rng, cfg: cfg, now: time.Second, servers: map[decision.BackendID]*machine{}, odd: !calm && rng.IntN(4) > 0,
+		lastID: math.MaxUint32 - 200} // request ids wrap
+	d.hints = rng.IntN(2) == 0
+	d.instant = !calm && cfg.Instances <= 8 && rng.IntN(6) == 0
+	if rng.IntN(2) == 0 {
+		d.now = 1_790_000_000 * time.Second // as the engine's clock shows it
+	}
+	d.fleet = &books{speed: map[decision.BackendID]float64{}, sent: map[decision.BackendID][]work{}, slack: 12 * 30 * milli}
+	servers := 1 + rng.IntN(9)
+	for i := range servers {
+		id := decision.BackendID(i + 1)
+		d.servers[id] = &machine{Backend: decision.Backend{ID: id, Zone: i % 2, Cell: i % 3, Kind: i % 2, State: decision.Ready, Weight: 1}, slow: 1}
+		if d.fleet.speed[id] = 1; d.instant {
+			d.fleet.speed[id] = 1e6
+		}
+	}
+	for i := range cfg.Instances {
+		c := cfg
+		c.Rank = i
+		x := &proxy{drawn: d, model: newModel(c, d.fleet)}
+		x.model.graceOnly = graceOnly
+		if x.p, err = make(c, seed*100+uint64(i), x); err != nil {
+			return nil, nil, 0, err
+		}
+		d.proxies = append(d.proxies, x)
+		x.tell("start", func() {}, func() { x.p.Start(d.now) })
+		x.list()
+	}
+	end := d.now + 12*time.Second
+	load := 0.4 + 0.6*rng.Float64() // of what the servers can do
+	gap := time.Duration(float64(30*milli) / load / float64(servers))
+	for at := d.now; at < end; at += time.Duration(rng.ExpFloat64() * float64(gap)) {
+		if rng.IntN(2000) == 0 {
+			at += 2 * time.Second // nobody asks
+		}
+		x := d.proxies[rng.IntN(len(d.proxies))]
+		d.at(at-d.now, "request", x.ask)
+	}
+	if !calm {
+		for at := d.now; at < end; at += time.Duration(rng.IntN(500)) * milli {
+			d.at(at-d.now, "trouble", d.trouble)
+		}
+	} else { // one server after the other starts again
+		for i := range servers {
+			d.at(2*time.Second+time.Duration(i)*10*time.Second/time.Duration(servers), "restart", func() {
+				s := d.servers[decision.BackendID(i+1)]
+				s.Started, s.free = d.now, d.now
+				d.lists()
+			})
+		}
+	}
+	d.run(end + 7*time.Second)
+	if rng.IntN(4) == 0 { // all stands still for days, and what was due comes after
+		d.now += 200 * 24 * time.Hour
+	}
+	d.recovers()
+	return d.broken, d.trace, d.step, nil
+}
+
+// run handles what is due until then.
+func (d *drawn) run(until time.Duration) {
+	for len(d.queue) > 0 && len(d.broken) == 0 {
+		last := len(d.queue) - 1
+		e := d.queue[last]
+		if e.at > until {
+			break
+		}
+		d.queue = d.queue[:last]
+		d.now, d.step = max(d.now, e.at), d.step+1
+		e.do()
+	}
+	d.now = max(d.now, until)
+}
+
+// recovers has all servers well and listed, and then requests come now and then: they must be served. What was odd
+// before must not have left anything that goes on.
+func (d *drawn) recovers() {
+	if len(d.broken) > 0 {
+		return
+	}
+	d.odd, d.instant, d.now = false, false, d.now+time.Second
+	for id := range d.servers {
+		d.fleet.speed[id] = 1
+	}
+	for _, id := range d.ids() {
+		s := d.servers[id]
+		s.State, s.mood, s.free = decision.Ready, decision.OK, 0
+	}
+	slow := decision.BackendID(1)
+	if len(d.servers) > 2 {
+		d.servers[slow].slow = 8
+	}
+	for _, x := range d.proxies {
+		for id := range x.model.out {
+			x.tell("attach", func() { delete(x.model.out, id) }, func() { x.p.Attach(d.now, id) })
+		}
+		var all []decision.Backend
+		for _, id := range d.ids() {
+			all = append(all, d.servers[id].Backend)
+		}
+		l := decision.Membership{Kind: decision.ListFull, Backends: all}
+		x.tell("list, all well", func() { x.model.list(l) }, func() { x.p.Membership(d.now, l) })
+	}
+	late := make([][]*asked, len(d.proxies))
+	for i := range 100 * len(d.proxies) {
+		n := i % len(d.proxies)
+		d.at(time.Duration(i)*100*milli, "request", func() {
+			x := d.proxies[n]
+			x.ask()
+			if r := x.model.byID[x.lastID]; i >= 70*len(d.proxies) && !r.Streamed {
+				late[n] = append(late[n], r)
+			}
+		})
+	}
+	d.run(d.now + 10*time.Second*time.Duration(len(d.proxies)) + 5*time.Second)
+	there, sends := 0, 0
+	for n, asks := range late {
+		served := 0
+		for _, r := range asks {
+			for _, t := range r.tries {
+				if sends++; t.to == slow {
+					there++
+				}
+			}
+			if r.streams || slices.ContainsFunc(r.tries, func(t *try) bool { return t.over && t.result == decision.OK }) {
+				served++
+			}
+		}
+		if len(d.broken) == 0 && served < len(asks)*3/4 {
+			d.broken = append(d.broken, fmt.Sprintf("recovery: of %d requests proxy %d has only %d served, all servers being well", len(asks), n, served))
+		}
+	}
+	if fair := float64(sends) / float64(len(d.servers)); len(d.broken) == 0 && len(d.servers) > 2 && !d.cfg.WarmKeys && float64(there) > 0.75*fair {
+		d.broken = append(d.broken, fmt.Sprintf("recovery: of %d sends %d went to the one of %d servers that is 8 times as slow", sends, there, len(d.servers)))
+	}
+}
+
+// drawnConfig are settings of a site, with one class of each effect.
+func drawnConfig(rng *rand.Rand) decision.Config {
+	coin := func() bool { return rng.IntN(2) == 0 }
+	late := func() float64 { return []float64{0, 0.5}[rng.IntN(2)] }
+	cfg := decision.Config{Instances: 1 + rng.IntN(4), Tick: time.Duration(rng.IntN(3)) * 2 * milli, OverShareWorth: 0.1,
+		Classes: []decision.Class{
+			{Name: "safe", Aim: 250 * milli, GiveUp: time.Second, Effect: decision.Safe, Value: 2, LateShare: late()},
+			{Name: "zone", Aim: 250 * milli, GiveUp: time.Second, Effect: decision.Keyed, Group: decision.GroupZone, Window: 400 * milli, Value: 2, LateShare: late()},
+			{Name: "cell", Aim: 500 * milli, GiveUp: time.Second, Effect: decision.Keyed, Group: decision.GroupCell, Window: 900 * milli, Value: 1, LateShare: late()},
+			{Name: "all", Aim: 500 * milli, GiveUp: time.Second, Effect: decision.Keyed, Group: decision.GroupAll, Window: 150 * milli, Value: 1, LateShare: late()},
+			{Name: "unsafe", Aim: 500 * milli, GiveUp: 2 * time.Second, Effect: decision.Unsafe, Group: decision.GroupAll, Window: time.Second, Value: 10, LateShare: late()},
+			{Name: "stream", Aim: 500 * milli, GiveUp: 2 * time.Second, Effect: decision.Safe, Stream: true, Value: 3, LateShare: late()},
+		},
+		Tenants:  []decision.Tenant{{Name: "a", Share: 0.7, QuotaPerS: 100}, {Name: "b", Share: 0.3, QuotaPerS: 0}},
+		Goal:     decision.Goal{Whole: 0.55, WorstClass: 0.2, WorstTenant: 0.1, WorstWindow: 0.15},
+		WarmKeys: rng.IntN(4) == 0, OnRequest: coin(),
+		Obligations: decision.Obligations{AnswerSlack: 8 * milli, AskEvery: 10 * time.Second, Cold: 8 * time.Second, DrainGrace: 500 * milli,
+			Fall: time.Second, FallMultiple: 3, StartCapacity: 0.34},
+		Caps: decision.Caps{Cancel: rng.IntN(4) > 0, Probes: rng.IntN(5) > 0, RetryAfter: coin(), SecondCopies: coin(),
+			ConnIdle: time.Minute, ConnectTimeout: 75 * milli, MaxRetryAfter: time.Second, MaxAttempts: 1 + rng.IntN(4), StreamsPerConn: 1,
+			MaxOpen: []int{0, 0, 20, 20000}[rng.IntN(4)]},
+	}
+	if rng.IntN(3) == 0 {
+		cfg.Instances = 4 + rng.IntN(8)
+	}
+	return cfg
+}
+
+// convict fails a test with all that is needed to play the run again: seed, step, and of the trace what concerns the
+// requests and servers that are named, and the end.
+func convict(t *testing.T, seed uint64, broken, trace []string, step int) {
+	t.Helper()
+	t.Errorf("seed %d, step %d: %v", seed, step, broken)
+	named := regexp.MustCompile(`(request|server) \d+`).FindAllString(broken[0], -1)
+	for i, line := range trace {
+		for _, name := range named {
+			if id := strings.Fields(name)[1]; i < len(trace)-15 && regexp.MustCompile(`(request|send|refuse|cancel|of|server) `+id+`\b`).MatchString(line) {
+				t.Log(line)
+			}
+		}
+	}
+	for _, line := range trace[max(0, len(trace)-15):] {
+		t.Log(line)
+	}
+}
+
+func TestTheModuleKeepsToTheModel(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			broken, trace, step, err := play(seed, theModule, seed%3 == 2, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(broken) > 0 {
+				convict(t, seed, broken, trace, step)
+			}
+		})
+	}
+}
