Take list changes for newer after the list's number has wrapped

Ruled out: a slow or failed watch (the change was told and the call was up), the module (it was never told), the grace (the sends went on). At fault: listed in engine.go dropped changes whose number is under the one held as crossing a newer list.

The two numbers are compared by their difference, as serial numbers are.

--- a/decision/model_test.go
+++ b/decision/model_test.go
@@ -304,15 +304,11 @@
 	if !m.graceOnly && (known != wantKnown || excluded != wantOut) {
 		m.breaks("health", "%d servers known and %d avoided, should be %d and %d", known, excluded, wantKnown, wantOut)
 	}
+	m.late()
 	for _, r := range m.asks {
 		if r.over || r.streams || r.complained {
 			continue
 		}
-		if timed := !r.Streamed || r.whole; timed && m.now > r.Deadline+m.cfg.Obligations.AnswerSlack {
-			m.breaks("rule 1", "request %d has no answer in time", r.ID)
-			r.complained = true
-			continue
-		}
 		out := slices.ContainsFunc(r.tries, func(t *try) bool { return !t.over })
 		if out || len(r.tries) == 0 {
 			continue
@@ -322,5 +318,20 @@
 			r.complained = true
 		}
 	}
+	m.forget()
+}
+
+// late looks for requests whose time is up.
+func (m *model) late() {
+	for _, r := range m.asks {
+		timed := !r.over && !r.streams && !r.complained && (!r.Streamed || r.whole)
+		if timed && m.now > r.Deadline+m.cfg.Obligations.AnswerSlack {
+			m.breaks("rule 1", "request %d has no answer in time", r.ID)
+			r.complained = true
+		}
+	}
+}
+
+func (m *model) forget() {
 	m.asks = slices.DeleteFunc(m.asks, func(r *asked) bool { return r.over || r.complained })
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -416,11 +416,15 @@
 	case list.Full:
 		l.listKnown = true
 		l.list(list, decision.ListFull)
-	case list.Version >= l.version:
+	case !l.crossed(list):
 		l.list(list, decision.ListDelta)
 	}
 }
 
+// crossed tells whether a newer list is held than that. Danger: the number wraps, and a plain comparison would then
+// drop all that is told of drains, until a whole list comes.
+func (l *Engine) crossed(list List) bool { return int32(list.Version-l.version) < 0 }
+
 // MoveTo turns to another discovery a little later. Danger: where a fleet's configurations are replaced together,
 // all proxies would ask for the whole list in the same moment.
 func (l *Engine) MoveTo(d Source) {
@@ -678,7 +682,7 @@
 			case asked != h.source: // a late answer of one that is asked no more
 			case err != nil:
 				h.listFailed(err)
-			case !h.listKnown || list.Version >= h.version:
+			case !h.listKnown || !h.crossed(list):
 				h.listed(list)
 			}
 		})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -206,3 +207,20 @@
 		t.Errorf("a second on the clock is %v", d)
 	}
 }
+
+// A list's number wraps like any counter of 32 bits: what comes after the last one is newer, not older.
+func TestAListAfterTheLastNumberCounts(t *testing.T) {
+	for _, k := range []struct {
+		held, told uint32
+		counts     bool
+	}{{7, 8, true}, {7, 7, true}, {7, 6, false}, {math.MaxUint32, 0, true}, {math.MaxUint32, 3, true}, {2, math.MaxUint32, false}} {
+		l := testEngine(t)
+		heard := false
+		l.opts.Listed = func(List) { heard = true }
+		l.version = k.held
+		l.listed(List{Version: k.told, Members: []Member{{ID: "a", State: decision.Draining}}})
+		if heard != k.counts {
+			t.Errorf("holding list %d, changes with number %d count: %v", k.held, k.told, heard)
+		}
+	}
+}
