--- /dev/null
+++ b/internal/proxy/churn_test.go
@@ -0,0 +1,265 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+// station stands in for a server that drains, leaves, returns, starts again elsewhere and answers in every way, while
+// requests come.
+type station struct {
+	*churn
+	name, state string
+	addr        string
+	listener    net.Listener
+	conns       map[net.Conn]bool
+	away        time.Time // since when the list says that it is not active; zero while it does
+}
+
+// churn is what the stations share.
+type churn struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	tame    bool           // all answers are good
+	ran     map[string]int // POST requests that came whole and may have run, by id
+	late    []string       // what came long after its server drained
+	reached int
+}
+
+// long is past the rule's 500 ms and what a busy machine adds.
+const long = 1000 * time.Millisecond
+
+// open starts the station where nobody has known it. The lock must be held.
+func (s *station) open(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	s.listener, s.addr, s.conns = l, l.Addr().String(), map[net.Conn]bool{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+}
+
+// kill ends the process: its connections are reset. The lock must be held.
+func (s *station) kill() {
+	s.listener.Close()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *station) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if req.URL.Path == "/ping" {
+			say(c, served)
+			continue
+		}
+		s.mu.Lock()
+		s.reached++
+		if !s.away.IsZero() && time.Since(s.away) > long {
+			s.late = append(s.late, fmt.Sprintf("%s got %s %v after it was listed as %s", s.name, req.Header.Get("X-Request-ID"), time.Since(s.away), s.state))
+		}
+		does := s.rng.IntN(16)
+		if s.tame {
+			does = 9
+		}
+		if req.Method == "POST" && does != 0 {
+			s.ran[req.Header.Get("X-Request-ID")]++
+		}
+		s.mu.Unlock()
+		switch does {
+		case 0:
+			say(c, "HTTP/1.1 503 Busy\nX-Not-Processed: 1\nContent-Length: 0\n\n")
+			continue
+		case 1:
+			say(c, "HTTP/1.1 500 Error\nContent-Length: 0\n\n")
+			continue
+		case 2:
+			return
+		case 3:
+			say(c, "HTTP/1.1 200 OK\nContent-Length: 40\n\nfi")
+			return
+		case 4:
+			time.Sleep(30 * time.Millisecond)
+		case 5:
+			in.Peek(1) // nothing comes of it
+			return
+		}
+		say(c, served)
+	}
+}
+
+// Under load the list changes all the time, in every way; each request gets one whole answer in time, what may not run
+// twice does not, and a server that is listed as leaving or gone is left alone.
+func TestListChangesUnderLoad(t *testing.T) {
+	const span, clients = 3500 * time.Millisecond, 12
+	w := &churn{rng: rand.New(rand.NewPCG(1, 2)), ran: map[string]int{}}
+	var stations []*station
+	for i := range 5 {
+		s := &station{churn: w, name: fmt.Sprint("s", i), state: "active"}
+		s.open(t)
+		stations = append(stations, s)
+	}
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, s := range stations {
+			s.kill()
+		}
+	}()
+	entry := func(s *station) string { return memberText(s.name, s.addr, s.state) }
+	all := func() (list []string) {
+		for _, s := range stations {
+			if s.state != "left" {
+				list = append(list, entry(s))
+			}
+		}
+		return list
+	}
+	// The list's number wraps. Who holds the last list gets the last change, who holds another gets the whole.
+	version, change, changed := math.MaxUint32-5, "", make(chan struct{})
+	c := &catalog{Server: httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, r *http.Request) {
+		from := r.URL.Query().Get("from")
+		for {
+			w.mu.Lock()
+			text, more := listText(version&math.MaxUint32, true, all()...), changed
+			if from == fmt.Sprint((version-1)&math.MaxUint32) && change != "" {
+				text = change
+			}
+			now := from == fmt.Sprint(version&math.MaxUint32)
+			w.mu.Unlock()
+			if !now {
+				io.WriteString(to, text)
+				return
+			}
+			select {
+			case <-more:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))}
+	t.Cleanup(func() { c.CloseClientConnections(); c.Close() })
+	p := startProxy(t, listText(version, true, all()...), c, func(cfg *Config) {
+		cfg.Module.OnRequest, cfg.Module.Caps.Probes, cfg.Module.Caps.SecondCopies = false, true, true
+	})
+	end := time.Now().Add(span)
+	var running sync.WaitGroup
+	running.Go(func() {
+		rng := rand.New(rand.NewPCG(3, 4))
+		for n := 0; time.Now().Before(end); n++ {
+			w.mu.Lock()
+			s := stations[rng.IntN(3)]
+			s.state = []string{"active", "active", "leaving", "left"}[rng.IntN(4)]
+			if n < 2 { // two leave for long
+				s = stations[3+n]
+				s.state = []string{"leaving", "left"}[n]
+			}
+			if n >= 2 && rng.IntN(6) == 0 { // it starts again, at another address
+				s.kill()
+				s.open(t)
+			}
+			if s.state == "active" {
+				s.away = time.Time{}
+			} else if s.away.IsZero() {
+				s.away = time.Now()
+			}
+			version++
+			if change = listText(version&math.MaxUint32, false, entry(s)); rng.IntN(30) == 0 {
+				change = ""
+			}
+			close(changed)
+			changed = make(chan struct{})
+			w.mu.Unlock()
+			time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
+		}
+		w.mu.Lock()
+		w.tame = true
+		for _, s := range stations {
+			s.kill()
+			s.open(t)
+			s.state, s.away = "active", time.Time{}
+		}
+		version, change = version+1, ""
+		close(changed)
+		changed = make(chan struct{})
+		w.mu.Unlock()
+	})
+	var mu sync.Mutex
+	answers := map[int]int{}
+	for n := range clients {
+		running.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(n), 5))
+			for time.Now().Before(end) {
+				class, timeout := []string{"fetch-work", "hand-in"}[rng.IntN(2)], 100+rng.IntN(900)
+				began := time.Now()
+				resp, body, err := p.ask(t, class, timeout, []string{"", "body"}[rng.IntN(2)])
+				took := time.Since(began)
+				if err != nil {
+					t.Errorf("client %d: no whole answer: %v", n, err)
+					return
+				}
+				if resp.StatusCode == 200 && body != "fine" {
+					t.Errorf("client %d was served %q", n, body)
+				}
+				if took > time.Duration(timeout)*time.Millisecond+time.Second {
+					t.Errorf("client %d: an answer after %v, its time was %d ms", n, took, timeout)
+				}
+				mu.Lock()
+				answers[resp.StatusCode]++
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	w.mu.Lock()
+	for id, n := range w.ran {
+		if n > 1 {
+			t.Errorf("%s, which may not run twice, reached servers %d times", id, n)
+		}
+	}
+	for _, l := range w.late {
+		t.Error(l)
+	}
+	t.Logf("%d lists, %d requests at servers, answers %v", version-(math.MaxUint32-5), w.reached, answers)
+	if w.reached < 100 || answers[200] < 100 {
+		t.Errorf("too little came through to tell: %d at servers, answers %v", w.reached, answers)
+	}
+	w.mu.Unlock()
+	for try := 0; ; try++ { // once all is well, all is served
+		resp, _, err := p.ask(t, "fetch-work", 2000, "")
+		if err == nil && resp.StatusCode == 200 {
+			break
+		}
+		if try > 40 {
+			t.Fatalf("with all servers well again: %v %v", resp, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/register/hub_test.go
+++ b/internal/register/hub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -315,3 +316,18 @@
 		}
 	})
 }
+
+// The list's number wraps: changes that come after the last number are newer.
+func TestChangesAfterTheLastNumberAreTaken(t *testing.T) {
+	for _, k := range []struct {
+		held, told uint32
+		taken      bool
+	}{{7, 8, true}, {7, 6, false}, {math.MaxUint32, 0, true}, {1, math.MaxUint32, false}} {
+		h := &hub{watchers: map[*watcher]bool{}}
+		h.tell(full(k.held, "a"))
+		h.tell(engine.List{Version: k.told, Members: []engine.Member{{ID: "a", State: decision.Gone}}})
+		if taken := len(h.list.members) == 0; taken != k.taken {
+			t.Errorf("holding list %d, changes with number %d are taken: %v", k.held, k.told, taken)
+		}
+	}
+}
