Count an attempt that found no socket of ours as not sent, not as a backend that is down

Seen: reading the pool beside the module's claim that a probe mirrors the backend. With all of the proxy's own places for backend connections in use, exchange told the module ConnectFailed, for requests and for probes.

What follows, by a test of the module: six such requests and probes, a second apart, and the backend is avoided and taken for cold, which holds it to a request a window or so for up to the cold time; all backends at once, since the want is ours. Ruled out: that the module could tell the two apart by itself (both come as one result). At fault: exchange in backend.go, which knows errNoSockets from a refused connection and did not say.

It is Moot now, which never ran and says nothing of the backend. TestSocketsAreBounded fails before and passes after; TestWhatWasNeverSentSaysNothingOfABackend holds the module's side.

--- a/decision/faults_test.go
+++ b/decision/faults_test.go
@@ -97,3 +97,26 @@
 		t.Errorf("10 s on, at 100 requests a second, it uses %d of 400 servers", len(b.ready))
 	}
 }
+
+// Attempts and probes that could not be sent for want of something of the proxy's own say nothing of a backend.
+func TestWhatWasNeverSentSaysNothingOfABackend(t *testing.T) {
+	for result, blamed := range map[Result]bool{Moot: false, ConnectFailed: true} {
+		b, h := newBalancer(t, testConfig(), 1)
+		to := b.targets[0]
+		for i := range RequestID(6) {
+			now := 30*second + time.Duration(i)*second
+			b.Request(now, Request{ID: i, Class: unsafe, Deadline: now + second})
+			for range 4 {
+				for n, a := range h.take("send") {
+					b.Outcome(now, Outcome{ID: i, Attempt: n, Backend: a.to, Result: result})
+				}
+			}
+			b.probe(to)
+			b.Probed(now, ProbeResult{Backend: to.ID, Result: result})
+			b.Gone(now, i)
+		}
+		if _, cold := b.cold(to); cold != blamed || to.healthy == blamed {
+			t.Errorf("result %d: taken for cold %v, healthy %v", result, cold, to.healthy)
+		}
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -373,8 +373,11 @@
 			c, err = p.dial(ctx, b)
 		}
 		if err != nil {
-			if errors.Is(context.Cause(ctx), context.Canceled) {
+			switch {
+			case errors.Is(context.Cause(ctx), context.Canceled):
 				return decision.Cancelled, nil
+			case errors.Is(err, errNoSockets): // Danger: for want of our own, every backend would count as down
+				return decision.Moot, nil
 			}
 			return decision.ConnectFailed, nil
 		}
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -384,8 +384,12 @@
 		}()
 		within(t, came, "no request came")
 	}
-	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.ConnectFailed {
-		t.Errorf("with no socket left: result %v, want ConnectFailed", result)
+	// It says nothing of the backend: it must not count as one that cannot be reached, for requests or probes.
+	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.Moot {
+		t.Errorf("with no socket left: result %v, want Moot", result)
+	}
+	if result := p.probe(t.Context(), b); result != decision.Moot {
+		t.Errorf("a probe with no socket left: result %v, want Moot", result)
 	}
 	close(leave)
 	for range 2 {
