Keep a fault that stands in sight: a jump in delays holds one proxy of many back

Seen: drawn runs in which answers take no time at first and then their usual 30 ms (of some 50 runs with 9 or more proxies, 5): with all servers well, a proxy serves half of what it should for a minute and more.

What was looked at: a dump of one such proxy shows no attempt out, nothing cold, limits of 0.7 and a median delay of 290 times the expected, of answers from before. room in balancer.go spaces attempts under such a limit by the mean delay, which has followed the jump, times that median, which has not: 25 s between two.

TestExpectedToFailAJumpInDelaysHoldsOneOfManyBack runs five such seeds, asserts that the fault shows, and fails once it is gone.

--- a/decision/convicts_test.go
+++ b/decision/convicts_test.go
@@ -150,7 +150,7 @@
 			}
 			found := ""
 			for seed := uint64(0); seed < 40 && !strings.HasPrefix(found, k.rule); seed++ {
-				broken, _, _, err := play(seed, make, k.calm, strings.HasPrefix(k.rule, "rule 3"))
+				broken, _, _, err := play(seed, make, manner{calm: k.calm, graceOnly: strings.HasPrefix(k.rule, "rule 3")})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/decision/draw_test.go
+++ b/decision/draw_test.go
@@ -414,14 +414,21 @@
 	}
 }
 
+// manner is what a run is drawn for.
+type manner struct {
+	calm      bool // servers start again one after the other, and nothing else happens: for the cold budget
+	graceOnly bool // see model
+	jump      bool // answers take no time at first, also for one of many proxies
+}
+
 // play draws a run and gives what it broke, with the step and what went before.
-func play(seed uint64, make maker, calm, graceOnly bool) (broken, trace []string, steps int, err error) {
+func play(seed uint64, make maker, how manner) (broken, trace []string, steps int, err error) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	cfg := drawnConfig(rng)
-	d := &drawn{rng: rng, cfg: cfg, now: time.Second, servers: map[decision.BackendID]*machine{}, odd: !calm && rng.IntN(4) > 0,
+	d := &drawn{rng: rng, cfg: cfg, now: time.Second, servers: map[decision.BackendID]*machine{}, odd: !how.calm && rng.IntN(4) > 0,
 		lastID: math.MaxUint32 - 200} // request ids wrap
 	d.hints = rng.IntN(2) == 0
-	d.instant = !calm && cfg.Instances <= 8 && rng.IntN(6) == 0
+	d.instant = how.jump || !how.calm && cfg.Instances <= 8 && rng.IntN(6) == 0
 	if rng.IntN(2) == 0 {
 		d.now = 1_790_000_000 * time.Second // as the engine's clock shows it
 	}
@@ -438,7 +445,7 @@
 		c := cfg
 		c.Rank = i
 		x := &proxy{drawn: d, model: newModel(c, d.fleet)}
-		x.model.graceOnly = graceOnly
+		x.model.graceOnly = how.graceOnly
 		if x.p, err = make(c, seed*100+uint64(i), x); err != nil {
 			return nil, nil, 0, err
 		}
@@ -456,7 +463,7 @@
 		x := d.proxies[rng.IntN(len(d.proxies))]
 		d.at(at-d.now, "request", x.ask)
 	}
-	if !calm {
+	if !how.calm {
 		for at := d.now; at < end; at += time.Duration(rng.IntN(500)) * milli {
 			d.at(at-d.now, "trouble", d.trouble)
 		}
@@ -605,7 +612,7 @@
 	for seed := range uint64(30) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			broken, trace, step, err := play(seed, theModule, seed%3 == 2, false)
+			broken, trace, step, err := play(seed, theModule, manner{calm: seed%3 == 2})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -615,3 +622,21 @@
 		})
 	}
 }
+
+// Expected to fail: a fault that stands (docs/readiness-review.md). One of many proxies whose backends turn hundreds of
+// times as slow spaces its attempts out by the new mean times the old median, and sends next to nothing for a while,
+// though all are well. This asserts that the fault shows in one of these runs; once it does in none, it is gone: have all
+// of them pass then.
+func TestExpectedToFailAJumpInDelaysHoldsOneOfManyBack(t *testing.T) {
+	jumps := []uint64{1, 29, 207, 266, 273}
+	for _, seed := range jumps {
+		broken, _, _, err := play(seed, theModule, manner{jump: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(broken) > 0 && strings.HasPrefix(broken[0], "recovery") {
+			return
+		}
+	}
+	t.Errorf("the fault shows in no run of seeds %v any more", jumps)
+}
