--- a/decision/draw_test.go
+++ b/decision/draw_test.go
@@ -623,6 +623,21 @@
 	}
 }
 
+func FuzzTheModuleKeepsToTheModel(f *testing.F) {
+	for _, seed := range []uint64{0, 1, 1000, 1 << 40} {
+		f.Add(seed, seed == 1000)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, calm bool) {
+		broken, trace, step, err := play(seed, theModule, manner{calm: calm})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(broken) > 0 {
+			convict(t, seed, broken, trace, step)
+		}
+	})
+}
+
 // Expected to fail: a fault that stands (docs/readiness-review.md). One of many proxies whose backends turn hundreds of
 // times as slow spaces its attempts out by the new mean times the old median, and sends next to nothing for a while,
 // though all are well. This asserts that the fault shows in one of these runs; once it does in none, it is gone: have all
