Have one piece of code compare list numbers, and one halve the rate of requests

Need: reading the change once more, the engine and the register's hub each had the comparison of numbers that wrap, the module halved its rate in two places, and a comment stood twice in dispatch.

Change: List.Past and fadeRate serve both places each; the second comment is gone.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -224,7 +224,7 @@
 func (b *Balancer) reach() {
 	// Danger: hours of silence in that mean would hide the rate of the morning from thousands of requests.
 	for b.now-b.since > rateOver {
-		b.seen, b.since = b.seen/2, b.now-(b.now-b.since)/2
+		b.fadeRate()
 	}
 	rate := b.seen / (b.now - b.since + b.interval).Seconds()
 	n := max(reachLeast, math.Ceil(rate*b.interval.Seconds()*reachPart))
@@ -234,7 +234,7 @@
 	// Danger: a proxy that meets each only now and then forgets a slow one before it comes to it again.
 	b.span = memory * b.interval
 	if rate > 0 {
-		b.span = max(b.span, span(1000*min(kept*float64(len(b.ready))/rate, rateOver.Seconds())))
+		b.span = max(b.span, span(min(1000*(kept*float64(len(b.ready))/rate), millis(rateOver))))
 	}
 	b.ready = b.ready[:0]
 	left := [2]float64{n, n}
@@ -252,6 +252,9 @@
 	}
 }
 
+// fadeRate halves what the rate of requests is taken from, and the time that it is taken over.
+func (b *Balancer) fadeRate() { b.seen, b.since = b.seen/2, b.now-(b.now-b.since)/2 }
+
 // Probed counts a probe's result towards the target's status.
 func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
 	b.now = now
@@ -549,7 +552,7 @@
 	// Danger: over so few that they come within an interval, the rate would seem a fraction of what it
 	// is, and a proxy with much traffic would use too few backends.
 	if b.seen++; b.seen > meanOver && now-b.since > memory*b.interval {
-		b.seen, b.since = b.seen/2, now-(now-b.since)/2
+		b.fadeRate()
 	}
 	b.meanWork = smooth(b.meanWork, b.workOf(r), meanOver)
 	b.mean = smooth(b.mean, b.expected(q.Class, millis(q.Cost)), meanOver)
@@ -640,7 +643,6 @@
 			misses++
 		}
 		// Danger: a keyed one's window may end while it waits.
-		// Danger: a keyed one's window may end while it waits.
 		if b.now >= r.waitUntil || len(b.waiting) >= most || b.isSpent(r) {
 			b.end(r, b.interval)
 			continue
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -416,15 +416,11 @@
 	case list.Full:
 		l.listKnown = true
 		l.list(list, decision.ListFull)
-	case !l.crossed(list):
+	case !list.Past(l.version):
 		l.list(list, decision.ListDelta)
 	}
 }
 
-// crossed tells whether a newer list is held than that. Danger: the number wraps, and a plain comparison would then
-// drop all that is told of drains, until a whole list comes.
-func (l *Engine) crossed(list List) bool { return int32(list.Version-l.version) < 0 }
-
 // MoveTo turns to another discovery a little later. Danger: where a fleet's configurations are replaced together,
 // all proxies would ask for the whole list in the same moment.
 func (l *Engine) MoveTo(d Source) {
@@ -682,7 +678,7 @@
 			case asked != h.source: // a late answer of one that is asked no more
 			case err != nil:
 				h.listFailed(err)
-			case !h.listKnown || !h.crossed(list):
+			case !h.listKnown || !list.Past(h.version):
 				h.listed(list)
 			}
 		})
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -23,6 +23,10 @@
 	Members []Member
 }
 
+// Past tells whether a list with that number is newer. Danger: the number wraps; a plain comparison would then drop all
+// that is told of drains, until a whole list comes.
+func (l List) Past(held uint32) bool { return int32(l.Version-held) < 0 }
+
 // Member is a server as discovery names it.
 type Member struct {
 	ID         string
--- a/internal/register/hub.go
+++ b/internal/register/hub.go
@@ -332,8 +332,7 @@
 
 // tell takes a list in and passes it on. The lock is held.
 func (h *hub) tell(list engine.List) {
-	// The number wraps: what is past shows by the difference.
-	if past := int32(list.Version-h.list.version) < 0; !list.Full && (!h.list.known || past) {
+	if !list.Full && (!h.list.known || list.Past(h.list.version)) {
 		return // changes to a list that nobody has, or of one that is past
 	}
 	h.list.take(list)
