--- a/internal/lab/loadgen/loadgen.go
+++ b/internal/lab/loadgen/loadgen.go
@@ -251,7 +251,7 @@
 // hold, up to most, and halves the gap from there. Each step lasts o.Duration.
 func Search(ctx context.Context, o Options, aim Aim, most float64, told func(Step)) (float64, []Step, error) {
 	var steps []Step
-	try := func(rate float64) (bool, error) {
+	rate, err := search(o.Rate, most, func(rate float64) (bool, error) {
 		run := o
 		run.Rate, run.RampTo = rate, 0
 		res, err := Run(ctx, run)
@@ -276,12 +276,17 @@
 			told(st)
 		}
 		return st.Held, nil
-	}
-	low, high := 0.0, o.Rate
+	})
+	return rate, steps, err
+}
+
+// search finds the highest rate that holds, from a first one up to most.
+func search(first, most float64, try func(rate float64) (bool, error)) (float64, error) {
+	low, high := 0.0, first
 	for high <= most {
 		held, err := try(high)
 		if err != nil {
-			return low, steps, err
+			return low, err
 		}
 		if !held {
 			break
@@ -289,13 +294,13 @@
 		low, high = high, high*2
 	}
 	if low == 0 {
-		return 0, steps, nil
+		return 0, nil
 	}
 	for high = min(high, most); high-low > low/20; {
 		mid := (low + high) / 2
 		held, err := try(mid)
 		if err != nil {
-			return low, steps, err
+			return low, err
 		}
 		if held {
 			low = mid
@@ -303,5 +308,5 @@
 			high = mid
 		}
 	}
-	return low, steps, nil
+	return low, nil
 }
--- a/internal/lab/partner/client.go
+++ b/internal/lab/partner/client.go
@@ -165,11 +165,18 @@
 	case a := <-came:
 		return a.m, true, a.err
 	case <-t.ended:
-		return nil, true, errors.New("the connection broke")
+		err = errors.New("the connection broke")
 	case <-timer.C:
-		return nil, true, errors.New("no answer in time")
+		err = errors.New("no answer in time")
 	case <-ctx.Done():
-		return nil, true, ctx.Err()
+		err = ctx.Err()
+	}
+	// Danger: by the time that this goroutine runs the answer may have come as well, and select takes either.
+	select {
+	case a := <-came:
+		return a.m, true, a.err
+	default:
+		return nil, true, err
 	}
 }
 
