--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -554,10 +554,13 @@
 	if b.seen++; b.seen > meanOver && now-b.since > memory*b.interval {
 		b.fadeRate()
 	}
-	b.meanWork = smooth(b.meanWork, b.workOf(r), meanOver)
-	b.mean = smooth(b.mean, b.expected(q.Class, millis(q.Cost)), meanOver)
+	// Danger: over the whole span from the first on, that one would stand for hundreds, and a proxy that has
+	// just started would refuse whatever brings less.
+	b.over = min(b.over+1, meanOver)
+	b.meanWork = smooth(b.meanWork, b.workOf(r), b.over)
+	b.mean = smooth(b.mean, b.expected(q.Class, millis(q.Cost)), b.over)
 	b.count(r)
-	b.meanGain = smooth(b.meanGain, b.gain(r)*b.all[0].asked, meanOver)
+	b.meanGain = smooth(b.meanGain, b.gain(r)*b.all[0].asked, b.over)
 	b.open++
 	if b.crowded(r) {
 		b.end(r, b.interval)
@@ -607,7 +610,7 @@
 // short time are shut out with the others. It covers a limit on clients' connections, wherever it is met.
 func (b *Balancer) crowded(r *request) bool {
 	density := b.gain(r) * b.all[0].asked * b.workOf(r) / (b.expected(r.Class, millis(r.Cost)) * b.median)
-	b.meanDensity = smooth(b.meanDensity, density, meanOver)
+	b.meanDensity = smooth(b.meanDensity, density, b.over)
 	most := b.cfg.Caps.MaxOpen
 	return most > 0 && float64(b.open) > openPart*float64(most) && density < b.meanDensity
 }
--- a/decision/state.go
+++ b/decision/state.go
@@ -41,6 +41,7 @@
 	ticking                bool    // a timer for what waits is out
 	retries, probes        float64 // budgets of further attempts and of probes
 	asks, probeAt          int     // failed calls for the list in a row; where probing goes on
+	over                   float64 // requests over which overall means are taken by now
 	meanGain               float64 // of requests as they come, times what all ask for
 	meanDensity            float64 // likewise of what they bring for each ms that they are open
 	open                   int     // requests without a final answer
