Send a Diameter answer before its request counts as done, so that a goodbye does not pass it

Cause: TestTheNextProcessHasTheLedger fell again beside busy loops with a claim that had run and been answered, and whose client saw a broken connection. node.Request.Answer took the request off the books (inHand.Done in leave) and queued its answer after that. A node that drains waits for the books alone: between the two it could queue its goodbye, and close before the answer.

Change: the answer is queued first.

Tests that tipped beside it: TestAChangeAmidAnUpgrade halved the limits before the process's own first look at whether it shares them, which gave all back; that look now comes before the process serves, so that a process that starts in an upgrade begins with its half. The conformance kit's time-out was shorter than a connect on a busy machine.

--- a/internal/diameter/node/peer.go
+++ b/internal/diameter/node/peer.go
@@ -379,29 +379,33 @@
 
 // Answer sends the answer, once; it goes back on the connection that the request came on, with its identifiers.
 func (r *Request) Answer(m diameter.Message) {
-	if r.leave() {
-		m.SetHopByHop(r.Header.HopByHop)
-		r.conn.send(&outgoing{b: m})
+	if r.over.Swap(true) {
+		return
 	}
+	m.SetHopByHop(r.Header.HopByHop)
+	r.conn.send(&outgoing{b: m})
+	// Danger: as soon as nothing is in hand a node that ends says goodbye, and an answer behind that is lost.
+	r.leave()
 }
 
 // Drop ends a request without an answer.
-func (r *Request) Drop() { r.leave() }
+func (r *Request) Drop() {
+	if !r.over.Swap(true) {
+		r.leave()
+	}
+}
 
 // Gone is closed when the connection that the request came on is.
 func (r *Request) Gone() <-chan struct{} { return r.conn.done }
 
-func (r *Request) leave() bool {
-	if r.over.Swap(true) {
-		return false
-	}
+// leave takes the request off the books.
+func (r *Request) leave() {
 	p := r.From
 	p.mu.Lock()
 	p.inHand--
 	p.mu.Unlock()
 	p.node.bytes.Add(-int64(len(r.Message)))
 	p.node.inHand.Done()
-	return true
 }
 
 // dial makes our connection.
--- a/internal/engine/enginetest/upstream.go
+++ b/internal/engine/enginetest/upstream.go
@@ -78,13 +78,13 @@
 	t.Run("a time-out is told from a cancel", func(t *testing.T) {
 		up, list := u.Start(t, Stalls)
 		up.Update(list)
-		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		if got, _ := u.once(t, ctx, up); got != decision.Timeout {
 			t.Errorf("time-out: %v", got)
 		}
 		ctx, cancel = context.WithCancel(context.Background())
-		time.AfterFunc(50*time.Millisecond, cancel)
+		time.AfterFunc(time.Second, cancel)
 		if got, _ := u.once(t, ctx, up); got != decision.Cancelled {
 			t.Errorf("cancel: %v", got)
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,8 +93,9 @@
 	clientPart   = 0.6 // of the others, for clients: one too few there loses a request, one to backends an attempt
 )
 
-// watchShare has the process keep to its part while it shares the proxy's limits, until ctx ends.
-func (p *Proxy) watchShare(ctx context.Context) {
+// watchShare has the process keep to its part while it shares the proxy's limits: from now on, and by what it gives until
+// ctx ends.
+func (p *Proxy) watchShare() (follow func(ctx context.Context)) {
 	shared := false
 	look := func(first bool) {
 		now := !p.store.Alone() || p.store.Succeeded()
@@ -113,14 +114,16 @@
 		}
 	}
 	look(true)
-	tick := time.NewTicker(followEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			look(false)
-		case <-ctx.Done():
-			return
+	return func(ctx context.Context) {
+		tick := time.NewTicker(followEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				look(false)
+			case <-ctx.Done():
+				return
+			}
 		}
 	}
 }
@@ -228,7 +231,8 @@
 	var running sync.WaitGroup
 	running.Go(func() { p.takeReloads(inner) })
 	running.Go(func() { p.conns.runLameDuck(inner) })
-	running.Go(func() { p.watchShare(inner) })
+	follow := p.watchShare()
+	running.Go(func() { follow(inner) })
 	running.Go(func() {
 		p.store.Follow(inner, followEvery, p.services.wake, func(err error) {
 			p.log.Error("what the other process has written can't be read", "err", err)
