Add a fabric of relays: every way between two processes can be broken on purpose

Need: the next issues are about many processes and faults between them; the laboratory could break processes, not ways.

Change: internal/lab/fabric leads links through loopback relays. By link and direction: delay, rate, silence, a cut after N bytes; refusal, reset, death of the target; partitions; rules overlap and end each for itself. The stand-in nodes use its deafness.

--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"lapisspread/internal/lab/fabric"
 	"lapisspread/internal/lab/world"
 )
 
@@ -27,8 +27,7 @@
 	addrs   []*net.TCPAddr // by proxy; their ports stay
 	listens []*net.TCPListener
 	conns   map[*nodeConn]bool
-	fillers []net.Conn
-	cut     chan struct{} // while it is cut off: closes when that ends; else nil
+	deaf    *fabric.Deaf // while it is cut off; else nil
 }
 
 type nodeConn struct {
@@ -83,10 +82,9 @@
 		}
 		conn := &nodeConn{c, n, proxy}
 		n.mu.Lock()
-		if cut := n.cut; cut != nil { // the last one that the kernel let in; no more is taken, so that the queue fills
-			n.fillers = append(n.fillers, c)
+		if deaf := n.deaf; deaf != nil {
 			n.mu.Unlock()
-			<-cut
+			deaf.Hold(c)
 			continue
 		}
 		n.conns[conn] = true
@@ -103,15 +101,15 @@
 		l.Close()
 	}
 	n.listens = nil
-	n.passAgain()
+	n.hearAgain()
 	n.reset()
 }
 
-// passAgain ends a cut-off for the accepting goroutines. n.mu is held.
-func (n *node) passAgain() {
-	if n.cut != nil {
-		close(n.cut)
-		n.cut = nil
+// hearAgain ends a cut-off. n.mu is held.
+func (n *node) hearAgain() {
+	if n.deaf != nil {
+		n.deaf.End()
+		n.deaf = nil
 	}
 }
 
@@ -124,60 +122,16 @@
 		c.SetLinger(0)
 		c.Close()
 	}
-	n.dropFillers()
-}
-
-func (n *node) dropFillers() {
-	for _, c := range n.fillers {
-		c.Close()
-	}
-	n.fillers = nil
 }
 
 func (n *node) close() { n.kill() }
 
-// cutOff makes the node silent: what is open says nothing more, what is new never comes up. A listener whose
-// queue holds one connection and is full answers no further SYN.
+// cutOff makes the node silent: what is open says nothing more, what is new never comes up.
 func (n *node) cutOff() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cut != nil {
-		return
-	}
-	n.cut = make(chan struct{})
-	for i, l := range n.listens {
-		setBacklog(l, 0)
-		addr := n.addrs[i].String()
-		n.r.running.Go(func() { n.fill(addr) })
-	}
-}
-
-// Filling a queue: one after the other, for of several at once the kernel lets the first alone in, and tells the
-// others' ends so only later.
-const (
-	fillTries = 5
-	fillWait  = 20 * time.Millisecond
-	fillRest  = 3 * time.Millisecond
-)
-
-// fill connects to a node that is cut off until nothing comes up any more.
-func (n *node) fill(addr string) {
-	d := net.Dialer{Timeout: fillWait}
-	for range fillTries {
-		c, err := d.DialContext(context.Background(), "tcp4", addr)
-		n.mu.Lock()
-		if err == nil {
-			n.fillers = append(n.fillers, c)
-		}
-		over := n.cut == nil
-		if over {
-			n.dropFillers()
-		}
-		n.mu.Unlock()
-		if over {
-			return
-		}
-		time.Sleep(fillRest)
+	if n.deaf == nil {
+		n.deaf = fabric.Deafen(n.listens...)
 	}
 }
 
@@ -185,22 +139,10 @@
 func (n *node) reconnect() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.passAgain()
-	for _, l := range n.listens {
-		setBacklog(l, 512)
-	}
+	n.hearAgain()
 	n.reset()
 }
 
-// setBacklog changes how many connections may wait for accept.
-func setBacklog(l *net.TCPListener, size int) {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), size) })
-}
-
 // incoming is a request as it came from a proxy.
 type incoming struct {
 	method, path string
