Let experiments break links, the register, processors and state folders

Need: the comeback of a fleet depends on what lies between processes; faults so far struck nodes and proxies alone.

Change: kinds link, stop-proxy, register-busy, register-lost, state; kill-proxy strikes all of its share at once unless every is given, and takes the time away from for. On sockets every way runs through the fabric as soon as an experiment has a fault on a link. The ledger counts worth by tenths of a second, and probes, connections and calls of the register by second.

--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -91,6 +91,10 @@
 	Zone  string  `toml:"zone"`
 	Every Span    `toml:"every"`
 	Model string  `toml:"model"` // only nodes of this model
+	From  string  `toml:"from"`
+	To    string  `toml:"to"`
+	Way   string  `toml:"way"`
+	Do    string  `toml:"do"`
 }
 
 // Class is a kind of request. Work and wait are means in milliseconds.
@@ -388,7 +392,8 @@
 	}
 	for _, t := range f.Faults {
 		s.Faults = append(s.Faults, world.Fault{Kind: t.Kind, At: time.Duration(t.At), For: time.Duration(t.For), Share: t.Share, Size: t.Size,
-			Class: t.Class, Extra: t.Extra, Zone: t.Zone, Every: time.Duration(t.Every), Model: t.Model})
+			Class: t.Class, Extra: t.Extra, Zone: t.Zone, Every: time.Duration(t.Every), Model: t.Model,
+			From: t.From, To: t.To, Way: t.Way, Do: t.Do})
 	}
 	return s
 }
--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -97,6 +97,7 @@
 	entries  []entry
 	now      time.Duration
 	told     [][]telling // by proxy, by node
+	stopped  []bool      // by proxy
 	breaches []Breach
 	counts   map[Rule]int
 	unjudged int
@@ -107,6 +108,7 @@
 	classes         []Tally
 	tenants         []Tally
 	windows         []window // of a second each
+	tenths          []float64
 	latency         []*hdrhistogram.Histogram
 	sent            []sent // by class
 	lateFail        float64
@@ -156,9 +158,10 @@
 }
 
 type window struct {
-	asked, served  float64
-	ok, ref, fail  int
-	attempts, runs int
+	asked, served          float64
+	ok, ref, fail          int
+	attempts, runs         int
+	probes, opened, called int
 }
 
 // New makes a ledger.
@@ -180,6 +183,7 @@
 	for range set.Classes {
 		l.latency = append(l.latency, hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3))
 	}
+	l.stopped = make([]bool, set.Proxies)
 	for range set.Proxies {
 		l.told = append(l.told, make([]telling, set.Nodes))
 	}
@@ -221,7 +225,11 @@
 	if n := len(l.free); n > 0 {
 		room, l.free = l.free[n-1], l.free[:n-1]
 	}
-	l.entries = append(l.entries, entry{Try: t, attempts: room[:0]})
+	away := l.stopped[t.Proxy]
+	if away {
+		l.excused++
+	}
+	l.entries = append(l.entries, entry{Try: t, attempts: room[:0], closed: away})
 	l.peak = max(l.peak, len(l.entries))
 	return l.base + uint64(len(l.entries)) - 1
 }
@@ -389,6 +397,10 @@
 		}
 		l.served += value
 		w.served += value
+		for i := int(max(0, a.First) / Slice); len(l.tenths) <= i; {
+			l.tenths = append(l.tenths, 0)
+		}
+		l.tenths[max(0, a.First)/Slice] += value
 		w.ok++
 		l.ok++
 		l.classes[a.Class].Served += value
@@ -452,6 +464,13 @@
 	}
 }
 
+// ProxyStopped notes that a proxy has no processor, or has one again: what it holds and what comes to it meanwhile is lost
+// through no fault of its own. What it does after that is judged as ever.
+func (l *Ledger) ProxyStopped(proxy int, stopped bool) {
+	l.stopped[proxy] = stopped
+	l.ProxyDied(proxy)
+}
+
 // Excuse closes one account because the machine, not the proxy, lost it.
 func (l *Ledger) Excuse(id uint64) {
 	if e := l.entry(id); e != nil && !e.closed {
@@ -473,9 +492,22 @@
 		Evidence: l.story(e, fmt.Sprintf("ended at %v: %s", at, why))}, at, id, e)
 }
 
-// Probed counts probes, Crossed attempts that cross zones, Wasted work that served nobody.
-func (l *Ledger) Probed(n int)      { l.probes += n }
-func (l *Ledger) Crossed()          { l.crossing++ }
+// Probed counts probes.
+func (l *Ledger) Probed(at time.Duration, n int) {
+	l.probes += n
+	l.second(at).probes += n
+}
+
+// Opened counts a connection that a node has taken.
+func (l *Ledger) Opened(at time.Duration) { l.second(at).opened++ }
+
+// Called counts a call that the register has got.
+func (l *Ledger) Called(at time.Duration) { l.second(at).called++ }
+
+// Crossed counts an attempt that crosses zones.
+func (l *Ledger) Crossed() { l.crossing++ }
+
+// Wasted counts work that served nobody.
 func (l *Ledger) Wasted(ms float64) { l.workWasted += ms }
 
 // coldShare is the part of the work that must have come from proxies told of a start, for its fall to be theirs.
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"lapisspread/internal/lab/judge"
 	"lapisspread/internal/lab/world"
 )
 
@@ -90,6 +91,50 @@
 	}
 }
 
+// Links, the register, processors and state folders fail: all is told to the world, and what has no part in it serves on.
+func TestFaultsBetweenProcesses(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+	s := small()
+	s.Duration = 9 * time.Second
+	s.Faults = []world.Fault{
+		{Kind: world.Link, At: second(0.5), For: second(1), From: "proxy-*", To: "register", Do: "silence"},
+		{Kind: world.Link, At: second(0.5), For: second(2), To: "node-1", Do: "delay", Size: 20, Way: "back"},
+		{Kind: world.Link, At: second(1), From: "proxy-1", Do: "reset"},
+		{Kind: world.CutOff, At: second(1), For: second(1.5), Share: 0.25},
+		{Kind: world.RegisterBusy, At: second(2), For: second(2), Size: 1, Extra: 0.3},
+		{Kind: world.StopProxy, At: second(2.5), For: second(1), Share: 0.5},
+		{Kind: world.RegisterLost, At: second(4), For: second(1), Share: 0.5},
+		{Kind: world.StateFolder, At: second(4.5), Do: "flip"},
+		{Kind: world.KillProxy, At: second(5), Share: 1, For: second(0.5)},
+		{Kind: world.RestartStorm, At: second(6.5), Share: 0.25},
+	}
+	res, err := Play(context.Background(), &s, Options{Binary: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := res.Verdict
+	if v.ByRule[judge.Duplicate] > 0 || res.Late == "" && v.RulesBroken > 0 {
+		t.Errorf("%d breaches, first %+v", v.RulesBroken, v.Breaches[0])
+	}
+	if len(res.Problems) > 0 {
+		t.Errorf("problems: %v", res.Problems)
+	}
+	called, opened := 0, 0
+	for _, sec := range v.Seconds {
+		called, opened = called+sec.Called, opened+sec.Opened
+	}
+	if v.OK < v.FirstTries/3 || v.Excused == 0 || called == 0 || opened == 0 {
+		t.Errorf("%d of %d served, %d excused, %d calls, %d connections", v.OK, v.FirstTries, v.Excused, called, opened)
+	}
+	if left := children(t, path); left != "" {
+		t.Errorf("left behind: %s", left)
+	}
+}
+
 // A proxy that dies at its start: its last lines are in the error, and nothing is left.
 func TestAChildThatDiesAtItsStart(t *testing.T) {
 	s := small()
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -28,6 +28,7 @@
 	listens []*net.TCPListener
 	conns   map[*nodeConn]bool
 	deaf    *fabric.Deaf // while it is cut off; else nil
+	uncut   func()       // what ends the silence of its links then; nil is none
 }
 
 type nodeConn struct {
@@ -61,7 +62,7 @@
 		n.listens = append(n.listens, l)
 		n.r.running.Go(func() { n.accept(l, p) })
 	}
-	return nil
+	return n.r.paths.nodeDown(n.no, false)
 }
 
 func (n *node) addr(proxy int) string {
@@ -103,12 +104,14 @@
 	n.listens = nil
 	n.hearAgain()
 	n.reset()
+	n.r.paths.nodeDown(n.no, true)
 }
 
 // hearAgain ends a cut-off. n.mu is held.
 func (n *node) hearAgain() {
 	if n.deaf != nil {
 		n.deaf.End()
+		n.uncut()
 		n.deaf = nil
 	}
 }
@@ -131,7 +134,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.deaf == nil {
-		n.deaf = fabric.Deafen(n.listens...)
+		n.deaf, n.uncut = fabric.Deafen(n.listens...), n.r.paths.silence(n.no)
 	}
 }
 
@@ -172,6 +175,7 @@
 	now := r.now()
 	r.advance(now)
 	n.w.Conns++
+	r.ledger.Opened(now)
 	cell.Offer(now, n.w, &world.Job{Kind: world.Shaking, Work: n.w.Shake, Proxy: int32(c.proxy), Told: n.told(c.proxy)})
 	r.mu.Unlock()
 	r.kick()
@@ -244,7 +248,7 @@
 	switch {
 	case q.path == "/ping":
 		job.Kind, job.Work = world.Probing, r.spec.Probe.Draw(r.rng)
-		r.ledger.Probed(1)
+		r.ledger.Probed(now, 1)
 	case strings.HasPrefix(q.path, "/_"):
 		r.mu.Unlock()
 		return c.write("404 Not Found", "", "")
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -43,6 +43,7 @@
 	Clients  string        // where requests come from: see experiment.World
 	Crowd    int           // clients that have connections of their own; 500 if 0
 	Flood    *Flood        // nil is none
+	Fabric   bool          // lead all ways between processes through relays, also where no fault is on them
 
 	Sample func(Sample) // told once a second; may be nil
 
@@ -144,6 +145,8 @@
 	nodes   []*node
 	agents  []*agent
 	proxies []*child
+	paths   *paths // nil where processes meet directly
+	calls   calls  // of the register
 	wake    chan struct{}
 	running sync.WaitGroup
 	tmp     string
@@ -218,6 +221,7 @@
 	defer func() { // in this order: children, then sockets, then goroutines
 		r.endProxies()
 		cancel()
+		r.paths.close()
 		for _, n := range r.nodes {
 			n.close()
 		}
@@ -263,6 +267,9 @@
 	}
 	for _, c := range r.proxies {
 		c.count(&c.usage.FilesBefore, &c.usage.GoroutinesBefore)
+		if err := c.keepOlder(); err != nil {
+			return res, fmt.Errorf("proxy %d: its state folder: %w", c.no, err)
+		}
 	}
 	front.load(ctx)
 	if ctx.Err() == nil && len(opts.Services) > 0 {
@@ -317,6 +324,12 @@
 			r.nodes[no].fall()
 		}
 	}
+	if r.opts.Fabric || slices.ContainsFunc(r.spec.Faults, func(f world.Fault) bool { return f.Kind == world.Link }) {
+		var err error
+		if r.paths, err = newPaths(r); err != nil {
+			return err
+		}
+	}
 	for p := range r.spec.Proxies {
 		a, err := newAgent(r, p)
 		if err != nil {
@@ -425,7 +438,31 @@
 	case world.OpKillProxy:
 		r.ledger.ProxyDied(s.Node)
 		r.ledger.Forget(s.Node)
-		r.running.Go(func() { r.proxies[s.Node].killAndRestart() })
+		away := proxyAway
+		if s.Extra > 0 {
+			away = time.Duration(s.Extra * float64(time.Second))
+		}
+		r.running.Go(func() { r.proxies[s.Node].killAndRestart(away) })
+	case world.OpStopProxy:
+		r.ledger.ProxyStopped(s.Node, true)
+		r.proxies[s.Node].signal(syscall.SIGSTOP)
+	case world.OpGoOnProxy:
+		r.ledger.ProxyStopped(s.Node, false)
+		r.proxies[s.Node].signal(syscall.SIGCONT)
+	case world.OpLink:
+		if err := r.paths.apply(s, r.spec.Faults[s.Node]); err != nil {
+			r.problem("fault %d: %v", s.Node, err)
+		}
+	case world.OpRegisterBusy:
+		r.calls.limit(now, s)
+	case world.OpRegisterLost:
+		for _, a := range r.agents {
+			a.lose(s.Flag, s.Size)
+		}
+	case world.OpState:
+		if err := r.proxies[s.Node].spoil(s.Do); err != nil {
+			r.problem("proxy %d: its state folder: %v", s.Node, err)
+		}
 	case world.OpUpgradeProxy:
 		r.running.Go(func() { r.proxies[s.Node].upgrade() })
 	default:
--- a/internal/lab/sim/proxy.go
+++ b/internal/lab/sim/proxy.go
@@ -14,13 +14,14 @@
 // proxy is one proxy: its policy, its requests and its connections. In its half of a step it touches nothing of
 // any other, and of nodes only what does not change in that half.
 type proxy struct {
-	no     int
-	zone   int
-	r      *Run
-	policy rival.Policy
-	rng    *rand.Rand
-	now    time.Duration
-	dead   bool
+	no      int
+	zone    int
+	r       *Run
+	policy  rival.Policy
+	rng     *rand.Rand
+	now     time.Duration
+	dead    bool
+	stopped bool
 
 	requests map[decision.RequestID]*request
 	lastID   decision.RequestID
@@ -201,6 +202,7 @@
 	enCrossed
 	enWasted
 	enFell
+	enOpened
 )
 
 // active tells whether a step has anything to do for the proxy.
@@ -431,6 +433,7 @@
 		c.idle--
 	} else {
 		a.fresh = true
+		p.entries = append(p.entries, entry{kind: enOpened, at: p.now})
 		at += time.Duration(2 * n.Rtts * float64(at-p.now))
 		p.plan(due{at: p.now + p.r.spec.Conns.ConnectTimeout, kind: dueConnect, try: a})
 	}
