Add lapislab comeback: how long full service takes to return, beside a twin run

Need: the comeback issue wants a measure: time to full service from the strike and from the last start, worth lost, peaks over the steady mean, decisions on what was told to be old.

Ready experiments comeback and comeback-most.

--- a/cmd/lapislab/main_test.go
+++ b/cmd/lapislab/main_test.go
@@ -42,6 +42,8 @@
 		{"flood calm", "", "it has no flood", 1},
 		{"flood-client --targets 192.0.2.7:80", "", "loopback", 1},
 		{"overload calm", "", "it has no sweep", 1},
+		{"comeback calm", "", "it has no fault to come back from", 1},
+		{"comeback --seeds ten", "", `"ten"`, 2},
 		{"run --policy best", "", `no policy "best"`, 1},
 		{"run --proxy /nowhere/lapisspread --duration 1s", "", "/nowhere/lapisspread", 1},
 		{"simulate calm --policy drops --duration 30s --quiet", `"rules_broken"`, "no final answer", 1},
