Add a kit for tests that start processes and break what lies between; 15 comebacks on it

Need: each piece of the coming issues is shown by tests that start several processes and put faults between them.

Change: live.Play takes a script that plays faults by what it sees (kill, stop, start, links, register, state folders) and waits for what must come at last; internal/lab/kit asserts for every scenario what must never happen: no rule broken, no process that ends by itself. TestTheFleetComesBack plays 15 of the comeback issue's cases.

--- /dev/null
+++ b/internal/lab/kit/comeback_test.go
@@ -0,0 +1,176 @@
+package kit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"lapisspread/internal/lab/built"
+	"lapisspread/internal/lab/fabric"
+	"lapisspread/internal/lab/live"
+	"lapisspread/internal/lab/world"
+)
+
+func TestMain(m *testing.M) { built.Main(m) }
+
+// enough is how many requests show that a proxy serves.
+const enough = 15
+
+// again waits until all proxies serve.
+func again(f *live.Fleet) error { return f.Service(enough, f.All()...) }
+
+// during has a rule hold while something is done.
+func during(f *live.Fleet, r fabric.Rule, do func() error) error {
+	links, err := f.Fabric()
+	if err != nil {
+		return err
+	}
+	end, err := links.Apply(r)
+	if err != nil {
+		return err
+	}
+	return errors.Join(do(), end())
+}
+
+// restart kills proxies and starts them again.
+func restart(f *live.Fleet, proxies ...int) {
+	f.Kill(proxies...)
+	f.Start(proxies...)
+}
+
+// The fleet comes back from each of these, by itself, with no rule broken on the way.
+func TestTheFleetComesBack(t *testing.T) {
+	silent := fabric.Trouble{Silent: true}
+	Run(t, []Scenario{
+		{Name: "all are killed", Play: func(f *live.Fleet) error {
+			restart(f, f.All()...)
+			return again(f)
+		}},
+		{Name: "most are killed while the register is overbooked", Proxies: 5, Play: func(f *live.Fleet) error {
+			f.Do(world.Step{Op: world.OpRegisterBusy, Size: 1, Extra: 0.2, Flag: true})
+			restart(f, 0, 1, 2, 3)
+			if err := again(f); err != nil {
+				return err
+			}
+			f.Do(world.Step{Op: world.OpRegisterBusy})
+			return again(f)
+		}},
+		{Name: "killed again while coming back, three times", Play: func(f *live.Fleet) error {
+			for range 3 {
+				restart(f, f.All()...)
+			}
+			return again(f)
+		}},
+		{Name: "one crashes again and again", Play: func(f *live.Fleet) error {
+			for range 4 {
+				restart(f, 1)
+				if err := f.Service(3, 0, 2); err != nil { // the others go on
+					return err
+				}
+			}
+			return again(f)
+		}},
+		{Name: "half return with a list of long ago", Proxies: 4, Play: func(f *live.Fleet) error {
+			f.Remember()
+			f.Nodes(world.OpDrain, 0, 1)
+			if err := f.Service(enough, 0, 1, 2, 3); err != nil {
+				return err
+			}
+			restart(f, 0, 1)
+			return again(f)
+		}},
+		{Name: "the register loses its store as all restart", Play: func(f *live.Fleet) error {
+			f.Kill(f.All()...)
+			f.Lose(1, f.All()...) // whole, under lower numbers
+			f.Start(f.All()...)
+			if err := again(f); err != nil {
+				return err
+			}
+			f.Found(f.All()...)
+			return again(f)
+		}},
+		{Name: "the register comes back with a part of its list", Play: func(f *live.Fleet) error {
+			f.Lose(0.5, f.All()...)
+			if err := again(f); err != nil {
+				return err
+			}
+			f.Found(f.All()...)
+			return again(f)
+		}},
+		{Name: "the register tells two proxies different lists", Play: func(f *live.Fleet) error {
+			f.Lose(0.5, 1)
+			if err := again(f); err != nil {
+				return err
+			}
+			restart(f, f.All()...)
+			if err := again(f); err != nil {
+				return err
+			}
+			f.Found(1)
+			return again(f)
+		}},
+		{Name: "a proxy is stopped and wakes with requests in hand", Play: func(f *live.Fleet) error {
+			f.Stop(1)
+			f.Nodes(world.OpDrain, 0)
+			if err := f.Service(4*enough, 0, 2); err != nil {
+				return err
+			}
+			f.GoOn(1)
+			return again(f)
+		}},
+		{Name: "state folders are gone, spoilt and old", Play: func(f *live.Fleet) error {
+			for _, do := range world.StateTroubles {
+				f.Kill(f.All()...)
+				f.Spoil(do, f.All()...)
+				f.Start(f.All()...)
+				if err := again(f); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{Name: "nodes and proxies restart in one moment, all cold", Rate: 30, Play: func(f *live.Fleet) error {
+			nodes := []int{0, 1, 2, 3, 4, 5}
+			f.Kill(f.All()...)
+			f.Nodes(world.OpKill, nodes...)
+			f.Nodes(world.OpStart, nodes...)
+			if err := f.Told(nodes...); err != nil {
+				return err
+			}
+			f.Start(f.All()...)
+			return again(f)
+		}},
+		{Name: "cut off from the register as they start, with a list of long ago", Fabric: true, Play: func(f *live.Fleet) error {
+			f.Remember()
+			f.Nodes(world.OpDrain, 0)
+			if err := f.Service(enough, f.All()...); err != nil {
+				return err
+			}
+			return errors.Join(during(f, fabric.Rule{To: "register", Trouble: silent}, func() error {
+				restart(f, f.All()...)
+				return again(f)
+			}), again(f))
+		}},
+		{Name: "cut off from the register for a while, one way", Fabric: true, Play: func(f *live.Fleet) error {
+			return errors.Join(during(f, fabric.Rule{To: "register", Way: fabric.Back, Trouble: silent}, func() error { return again(f) }), again(f))
+		}},
+		{Name: "a black-holed link heals as the herd returns", Fabric: true, Play: func(f *live.Fleet) error {
+			err := during(f, fabric.Rule{From: "proxy-0,proxy-1", To: "node-0,node-1", Trouble: silent}, func() error {
+				if err := again(f); err != nil {
+					return err
+				}
+				f.Kill(f.All()...)
+				return nil
+			})
+			f.Start(f.All()...)
+			return errors.Join(err, again(f))
+		}},
+		{Name: "links are slow, narrow and cut while one restarts", Fabric: true, Play: func(f *live.Fleet) error {
+			slow := fabric.Rule{To: "node-*", Trouble: fabric.Trouble{Delay: 5 * time.Millisecond, Rate: 64 << 10}}
+			cut := fabric.Rule{From: "proxy-2", To: "node-3", Way: fabric.Back, Trouble: fabric.Trouble{Cut: 300}}
+			return errors.Join(during(f, slow, func() error {
+				return during(f, cut, func() error { restart(f, 1); return again(f) })
+			}), again(f))
+		}},
+	})
+}
--- /dev/null
+++ b/internal/lab/kit/kit.go
@@ -0,0 +1,78 @@
+// Package kit is for tests that start several processes of the program and put faults between them. A scenario is a small
+// world and a script; what must never happen is asserted for all of them, what must come at last is the script's to await.
+package kit
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisspread/internal/lab/built"
+	"lapisspread/internal/lab/judge"
+	"lapisspread/internal/lab/live"
+	"lapisspread/internal/lab/world"
+)
+
+// Scenario is one test.
+type Scenario struct {
+	Name    string
+	Proxies int     // 3 if left out
+	Nodes   int     // 6 if left out
+	Rate    float64 // first tries a second; 60 if left out
+	Fabric  bool    // all ways lead through relays
+	Change  func(*world.Spec)
+	Play    func(f *live.Fleet) error
+}
+
+// longest bounds a scenario; a script ends its run long before.
+const longest = 5 * time.Minute
+
+// Run plays scenarios side by side. None may break a rule, leave a process to die by itself, or serve what no node made. The
+// rules that hang on time are not asserted where this machine was seen to wake too late for them.
+func Run(t *testing.T, scenarios []Scenario) {
+	binary := built.Proxy(t)
+	for i, s := range scenarios {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			spec := world.Default()
+			spec.Seed, spec.Duration, spec.Proxies, spec.Nodes, spec.Load.Rate = uint64(i+1), longest, 3, 6, 60
+			if s.Proxies > 0 {
+				spec.Proxies = s.Proxies
+			}
+			if s.Nodes > 0 {
+				spec.Nodes = s.Nodes
+			}
+			if s.Rate > 0 {
+				spec.Load.Rate = s.Rate
+			}
+			if s.Change != nil {
+				s.Change(&spec)
+			}
+			res, err := live.Play(t.Context(), &spec, live.Options{Binary: binary, Fabric: s.Fabric, Script: s.Play})
+			if err != nil {
+				t.Fatal(err)
+			}
+			v := res.Verdict
+			t.Logf("%d of %d served, %d refused, %d failed, %d excused; rules broken %v; late: %q", v.OK, v.FirstTries, v.Refused, v.Failed, v.Excused, v.ByRule, res.Late)
+			for _, c := range complaints(&res) {
+				t.Error(c)
+			}
+		})
+	}
+}
+
+// complaints are what must never happen and has.
+func complaints(res *live.Result) []string {
+	out := slices.Clone(res.Problems)
+	for _, b := range res.Verdict.Breaches {
+		if res.Late == "" || b.Rule == judge.Duplicate {
+			out = append(out, fmt.Sprintf("%s: %s\n%s", b.Rule, b.What, strings.Join(b.Evidence, "\n")))
+		}
+	}
+	if res.Verdict.OK == 0 {
+		out = append(out, "nothing was served")
+	}
+	return out
+}
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -131,6 +131,9 @@
 func (c *child) config() (string, error) {
 	r := c.r
 	known, _ := r.agents[c.no].catalog(0, true)
+	if old := r.remembered.Load(); old != nil {
+		known = (*old)[c.no]
+	}
 	v := map[string]any{"name": fmt.Sprintf("n%d", c.no), "listen": c.listen, "discovery": r.registerAddr(c.no),
 		"seed":   fmt.Sprintf("%x", r.spec.Seed*1000003+uint64(c.no)<<8+uint64(c.deads)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": r.opts.MemoryMB, "sockets": r.opts.Sockets},
@@ -377,6 +380,13 @@
 
 // killAndRestart is SIGKILL and a new process after a while.
 func (c *child) killAndRestart(away time.Duration) {
+	c.kill()
+	time.Sleep(away)
+	c.startAgain()
+}
+
+// kill is SIGKILL. It returns once the process has ended.
+func (c *child) kill() {
 	c.mu.Lock()
 	c.deads++
 	p := c.procs[len(c.procs)-1]
@@ -387,7 +397,10 @@
 	c.r.mu.Lock()
 	c.r.ledger.ProxyDied(c.no) // what came while it died
 	c.r.mu.Unlock()
-	time.Sleep(away)
+}
+
+// startAgain puts a new process in the place of one that was killed, and waits until it serves.
+func (c *child) startAgain() {
 	next, err := c.start()
 	if err != nil {
 		if !c.isOver() {
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -29,6 +29,7 @@
 
 	mu      sync.Mutex
 	up      []bool // by proxy: its health said yes
+	served  []atomic.Int64
 	turn    int
 	idle    [][]*clientConn // by proxy
 	crowd   [][]*clientConn // by proxy and client, where each has a connection of its own; nil where it has none
@@ -49,7 +50,7 @@
 }
 
 func newFront(r *Run) *front {
-	f := &front{r: r, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), up: make([]bool, r.spec.Proxies),
+	f := &front{r: r, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), up: make([]bool, r.spec.Proxies), served: make([]atomic.Int64, r.spec.Proxies),
 		idle: make([][]*clientConn, r.spec.Proxies), retried: make(chan struct{}, 1)}
 	if r.opts.Clients == "own" || r.opts.Clients == "shared" {
 		for range r.spec.Proxies {
@@ -361,7 +362,7 @@
 		status, body, header, err := c.ask(text)
 		now = r.now()
 		if err == nil {
-			f.answered(account, a, now, status, body, header, gaveUp.Load())
+			f.answered(account, proxy, a, now, status, body, header, gaveUp.Load())
 			c.used = true
 			open := header.Get("Connection") != "close"
 			if !open {
@@ -410,7 +411,7 @@
 	f.r.ledger.Broke(at, account, err.Error())
 }
 
-func (f *front) answered(account uint64, a world.Arrival, at time.Duration, status int, body []byte, header http.Header, gaveUp bool) {
+func (f *front) answered(account uint64, proxy int, a world.Arrival, at time.Duration, status int, body []byte, header http.Header, gaveUp bool) {
 	end := world.Errored
 	var retryAfter time.Duration
 	switch status {
@@ -425,6 +426,9 @@
 	f.r.mu.Lock()
 	f.r.ledger.Answered(at, account, end, end == world.Served && f.r.genuine(account, body))
 	f.r.mu.Unlock()
+	if end == world.Served {
+		f.served[proxy].Add(1)
+	}
 	if !gaveUp {
 		f.again(a, end, retryAfter)
 	}
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -10,35 +10,15 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"lapisspread/internal/lab/built"
 	"lapisspread/internal/lab/judge"
 	"lapisspread/internal/lab/world"
 )
 
-// program builds the proxy once for all tests of the package.
-var program = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "live-test-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(dir, "lapisspread")
-	cmd := exec.Command("go", "build", "-o", path, "lapisspread/cmd/lapisspread")
-	if text, err := cmd.CombinedOutput(); err != nil {
-		return "", &exec.Error{Name: string(text), Err: err}
-	}
-	return path, nil
-})
-
-func TestMain(m *testing.M) {
-	code := m.Run()
-	if path, err := program(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { built.Main(m) }
 
 func small() world.Spec {
 	s := world.Default()
@@ -56,10 +36,7 @@
 // A whole run around real proxies with every kind of trouble that a socket can show: nodes that die, drain, hang and
 // are cut off, a proxy that is killed and one that is upgraded.
 func TestARunAroundRealProxies(t *testing.T) {
-	path, err := program()
-	if err != nil {
-		t.Fatal(err)
-	}
+	path := built.Proxy(t)
 	s := small()
 	s.Duration = 8 * time.Second
 	s.Faults = []world.Fault{
@@ -93,10 +70,7 @@
 
 // Links, the register, processors and state folders fail: all is told to the world, and what has no part in it serves on.
 func TestFaultsBetweenProcesses(t *testing.T) {
-	path, err := program()
-	if err != nil {
-		t.Fatal(err)
-	}
+	path := built.Proxy(t)
 	second := func(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
 	s := small()
 	s.Duration = 9 * time.Second
@@ -153,10 +127,7 @@
 
 // A proxy that ends by itself in the midst is a problem with its last lines, and the run goes on to its end.
 func TestAProxyThatEndsByItself(t *testing.T) {
-	path, err := program()
-	if err != nil {
-		t.Fatal(err)
-	}
+	path := built.Proxy(t)
 	s := small()
 	s.Duration = 3 * time.Second
 	script := filepath.Join(t.TempDir(), "ends")
@@ -178,10 +149,7 @@
 
 // Ctrl-C in the midst: what was seen is judged, and nothing is left.
 func TestBrokenOff(t *testing.T) {
-	path, err := program()
-	if err != nil {
-		t.Fatal(err)
-	}
+	path := built.Proxy(t)
 	s := small()
 	s.Duration = time.Minute
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/lab/live/paths.go
+++ b/internal/lab/live/paths.go
@@ -20,19 +20,13 @@
 	ends     map[int]func() error
 }
 
-// newPaths lays a link from each proxy to each node and to the register.
+// newPaths lays a link from each proxy to each node.
 func newPaths(r *Run) (*paths, error) {
 	p := &paths{fabric: fabric.New(), ends: map[int]func() error{}}
 	for no := range r.spec.Proxies {
-		from := fmt.Sprintf("proxy-%d", no)
-		register, err := p.fabric.Link(from, "register", net.IPv4(127, 0, 0, 1), func() string { return r.agents[no].at() })
-		if err != nil {
-			return nil, err
-		}
-		p.register = append(p.register, register)
 		var links []*fabric.Link
 		for i, n := range r.nodes {
-			l, err := p.fabric.Link(from, fmt.Sprintf("node-%d", i), nodeAddr(no, i), func() string { return n.addr(no) })
+			l, err := p.fabric.Link(fmt.Sprintf("proxy-%d", no), fmt.Sprintf("node-%d", i), nodeAddr(no, i), func() string { return n.addr(no) })
 			if err != nil {
 				return nil, err
 			}
@@ -43,6 +37,16 @@
 	return p, nil
 }
 
+// toRegister lays a link from a proxy to the register's agent.
+func (p *paths) toRegister(a *agent) error {
+	if p == nil {
+		return nil
+	}
+	l, err := p.fabric.Link(fmt.Sprintf("proxy-%d", a.proxy), "register", net.IPv4(127, 0, 0, 1), a.at)
+	p.register = append(p.register, l)
+	return err
+}
+
 func (p *paths) close() {
 	if p != nil {
 		p.fabric.Close()
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -47,6 +47,10 @@
 
 	Sample func(Sample) // told once a second; may be nil
 
+	// Script plays faults by what it sees, in place of a time line or beside one. The load ends with it, at the latest with the
+	// run's duration; its error is Play's.
+	Script func(*Fleet) error
+
 	// Admission is the text of a file by which the proxies admit connections; empty is none.
 	Admission string
 
@@ -142,6 +146,8 @@
 	worst    time.Duration
 	last     judge.Verdict
 
+	remembered atomic.Pointer[[]catalog] // the lists that proxies start with, by proxy; nil is the newest
+
 	nodes   []*node
 	agents  []*agent
 	proxies []*child
@@ -271,7 +277,9 @@
 			return res, fmt.Errorf("proxy %d: its state folder: %w", c.no, err)
 		}
 	}
-	front.load(ctx)
+	if err := r.playScript(ctx, front); err != nil {
+		return res, err
+	}
 	if ctx.Err() == nil && len(opts.Services) > 0 {
 		time.Sleep(settle)
 	}
@@ -336,6 +344,9 @@
 			return err
 		}
 		r.agents = append(r.agents, a)
+		if err := r.paths.toRegister(a); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/lab/live/script.go
@@ -0,0 +1,190 @@
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"lapisspread/internal/lab/fabric"
+	"lapisspread/internal/lab/world"
+)
+
+// Fleet is a run as a script sees it.
+type Fleet struct {
+	r     *Run
+	front *front
+	ctx   context.Context
+}
+
+// Patience is how long a script waits for what must come at last. It says nothing of how long that should take.
+const Patience = 60 * time.Second
+
+// playScript sends the load, and plays the script beside it if there is one.
+func (r *Run) playScript(ctx context.Context, f *front) error {
+	if r.opts.Script == nil {
+		f.load(ctx)
+		return nil
+	}
+	loaded, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan error, 1)
+	go func() {
+		defer stop()
+		ended <- r.opts.Script(&Fleet{r: r, front: f, ctx: loaded})
+	}()
+	f.load(loaded)
+	stop()
+	return <-ended
+}
+
+// Await waits until something has come about.
+func (f *Fleet) Await(what string, is func() bool) error {
+	for until := time.Now().Add(Patience); !is(); {
+		select {
+		case <-f.ctx.Done():
+			return fmt.Errorf("the run ended before this: %s", what)
+		case <-time.After(5 * time.Millisecond):
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("not within %v: %s", Patience, what)
+		}
+	}
+	return nil
+}
+
+// Service waits until each of these proxies has served so many requests more.
+func (f *Fleet) Service(n int64, proxies ...int) error {
+	for _, no := range proxies {
+		from := f.front.served[no].Load()
+		if err := f.Await(fmt.Sprintf("proxy %d serves %d more", no, n), func() bool { return f.front.served[no].Load() >= from+n }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// All are the numbers of all proxies.
+func (f *Fleet) All() []int {
+	all := make([]int, f.r.spec.Proxies)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// Kill ends the processes of proxies by SIGKILL, all in one moment.
+func (f *Fleet) Kill(proxies ...int) {
+	f.r.mu.Lock()
+	for _, no := range proxies {
+		f.r.ledger.ProxyDied(no)
+		f.r.ledger.Forget(no)
+	}
+	f.r.mu.Unlock()
+	var all sync.WaitGroup
+	for _, no := range proxies {
+		all.Go(f.r.proxies[no].kill)
+	}
+	all.Wait()
+}
+
+// Start starts new processes of proxies that were killed, all in one moment, and waits until they serve. A process that does not
+// come up is a problem of the run.
+func (f *Fleet) Start(proxies ...int) {
+	var all sync.WaitGroup
+	for _, no := range proxies {
+		all.Go(f.r.proxies[no].startAgain)
+	}
+	all.Wait()
+}
+
+// Do carries out steps of a time line now.
+func (f *Fleet) Do(steps ...world.Step) {
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	for _, s := range steps {
+		f.r.apply(f.r.now(), s)
+	}
+	f.r.kick()
+}
+
+// Nodes does the same to each of the nodes.
+func (f *Fleet) Nodes(op world.Op, nodes ...int) {
+	for _, n := range nodes {
+		f.Do(world.Step{Op: op, Node: n})
+	}
+}
+
+// Stop takes the processor from proxies, GoOn gives it back.
+func (f *Fleet) Stop(proxies ...int) { f.eachProxy(world.OpStopProxy, proxies) }
+
+// GoOn gives proxies their processor back.
+func (f *Fleet) GoOn(proxies ...int) { f.eachProxy(world.OpGoOnProxy, proxies) }
+
+func (f *Fleet) eachProxy(op world.Op, proxies []int) {
+	for _, no := range proxies {
+		f.Do(world.Step{Op: op, Node: no})
+	}
+}
+
+// Spoil has something befall the state folders of proxies: see world.StateTroubles.
+func (f *Fleet) Spoil(do string, proxies ...int) {
+	for _, no := range proxies {
+		f.Do(world.Step{Op: world.OpState, Node: no, Do: do})
+	}
+}
+
+// Fabric is the links, where the run has them.
+func (f *Fleet) Fabric() (*fabric.Fabric, error) {
+	if f.r.paths == nil {
+		return nil, errors.New("the run has no fabric: see Options.Fabric")
+	}
+	return f.r.paths.fabric, nil
+}
+
+// Lose has the register lose its store as far as some proxies see it: a share of the list is left, under new numbers. Found
+// brings back the whole list, under further numbers.
+func (f *Fleet) Lose(share float64, proxies ...int) {
+	for _, no := range proxies {
+		f.r.agents[no].lose(true, share)
+	}
+}
+
+// Found ends that.
+func (f *Fleet) Found(proxies ...int) {
+	for _, no := range proxies {
+		f.r.agents[no].lose(false, 1)
+	}
+}
+
+// Remember has proxies start with the list as it is now, whatever comes of it; Recall with the newest again.
+func (f *Fleet) Remember() {
+	var lists []catalog
+	for _, a := range f.r.agents {
+		c, _ := a.catalog(0, true)
+		lists = append(lists, c)
+	}
+	f.r.remembered.Store(&lists)
+}
+
+// Recall ends that.
+func (f *Fleet) Recall() { f.r.remembered.Store(nil) }
+
+// Told waits until all proxies have been told of the last start of a node.
+func (f *Fleet) Told(nodes ...int) error {
+	return f.Await("the register's news", func() bool {
+		f.r.mu.Lock()
+		defer f.r.mu.Unlock()
+		return !slices.ContainsFunc(nodes, func(n int) bool {
+			w := f.r.fleet.Nodes[n]
+			return slices.ContainsFunc(f.r.proxies, func(c *child) bool { return !f.r.ledger.ToldOfStart(c.no, n, w.StartedAt) })
+		})
+	})
+}
+
+// Call makes a call of a proxy's console and gives its answer.
+func (f *Fleet) Call(proxy int, line string) (string, error) {
+	return call(f.r.proxies[proxy].newest().console, line)
+}
--- a/internal/lab/payouts/payouts_test.go
+++ b/internal/lab/payouts/payouts_test.go
@@ -2,22 +2,20 @@
 
 import (
 	"fmt"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"lapisspread/internal/lab/built"
 	"lapisspread/internal/lab/partner"
 )
 
+func TestMain(m *testing.M) { built.Main(m) }
+
 // A short run on a real process that is killed and ended: no claim runs twice, and what was answered stays answered. The long
 // one is a command (lapislab payouts).
 func TestNoClaimRunsTwice(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "lapisspread")
-	if text, err := exec.Command("go", "build", "-o", binary, "lapisspread/cmd/lapisspread").CombinedOutput(); err != nil {
-		t.Fatalf("building the proxy: %v: %s", err, text)
-	}
+	binary := built.Proxy(t)
 	for _, durable := range []bool{true, false} {
 		t.Run(fmt.Sprint("durable ", durable), func(t *testing.T) {
 			t.Parallel()
