Keep servers that a register has lost, and have calls for the list wait their turn; off by default

Need: a register that comes back with an empty store told a whole, empty list, and every proxy refused all; calls for the list after a failure came back in step and did not heed Retry-After.

The rig: news that can't reach a proxy (its way cut, its call turned away) binds it from when it can; lost stores tell lower numbers and empty lists; proxies listen where nothing connects from, since one start failed on a port that another test had taken.

--- a/cmd/lapislab/run.go
+++ b/cmd/lapislab/run.go
@@ -34,6 +34,7 @@
 	services []string // the texts of files of services
 
 	flood, admission string // a flood's name; the text of a file of admission
+	comeback         string // the text of a file of coming back
 	sample           func(live.Sample)
 }
 
@@ -127,7 +128,7 @@
 	}
 	defer os.RemoveAll(tmp)
 	opts := live.Options{Binary: o.proxy, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out), Services: o.services,
-		Sockets: f.World.Sockets, Clients: f.World.Clients, Crowd: f.World.Crowd, Admission: o.admission, Sample: o.sample}
+		Sockets: f.World.Sockets, Clients: f.World.Clients, Crowd: f.World.Crowd, Admission: o.admission, Comeback: o.comeback, Sample: o.sample}
 	if fl := f.FloodNamed(o.flood); fl != nil {
 		opts.Flood = &live.Flood{Kind: fl.Kind, Connections: fl.Connections, Addresses: fl.Addresses, Shared: fl.Shared, At: time.Duration(fl.At),
 			For: time.Duration(fl.For)}
--- /dev/null
+++ b/cmd/lapisspread/comeback.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"lapisspread/internal/comeback/source"
+)
+
+func comebackCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "comeback",
+		Short: "Look at files of coming back",
+		Args:  noArguments,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	c.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Tell whether a file of coming back is good and what it comes to, or which line or key is wrong",
+		Args:  oneFile,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := source.Load(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: %s\n", args[0], f.Words())
+			return nil
+		},
+	})
+	return c
+}
--- a/cmd/lapisspread/command_test.go
+++ b/cmd/lapisspread/command_test.go
@@ -38,6 +38,8 @@
 		{"the default", "routes explain ../../deploy/services.toml --path /x", "* default: the default", "", 0},
 		{"an unclear path", "routes explain ../../deploy/services.toml --path /x/../y", "", "read in two ways", 1},
 		{"the shipped admission", "admission check ../../deploy/admission.toml", "25 % of them for known clients", "", 0},
+		{"the shipped comeback", "comeback check ../../deploy/comeback.toml", "in doubt for 30s", "", 0},
+		{"bad comeback", "comeback check " + good, "", "good.json:", 1},
 		{"bad admission", "admission check " + good, "", "good.json:", 1},
 		{"bad services", "routes check " + good, "", "good.json:", 1},
 		{"unknown command", "sreve", "", `"sreve"`, 2},
--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -60,7 +60,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(serveCommand(), configCommand(), routesCommand(), admissionCommand(), diameterCommand(), versionCommand())
+	root.AddCommand(serveCommand(), configCommand(), routesCommand(), admissionCommand(), diameterCommand(), comebackCommand(), versionCommand())
 	return root
 }
 
@@ -76,6 +76,7 @@
 	c.Flags().StringVar(&files.services, "services", "", "serve the services of this file in place of a single one; SIGHUP reads it again")
 	c.Flags().StringVar(&files.admission, "admission", "", "decide by this file who gets a connection; SIGHUP reads it again")
 	c.Flags().StringVar(&files.diameter, "diameter", "", "speak Diameter too, by this file; SIGHUP reads its certificates again")
+	c.Flags().StringVar(&files.comeback, "comeback", "", "go by this file about lists that are in doubt and calls for them")
 	c.Flags().StringVar(&profile, "cpu-profile", "", "write a CPU profile (pprof) to this file, with the proxy's name behind it, at the end")
 	return c
 }
--- /dev/null
+++ b/internal/comeback/source/file.go
@@ -0,0 +1,124 @@
+package source
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"lapisspread/internal/comeback"
+	"lapisspread/internal/strict"
+)
+
+// Version is the form of the file that this program reads.
+const Version = 1
+
+// File is deploy/comeback.toml. A part that is left out is off.
+type File struct {
+	Version int    `toml:"version"` // 1
+	List    *List  `toml:"list"`
+	Calls   *Calls `toml:"calls"`
+}
+
+// List says when a list is in doubt: see comeback.GuardSettings.
+type List struct {
+	Shrink *float64    `toml:"shrink"` // 0.3 if left out
+	Least  int         `toml:"least"`  // 2 if left out
+	Hold   strict.Span `toml:"hold"`   // 30s if left out
+}
+
+// Calls say how calls for the list are spread: see comeback.CallSettings.
+type Calls struct {
+	Rate float64     `toml:"rate"` // calls a second of all proxies together
+	Most strict.Span `toml:"most"` // 10s if left out
+	Hold strict.Span `toml:"hold"` // 20s if left out
+}
+
+// mostFile is the longest file that is read, in bytes.
+const mostFile = 1 << 20
+
+// Load reads a file. Errors name the file, the line where there is one, and the key.
+func Load(path string) (*File, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the settings of coming back: %w", err)
+	}
+	if info.Size() > mostFile {
+		return nil, fmt.Errorf("%s: %d bytes; %d are the most", path, info.Size(), mostFile)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the settings of coming back: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads the text of a file.
+func Parse(path string, text []byte) (*File, error) {
+	f := &File{}
+	if err := strict.Decode(path, text, f); err != nil {
+		return nil, err
+	}
+	if f.Version != Version {
+		return nil, fmt.Errorf("%s: version: %d; this program reads %d", path, f.Version, Version)
+	}
+	if f.List == nil && f.Calls == nil {
+		return nil, fmt.Errorf("%s: it has neither [list] nor [calls]: without both there is nothing to go by", path)
+	}
+	var errs []error
+	if set, on := f.guard(); on {
+		if err := set.Check(); err != nil {
+			errs = append(errs, fmt.Errorf("list: %w", err))
+		}
+	}
+	if set, on := f.calls(1, 0); on {
+		if err := set.Check(); err != nil {
+			errs = append(errs, fmt.Errorf("calls: %w", err))
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+func or[T comparable](v, usual T) T {
+	var zero T
+	if v == zero {
+		return usual
+	}
+	return v
+}
+
+// guard are the settings of the guard, if there is one.
+func (f *File) guard() (s comeback.GuardSettings, on bool) {
+	if f.List == nil {
+		return s, false
+	}
+	s = comeback.GuardSettings{Shrink: 0.3, Least: or(f.List.Least, 2), Hold: time.Duration(or(f.List.Hold, strict.Span(30*time.Second)))}
+	if f.List.Shrink != nil {
+		s.Shrink = *f.List.Shrink
+	}
+	return s, true
+}
+
+// calls are the settings of the calls, if they are spread.
+func (f *File) calls(proxies int, seed uint64) (s comeback.CallSettings, on bool) {
+	if f.Calls == nil {
+		return s, false
+	}
+	return comeback.CallSettings{Rate: f.Calls.Rate, Proxies: proxies, Most: time.Duration(or(f.Calls.Most, strict.Span(10*time.Second))),
+		Hold: time.Duration(or(f.Calls.Hold, strict.Span(20*time.Second))), Seed: seed}, true
+}
+
+// Words tell what a file comes to.
+func (f *File) Words() string {
+	list, calls := "lists are believed as they come", "calls for the list are not spread"
+	if s, on := f.guard(); on {
+		list = fmt.Sprintf("a list that lacks over %.0f %% of the servers, %d at least, is in doubt for %v", 100*s.Shrink, s.Least, s.Hold)
+	}
+	if s, on := f.calls(1, 0); on {
+		calls = fmt.Sprintf("all proxies together call for the list %g times a second, each after %v at the latest", s.Rate, s.Most)
+	}
+	return list + "; " + calls
+}
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -35,6 +35,7 @@
 func (s *stub) Routes() (string, error) { return "", errors.New("f.toml: line 3:\nbad") }
 func (s *stub) Admission() (any, error) { return map[string]int{"open": 3}, nil }
 func (s *stub) Diameter() (any, error)  { return nil, errors.New("no Diameter is spoken") }
+func (s *stub) Comeback() (any, error)  { return map[string]int{"servers_kept": 2}, nil }
 func (s *stub) Block(prefix string, span time.Duration) error {
 	s.note("block " + prefix + " " + span.String())
 	return nil
@@ -115,6 +116,8 @@
 		{"lame duck", "200 draining\n", []string{"LAMEDUCK\n"}},
 		{"rejoin", "200 back\n", []string{"REJOIN\n"}},
 		{"admission", "{\"open\":3}\nEOF\n", []string{"ADMISSION\n"}},
+		{"comeback", "{\"servers_kept\":2}\nEOF\n", []string{"COMEBACK\n"}},
+		{"diameter, off", "400 no Diameter is spoken\n", []string{"DIAMETER\n"}},
 		{"block", "200 10.0.0.0/8\n", []string{"BLOCK 10.0.0.0/8 10m\n"}},
 		{"block for a while", "400 BLOCK: \"soon\" is no span of time such as 10m or 2h\n", []string{"BLOCK 10.0.0.0/8 soon\n"}},
 		{"unblock", "400 10.0.0.9 is not blocked\n", []string{"UNBLOCK 10.0.0.9\n"}},
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -131,6 +131,7 @@
 	Services  []string `toml:"services"`
 	Flood     string   `toml:"flood"`     // on sockets: the one of this name
 	Admission string   `toml:"admission"` // the text of the file by which the proxy admits connections; none is as without
+	Comeback  string   `toml:"comeback"`  // the text of the file of coming back; none is as without
 	Many      int      `toml:"many"`      // in place of services: so many, which share the servers and the requests evenly
 }
 
--- a/internal/lab/fabric/link.go
+++ b/internal/lab/fabric/link.go
@@ -35,6 +35,13 @@
 // Opened is how many connections have come up so far.
 func (l *Link) Opened() int64 { return l.opened.Load() }
 
+// Cut tells whether nothing passes now in one direction at least, or nobody can connect.
+func (l *Link) Cut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down || l.ways[0].Silent || l.ways[1].Silent || l.ways[0].Refused || l.ways[1].Refused
+}
+
 // set brings the link to its troubles.
 func (l *Link) set(there, back Trouble) error {
 	l.mu.Lock()
--- a/internal/lab/kit/comeback_test.go
+++ b/internal/lab/kit/comeback_test.go
@@ -38,6 +38,12 @@
 	f.Start(proxies...)
 }
 
+// keeps is a file of coming back by which lists that lack many are in doubt for longer than any test.
+const keeps = "version = 1\n[list]\nhold = \"10m\"\n"
+
+// waits is one by which calls for the list wait their turn.
+const waits = "version = 1\n[calls]\nrate = 5.0\nmost = \"2s\"\n"
+
 // The fleet comes back from each of these, by itself, with no rule broken on the way.
 func TestTheFleetComesBack(t *testing.T) {
 	silent := fabric.Trouble{Silent: true}
@@ -165,6 +171,39 @@
 			f.Start(f.All()...)
 			return errors.Join(err, again(f))
 		}},
+		{Name: "the register comes back empty", Comeback: keeps, Play: func(f *live.Fleet) error {
+			f.Lose(0, f.All()...)
+			if err := again(f); err != nil { // it never stops serving, and yet a server that is told to leave gets nothing
+				return err
+			}
+			f.Nodes(world.OpDrain, 0)
+			if err := f.Service(4*enough, f.All()...); err != nil {
+				return err
+			}
+			f.Found(f.All()...)
+			return again(f)
+		}},
+		{Name: "all restart before an empty register", Comeback: keeps + waits[len("version = 1\n"):], Play: func(f *live.Fleet) error {
+			f.Remember()
+			f.Kill(f.All()...)
+			f.Lose(0, f.All()...)
+			f.Start(f.All()...)
+			if err := again(f); err != nil {
+				return err
+			}
+			f.Found(f.All()...)
+			return again(f)
+		}},
+		{Name: "most restart, and calls wait their turn at an overbooked register", Proxies: 5, Comeback: waits, Play: func(f *live.Fleet) error {
+			f.Do(world.Step{Op: world.OpRegisterBusy, Size: 2, Extra: 0.5, Flag: true})
+			restart(f, 0, 1, 2, 3)
+			f.Nodes(world.OpDrain, 1)
+			if err := f.Service(4*enough, f.All()...); err != nil {
+				return err
+			}
+			f.Do(world.Step{Op: world.OpRegisterBusy})
+			return again(f)
+		}},
 		{Name: "links are slow, narrow and cut while one restarts", Fabric: true, Play: func(f *live.Fleet) error {
 			slow := fabric.Rule{To: "node-*", Trouble: fabric.Trouble{Delay: 5 * time.Millisecond, Rate: 64 << 10}}
 			cut := fabric.Rule{From: "proxy-2", To: "node-3", Way: fabric.Back, Trouble: fabric.Trouble{Cut: 300}}
--- a/internal/lab/kit/kit.go
+++ b/internal/lab/kit/kit.go
@@ -22,8 +22,10 @@
 	Nodes   int     // 6 if left out
 	Rate    float64 // first tries a second; 60 if left out
 	Fabric  bool    // all ways lead through relays
-	Change  func(*world.Spec)
-	Play    func(f *live.Fleet) error
+
+	Comeback string // the text of the proxies' file of coming back; none if empty
+	Change   func(*world.Spec)
+	Play     func(f *live.Fleet) error
 }
 
 // longest bounds a scenario; a script ends its run long before.
@@ -50,7 +52,7 @@
 			if s.Change != nil {
 				s.Change(&spec)
 			}
-			res, err := live.Play(t.Context(), &spec, live.Options{Binary: binary, Fabric: s.Fabric, Script: s.Play})
+			res, err := live.Play(t.Context(), &spec, live.Options{Binary: binary, Fabric: s.Fabric, Comeback: s.Comeback, Script: s.Play})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -61,13 +61,13 @@
 		if err := os.Mkdir(c.state, 0o700); err != nil {
 			return fmt.Errorf("proxy %d: %w", no, err)
 		}
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: r.proxyAddr(no)})
 		if err != nil {
 			return fmt.Errorf("proxy %d: an address: %w", no, err)
 		}
 		c.listen = l.Addr().String()
 		if upgrades {
-			c.socket = l.(*net.TCPListener)
+			c.socket = l
 			if c.file, err = c.socket.File(); err != nil {
 				return fmt.Errorf("proxy %d: its socket: %w", no, err)
 			}
@@ -80,9 +80,12 @@
 				return fmt.Errorf("proxy %d: its file of services: %w", no, err)
 			}
 		}
-		if r.opts.Admission != "" {
-			if err := os.WriteFile(c.admissionPath(), []byte(r.opts.Admission), 0o600); err != nil {
-				return fmt.Errorf("proxy %d: its file of admission: %w", no, err)
+		for what, text := range map[string]string{"admission": r.opts.Admission, "comeback": r.opts.Comeback} {
+			if text == "" {
+				continue
+			}
+			if err := os.WriteFile(c.filePath(what), []byte(text), 0o600); err != nil {
+				return fmt.Errorf("proxy %d: its file of %s: %w", no, what, err)
 			}
 		}
 		if _, err := c.start(); err != nil {
@@ -171,17 +174,16 @@
 	}
 }
 
-func (c *child) servicesPath() string {
-	return filepath.Join(c.r.tmp, fmt.Sprintf("services-%d.toml", c.no))
+// filePath is where a file of settings is that the place's processes go by.
+func (c *child) filePath(what string) string {
+	return filepath.Join(c.r.tmp, fmt.Sprintf("%s-%d.toml", what, c.no))
 }
 
-func (c *child) admissionPath() string { return filepath.Join(c.state, "admission.toml") }
-
 // writeServices replaces the place's file of services as a whole.
 func (c *child) writeServices(text string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	path := c.servicesPath()
+	path := c.filePath("services")
 	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -249,7 +251,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy %d: its configuration: %w", c.no, err)
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0") // finds a free port for the console
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: c.r.proxyAddr(c.no)}) // finds a free port for the console
 	if err != nil {
 		return nil, fmt.Errorf("proxy %d: its console: %w", c.no, err)
 	}
@@ -257,10 +259,13 @@
 	l.Close()
 	args := slices.Clone(c.r.opts.Args)
 	if len(c.r.opts.Services) > 0 {
-		args = append(args, "--services", c.servicesPath())
+		args = append(args, "--services", c.filePath("services"))
 	}
 	if c.r.opts.Admission != "" {
-		args = append(args, "--admission", c.admissionPath())
+		args = append(args, "--admission", c.filePath("admission"))
+	}
+	if c.r.opts.Comeback != "" {
+		args = append(args, "--comeback", c.filePath("comeback"))
 	}
 	p.cmd = exec.Command(c.r.opts.Binary, args...)
 	if c.r.opts.Flood != nil { // here the limit is the machine's, whatever the program thinks of it
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -238,7 +238,7 @@
 	if _, c := get(""); !c.Reset || len(c.Instances) != 4 {
 		t.Errorf("whole list: %+v", c)
 	}
-	for _, bad := range []string{"?from=x&hold_ms=1", "?from=1", "?from=1&hold_ms=-1"} {
+	for _, bad := range []string{"?from=x&hold_ms=1", "?from=100", "?from=100&hold_ms=-1"} {
 		if status, _ := get(bad); status != http.StatusBadRequest {
 			t.Errorf("%s: status %d", bad, status)
 		}
@@ -249,13 +249,13 @@
 		a.tell(time.Second, world.News{Node: 2, Listing: world.Leaving})
 		r.mu.Unlock()
 	}()
-	if _, c := get("?from=1&hold_ms=5000"); c.Reset || len(c.Instances) != 1 || c.Instances[0].Lifecycle != "leaving" {
+	if _, c := get("?from=100&hold_ms=5000"); c.Reset || len(c.Instances) != 1 || c.Instances[0].Lifecycle != "leaving" {
 		t.Errorf("watch: %+v", c)
 	}
-	if _, c := get("?from=2&hold_ms=10"); len(c.Instances) != 0 || c.Generation != 2 {
+	if _, c := get("?from=101&hold_ms=10"); len(c.Instances) != 0 || c.Generation != 101 {
 		t.Errorf("nothing new: %+v", c)
 	}
-	if _, c := get("?from=99&hold_ms=10"); !c.Reset {
+	if _, c := get("?from=999&hold_ms=10"); !c.Reset {
 		t.Errorf("a version that never was: %+v", c)
 	}
 }
--- a/internal/lab/live/paths.go
+++ b/internal/lab/live/paths.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// cutFromRegister tells whether nothing passes between a proxy and the register, in one direction at least.
+func (p *paths) cutFromRegister(proxy int) bool { return p != nil && p.register[proxy].Cut() }
+
 // nodeDown tells the links of a node's process whether it is there.
 func (p *paths) nodeDown(node int, down bool) error {
 	if p == nil {
--- a/internal/lab/live/register.go
+++ b/internal/lab/live/register.go
@@ -24,6 +24,10 @@
 	changed chan struct{}
 	lost    bool    // the store: numbers begin anew
 	share   float64 // of the rows that are there then
+
+	// Guarded by r.mu. What cannot reach the proxy binds it only once it can.
+	away    bool         // its last call was turned away
+	unheard []world.News // that it could not be told of
 }
 
 type row struct {
@@ -51,8 +55,11 @@
 	Instances  []instance `json:"instances"`
 }
 
+// firstVersion is the list's number at a run's start. One that begins anew from 1 is lower.
+const firstVersion = 100
+
 func newAgent(r *Run, proxy int) (*agent, error) {
-	a := &agent{r: r, proxy: proxy, version: 1, changed: make(chan struct{})}
+	a := &agent{r: r, proxy: proxy, version: firstVersion, changed: make(chan struct{})}
 	for i, n := range r.nodes {
 		a.rows = append(a.rows, row{listing: world.Active, since: 1, addr: r.nodeAddr(proxy, n.no)})
 		r.ledger.Told(0, proxy, i, world.Active, 0)
@@ -92,9 +99,10 @@
 	}
 }
 
-// tell takes news from the register. From now on it counts as told. r.mu is held.
+// tell takes news from the register. From now on it counts as told, unless nothing reaches the proxy. r.mu is held.
 func (a *agent) tell(now time.Duration, n world.News) {
-	a.r.ledger.Told(now, a.proxy, n.Node, n.Listing, n.Started)
+	a.unheard = append(a.unheard, n)
+	a.heard(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := &a.rows[n.Node]
@@ -103,6 +111,17 @@
 	w.started = max(w.started, n.Started)
 }
 
+// heard counts as told what is no more kept from the proxy. r.mu is held.
+func (a *agent) heard(now time.Duration) {
+	if len(a.unheard) == 0 || a.away || a.r.paths.cutFromRegister(a.proxy) {
+		return
+	}
+	for _, n := range a.unheard {
+		a.r.ledger.Told(now, a.proxy, n.Node, n.Listing, n.Started)
+	}
+	a.unheard = nil
+}
+
 // change makes a new version. a.mu is held.
 func (a *agent) change() {
 	a.version++
@@ -130,7 +149,10 @@
 	defer a.mu.Unlock()
 	c := catalog{Generation: a.version, Reset: full, Instances: []instance{}}
 	for i, w := range a.rows {
-		if full && w.listing == world.Left || !full && w.since <= from || a.lost && float64(i) >= a.share*float64(len(a.rows)) {
+		if full && w.listing == world.Left || !full && w.since <= from {
+			continue
+		}
+		if a.lost && w.since <= 1 && float64(i) >= a.share*float64(len(a.rows)) { // what it has heard since, it knows
 			continue
 		}
 		n := a.r.fleet.Nodes[i]
@@ -151,6 +173,8 @@
 	now := a.r.now()
 	a.r.ledger.Called(now)
 	after, taken := a.r.calls.take(now)
+	a.away = !taken
+	a.heard(now)
 	a.r.mu.Unlock()
 	if !taken {
 		if after > 0 {
@@ -178,8 +202,10 @@
 	defer timer.Stop()
 	for {
 		c, changed := a.catalog(from, false)
-		if from > c.Generation { // a version that never was
-			c, changed = a.catalog(0, true)
+		if from > c.Generation { // a version that never was: all that there is, also if it is nothing
+			c, _ = a.catalog(0, true)
+			writeJSON(w, c)
+			return
 		}
 		if len(c.Instances) > 0 {
 			writeJSON(w, c)
--- a/internal/lab/live/script.go
+++ b/internal/lab/live/script.go
@@ -57,9 +57,12 @@
 
 // Service waits until each of these proxies has served so many requests more.
 func (f *Fleet) Service(n int64, proxies ...int) error {
+	until := map[int]int64{}
 	for _, no := range proxies {
-		from := f.front.served[no].Load()
-		if err := f.Await(fmt.Sprintf("proxy %d serves %d more", no, n), func() bool { return f.front.served[no].Load() >= from+n }); err != nil {
+		until[no] = f.front.served[no].Load() + n
+	}
+	for _, no := range proxies {
+		if err := f.Await(fmt.Sprintf("proxy %d serves %d more", no, n), func() bool { return f.front.served[no].Load() >= until[no] }); err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"lapisspread/decision"
@@ -77,11 +78,12 @@
 	client *http.Client
 	ctx    context.Context // of all calls
 	end    context.CancelFunc
+	hold   func() time.Duration // how long discovery may hold the next watch
 }
 
 func newDiscovery(addr string) *discovery {
 	ctx, end := context.WithCancel(context.Background())
-	return &discovery{addr: addr, ctx: ctx, end: end, client: &http.Client{
+	return &discovery{addr: addr, ctx: ctx, end: end, hold: func() time.Duration { return watchHold }, client: &http.Client{
 		Transport:     &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -102,7 +104,8 @@
 // Watch tells of each answer, one call right after the other, until one fails or ctx ends.
 func (d *discovery) Watch(ctx context.Context, from uint32, tell func(List)) error {
 	for {
-		list, err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", from, watchHold.Milliseconds()), watchHold+callSlack)
+		hold := d.hold()
+		list, err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", from, hold.Milliseconds()), hold+callSlack)
 		if err != nil {
 			return err
 		}
@@ -129,7 +132,11 @@
 		return List{}, fmt.Errorf("discovery: reading the list: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return List{}, fmt.Errorf("discovery: status %d", resp.StatusCode)
+		err := fmt.Errorf("discovery: status %d", resp.StatusCode)
+		if s, bad := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); bad == nil && s > 0 {
+			err = &comeLater{err, time.Duration(min(s, longTimeout.Seconds()) * float64(time.Second))}
+		}
+		return List{}, err
 	}
 	list, err := parseList(text)
 	if err != nil {
@@ -138,6 +145,15 @@
 	return list, nil
 }
 
+// comeLater is an answer that says when to ask again.
+type comeLater struct {
+	error
+	after time.Duration
+}
+
+// RetryAfter is after what time.
+func (e *comeLater) RetryAfter() time.Duration { return e.after }
+
 // Close ends all calls and connections.
 func (d *discovery) Close() {
 	d.end()
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -122,6 +122,14 @@
 	return o.diameter.report(), nil
 }
 
+// Comeback is what is held in doubt, and how the calls for the list went.
+func (o operator) Comeback() (any, error) {
+	if o.comeback == nil {
+		return nil, errors.New("the rules of coming back are off: the proxy was started without --comeback")
+	}
+	return o.comeback.Report(), nil
+}
+
 // Block turns an address or a prefix away for a time.
 func (o operator) Block(prefix string, span time.Duration) error {
 	p, err := o.prefix(prefix)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"lapisspread/internal/comeback/source"
 	"lapisspread/internal/console"
 	"lapisspread/internal/door"
 	"lapisspread/internal/engine"
@@ -30,6 +31,7 @@
 
 	services *services
 	diameter *diameterSide // nil is none
+	comeback *source.Plan  // nil believes all, and asks at once
 	ready    atomic.Bool   // it takes clients
 
 	// Shared is told whether another process of this proxy lives beside this one, at the start and at each change:
@@ -213,6 +215,15 @@
 		}
 		listener = p.conns.door.NewListener(listener, p.log)
 	}
+	if p.cfg.Comeback != "" {
+		f, err := source.Load(p.cfg.Comeback)
+		if err != nil {
+			listener.Close()
+			return fmt.Errorf("settings: %w", err)
+		}
+		seed := p.cfg.Seed ^ uint64(backendID(p.cfg.Name)) // two proxies of one seed must not ask in step
+		p.comeback = source.NewPlan(f, max(1, p.cfg.Module.Instances), seed, engine.NewClock().Now, p.log)
+	}
 	if p.cfg.Diameter != "" {
 		if err := p.openDiameter(); err != nil {
 			listener.Close()
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -109,8 +109,29 @@
 }
 
 func newServices(p *Proxy) *services {
-	return &services{p: p, limits: quota.New(engine.NewClock().Now),
-		registers: register.NewHubs(func(addr string) engine.Source { return newDiscovery(addr) })}
+	s := &services{p: p, limits: quota.New(engine.NewClock().Now)}
+	s.registers = register.NewHubs(func(addr string) engine.Source { return s.ask(addr, addr) })
+	return s
+}
+
+// ask gives calls for the list at an address, by the rules of coming back where there are some. Of one name is one register,
+// also where it moves.
+func (s *services) ask(name, addr string) engine.Source {
+	d := newDiscovery(addr)
+	if s.p.comeback == nil {
+		return d
+	}
+	w := s.p.comeback.Wrap(name, d, s.knownAt(addr))
+	d.hold = func() time.Duration { return w.Hold(watchHold) }
+	return w
+}
+
+// knownAt is the list of a register as it was known at the start.
+func (s *services) knownAt(addr string) List {
+	if addr != s.p.cfg.Discovery {
+		return List{}
+	}
+	return List{Version: s.p.cfg.Known.Version, Full: true, Members: s.p.cfg.Known.Members}
 }
 
 // several tells whether there are routes to services, rather than one that has all.
@@ -312,12 +333,9 @@
 // source is the register at an address as a service sees it, and the list as far as it is known already. Of several
 // services all follow one register by one watch.
 func (s *services) source(addr string, spec *config.Service) (engine.Source, List) {
-	var known List
-	if addr == s.p.cfg.Discovery { // as of the start
-		known = List{Version: s.p.cfg.Known.Version, Full: true, Members: s.p.cfg.Known.Members}
-	}
+	known := s.knownAt(addr)
 	if spec.Name == "" {
-		return newDiscovery(addr), known
+		return s.ask("", addr), known
 	}
 	follower := s.registers.Join(addr, known)
 	known, _ = follower.List()
