--- a/cmd/lapislab/comeback.go
+++ b/cmd/lapislab/comeback.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -160,18 +161,23 @@
 	return rows, nil
 }
 
-// struck tells when an experiment's first fault begins, and when the last process that it ends starts again.
+// struck tells when an experiment's first fault begins, and when the last proxy that it kills or stops is there again; where it
+// does neither, when its last fault ends.
 func struck(s *world.Spec) (strike, start time.Duration, err error) {
 	if len(s.Faults) == 0 {
 		return 0, 0, errors.New("it has no fault to come back from")
 	}
 	strike = s.Duration
+	ends := func(f world.Fault) bool { return f.Kind == world.KillProxy || f.Kind == world.StopProxy }
+	some := slices.ContainsFunc(s.Faults, ends)
 	for _, ft := range s.Faults {
 		if ft.Kind == world.KillProxy && ft.For == 0 {
 			return 0, 0, fmt.Errorf("%s: for says how long proxies are away; it is missing", ft.Kind)
 		}
 		strike = min(strike, ft.At)
-		start = max(start, ft.At+ft.For+time.Duration(float64(ft.Every)*ft.Share*float64(s.Proxies)))
+		if !some || ends(ft) {
+			start = max(start, ft.At+ft.For+time.Duration(float64(ft.Every)*ft.Share*float64(s.Proxies)))
+		}
 	}
 	return strike, start, nil
 }
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -62,6 +62,9 @@
 	Load    float64  `toml:"load"`  // instead of rate: as a share of what the mean fleet can serve
 	Skew    *float64 `toml:"skew"`  // by how much more than its part the first zone gets
 	Quota   *float64 `toml:"quota"` // of the rate, that the tenants' shares come to
+	// Accepts is how many connections a second a node lets in, no bound if left out; Handshake what each costs it.
+	Accepts   float64 `toml:"accepts"`
+	Handshake float64 `toml:"handshake_ms"`
 	// Stragglers are clients of a kind of their own, on sockets only.
 	HalfOpen int `toml:"half_open"` // connections on which nothing ever comes
 	Slow     int `toml:"slow"`      // clients that take two seconds over a head
@@ -382,6 +385,12 @@
 	if load > 0 {
 		s.Load.Rate *= load
 	}
+	if w.Accepts != 0 {
+		s.Conns.Accepts = w.Accepts
+	}
+	if w.Handshake != 0 {
+		s.Conns.Handshake = world.Range{Lo: w.Handshake, Hi: w.Handshake}
+	}
 	if w.Skew != nil {
 		s.Load.Skew = *w.Skew
 	}
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -81,6 +81,15 @@
 			time.Sleep(time.Millisecond) // no descriptors left for a moment
 			continue
 		}
+		n.r.mu.Lock()
+		wait := n.w.Accept(n.r.now())
+		n.r.mu.Unlock()
+		if wait > 0 { // those behind it wait in the kernel's queue
+			select {
+			case <-time.After(wait):
+			case <-n.r.over:
+			}
+		}
 		conn := &nodeConn{c, n, proxy}
 		n.mu.Lock()
 		if deaf := n.deaf; deaf != nil {
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -157,6 +157,7 @@
 	paths   *paths // nil where processes meet directly
 	calls   calls  // of the register
 	wake    chan struct{}
+	over    chan struct{} // closes at the end
 	running sync.WaitGroup
 	tmp     string
 	serial  int64 // of this process's runs
@@ -194,7 +195,7 @@
 func newRun(spec *world.Spec, opts Options) *Run {
 	r := &Run{spec: spec, opts: opts, log: opts.Log, key: make([]byte, 32), fleet: world.Build(spec), registry: world.NewRegistry(spec),
 		gen: world.NewGenerator(spec), rng: spec.Stream(8), waiting: map[*world.Job]chan world.Answer{}, tries: map[uint64]int{},
-		lateness: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), wake: make(chan struct{}, 1), serial: runs.Add(1)}
+		lateness: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2), wake: make(chan struct{}, 1), over: make(chan struct{}), serial: runs.Add(1)}
 	if r.log == nil {
 		r.log = slog.New(slog.DiscardHandler)
 	}
@@ -231,6 +232,7 @@
 	defer func() { // in this order: children, then sockets, then goroutines
 		r.endProxies()
 		cancel()
+		close(r.over)
 		r.paths.close()
 		for _, n := range r.nodes {
 			n.close()
--- a/internal/lab/sim/cell.go
+++ b/internal/lab/sim/cell.go
@@ -86,6 +86,14 @@
 			return
 		}
 		if a.fresh && !n.Cut && (n.Condition == world.Up || n.Condition == world.Draining) {
+			if !m.waited {
+				m.waited = true
+				if wait := n.Accept(m.at); wait > 0 {
+					m.at += wait
+					c.inputs = append(c.inputs, *m)
+					return
+				}
+			}
 			if n.Conns >= n.ConnCap {
 				c.reply(m, m.at, world.Refused)
 				return
--- a/internal/lab/sim/proxy.go
+++ b/internal/lab/sim/proxy.go
@@ -160,6 +160,7 @@
 	probe   *probe
 	count   int
 	step    world.Step
+	waited  bool // in the node's queue for connections
 }
 
 type messageKind uint8
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -76,6 +76,8 @@
 
 	Slots, Room, ConnCap  int
 	Shake                 float64 // work of a handshake, ms
+	accepts               float64 // connections a second that it lets in; 0 is no bound
+	acceptAt              time.Duration
 	Rtts                  float64
 	crowd, crowdFrom, tax float64
 	coldFrom              float64
@@ -111,6 +113,19 @@
 	told  bool
 }
 
+// acceptBurst is how many connections a node lets in at once before it keeps to its rate.
+const acceptBurst = 4
+
+// Accept takes a connection into the queue of those that the node lets in, and tells how long it waits there.
+func (n *Node) Accept(now time.Duration) time.Duration {
+	if n.accepts == 0 {
+		return 0
+	}
+	each := time.Duration(float64(time.Second) / n.accepts)
+	n.acceptAt = max(n.acceptAt, now-acceptBurst*each) + each
+	return max(0, n.acceptAt-now)
+}
+
 // Held is how many requests have a slot at the node or wait for one.
 func (n *Node) Held() int { return len(n.jobs) + n.waits + len(n.queue) + len(n.limbo) }
 
@@ -227,7 +242,7 @@
 		m := s.Models[model]
 		n := &Node{Zone: zone, Model: model, Cores: m.Cores, Speed: m.Speed.Draw(rng),
 			Slots: int(m.Slots.Draw(rng)) * m.Cores, Room: int(m.Room.Draw(rng)) * m.Cores,
-			ConnCap: int(s.Conns.Cap.Draw(rng)) * m.Cores, Shake: s.Conns.Handshake.Draw(rng), Rtts: s.Conns.Rtts.Draw(rng),
+			ConnCap: int(s.Conns.Cap.Draw(rng)) * m.Cores, Shake: s.Conns.Handshake.Draw(rng), accepts: s.Conns.Accepts, Rtts: s.Conns.Rtts.Draw(rng),
 			crowd: m.Crowd.Draw(rng), crowdFrom: m.CrowdFrom.Draw(rng), tax: s.Conns.FullTax.Draw(rng),
 			coldFrom: s.Cold.From.Draw(rng), coldFor: s.Cold.For.DrawMs(rng), errorRate: m.ErrorRate.Draw(rng)}
 		n.Weight = n.Speed * float64(n.Cores)
--- a/internal/lab/world/spec.go
+++ b/internal/lab/world/spec.go
@@ -71,10 +71,11 @@
 
 // Conns says what connections cost a node.
 type Conns struct {
-	Cap            Range // per core
-	Handshake      Range // work, ms
-	Rtts           Range // round trips
-	FullTax        Range // share of the capacity that a full table takes
+	Cap            Range   // per core
+	Handshake      Range   // work, ms
+	Accepts        float64 // connections a second that a node lets in; 0 is no bound
+	Rtts           Range   // round trips
+	FullTax        Range   // share of the capacity that a full table takes
 	ConnectTimeout time.Duration
 	Idle           time.Duration
 }
@@ -197,6 +198,7 @@
 	bad(s.Proxies < max(1, len(s.Zones)) || s.Proxies > MostProxies, "proxies: %d, wanted from one a zone to %d", s.Proxies, MostProxies)
 	bad(s.Nodes < len(s.Zones) || s.Nodes > MostNodes, "nodes: %d, wanted from one a zone to %d", s.Nodes, MostNodes)
 	bad(s.Load.Rate <= 0 || s.Load.Rate > MostRate, "rate: %v a second, wanted above 0 and at most %v", s.Load.Rate, MostRate)
+	bad(s.Conns.Accepts < 0 || s.Conns.Handshake.Lo < 0, "conns: accepts or handshake is negative")
 	bad(len(s.Models) == 0, "models: none given")
 	bad(len(s.Classes) == 0, "classes: none given")
 	for i, c := range s.Classes {
