Play drawn sequences of troubles, and let a proxy killed twice start after the last kill

Need: no state that feeds itself: after any triggers have ended full service returns with nobody's help.

It found a fault of the laboratory: a proxy that was killed again before its start started twice, and the second start lost what the first had in hand.

--- a/cmd/lapislab/comeback.go
+++ b/cmd/lapislab/comeback.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -35,6 +37,7 @@
 func comebackCommand() *cobra.Command {
 	var o struct {
 		seeds, proxies []uint
+		drawn          int
 		sockets        bool
 		json, svg      string
 	}
@@ -48,6 +51,9 @@
 			if len(args) == 0 {
 				args = []string{"comeback"}
 			}
+			if o.drawn > 0 {
+				return drawnComebacks(cmd.Context(), cmd.OutOrStdout(), args[0], o.drawn, o.sockets)
+			}
 			var rows []comeback
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "%-18s %-18s %7s %6s %7s %7s %9s %8s %8s %7s %7s %7s %7s %7s %6s %5s\n", "experiment", "variant", "proxies", "seed", "1st s", "worst",
@@ -93,12 +99,113 @@
 	}
 	c.Flags().UintSliceVar(&o.seeds, "seeds", nil, "what chance comes from (default as the experiment says)")
 	c.Flags().UintSliceVar(&o.proxies, "proxies", nil, "fleets of these sizes, with nodes in step (default as the experiment says)")
+	c.Flags().IntVar(&o.drawn, "drawn", 0, "so many drawn sequences of troubles in the experiment's world, in place of its own")
 	c.Flags().BoolVar(&o.sockets, "sockets", false, "around real proxies, in real time")
 	c.Flags().StringVar(&o.json, "json", "", "write the rows to this file")
 	c.Flags().StringVar(&o.svg, "svg", "", "draw the first row, the run over its twin, into this file")
 	return c
 }
 
+// Drawn troubles strike between these times; after the last one has ended there is time to come back.
+const (
+	drawnFrom  = 6 * time.Second
+	drawnUntil = 16 * time.Second
+	drawnRun   = 34 * time.Second
+	drawnBack  = 5 * time.Second // within which all must be back
+)
+
+// draw gives a sequence of two to five troubles. None of them is one from which nobody could come back: a share of the nodes is
+// left alone.
+func draw(rng *rand.Rand, sockets bool) []experiment.Fault {
+	kinds := []string{world.KillProxy, world.KillProxy, world.StopProxy, world.RestartStorm, world.AllSlow, world.Hang, world.BlackHole, world.CutOff, world.RegisterStale}
+	if sockets {
+		kinds = append(kinds, world.RegisterBusy, world.StateFolder, world.Link)
+	}
+	var faults []experiment.Fault
+	for range 2 + rng.IntN(4) {
+		f := experiment.Fault{Kind: kinds[rng.IntN(len(kinds))], At: experiment.Span(drawnFrom + time.Duration(rng.Int64N(int64(drawnUntil-drawnFrom)))),
+			For: experiment.Span(500*time.Millisecond + time.Duration(rng.Int64N(int64(3*time.Second)))), Share: 0.1 + 0.2*rng.Float64()}
+		switch f.Kind {
+		case world.KillProxy, world.StopProxy:
+			f.Share = 0.3 + 0.7*rng.Float64()
+		case world.RestartStorm:
+			f.For = 0
+		case world.AllSlow:
+			f.Size = 1.5 + rng.Float64()
+		case world.StateFolder:
+			f.For, f.Do = 0, world.StateTroubles[rng.IntN(len(world.StateTroubles))]
+		case world.Link:
+			f.Do, f.To = "silence", []string{"register", "node-0,node-1"}[rng.IntN(2)]
+		}
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// drawnComebacks plays drawn sequences in an experiment's world, and tells those that have not come back in time.
+func drawnComebacks(ctx context.Context, out io.Writer, name string, n int, sockets bool) error {
+	f, err := named(name)
+	if err != nil {
+		return err
+	}
+	var took []float64
+	late := 0
+	for seed := range n {
+		at := *f
+		at.Duration = experiment.Span(drawnRun)
+		at.Faults = draw(rand.New(rand.NewPCG(uint64(seed), 23)), sockets)
+		spec := at.Spec(uint64(seed), 1)
+		v := f.Variants[0]
+		calm := v
+		calm.Calm = true
+		run, err := runVariant(ctx, out, &at, v, uint64(seed), runOptions{}, sockets)
+		if err != nil {
+			return err
+		}
+		twin, err := runVariant(ctx, out, &at, calm, uint64(seed), runOptions{}, sockets)
+		if err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return errors.New("broken off; what was seen is told")
+		}
+		var what []string
+		end := time.Duration(0)
+		for _, ft := range spec.Faults {
+			over := ft.At + ft.For
+			if ft.Kind == world.RestartStorm { // one node after the other, each away for a moment
+				over = ft.At + time.Duration(float64(spec.Nodes)*ft.Share+1)*300*time.Millisecond + time.Second
+			}
+			end = max(end, over)
+			what = append(what, fmt.Sprintf("%s %.1f-%.1f", ft.Kind, ft.At.Seconds(), over.Seconds()))
+		}
+		r := judge.Recover(&run.Verdict, &twin.Verdict, end, end)
+		if r.Back {
+			took = append(took, r.FromStrike/1000)
+		}
+		if !r.Back || r.FromStrike > world.Millis(drawnBack) || r.Broken > 0 {
+			late++
+			back := "never back"
+			if r.Back {
+				back = fmt.Sprintf("back after %.2f s", r.FromStrike/1000)
+			}
+			note := ""
+			if !run.Scored || !twin.Scored {
+				note = "  NOT SCORED"
+			}
+			fmt.Fprintf(out, "seed %d: %s, %d rules broken, refused %d: %s%s\n", seed, back, r.Broken, r.Refused, strings.Join(what, ", "), note)
+		}
+	}
+	slices.Sort(took)
+	if len(took) > 0 {
+		fmt.Fprintf(out, "%d of %d are back; after %.2f s in the median, %.2f s at most\n", len(took), n, took[len(took)/2], took[len(took)-1])
+	}
+	if late > 0 {
+		return fmt.Errorf("%w: %d of %d are not back within %v of the last trouble's end, or broke a rule", errBroken, late, n, drawnBack)
+	}
+	return nil
+}
+
 // sized is an experiment with a fleet of so many proxies, and nodes in step; 0 is as it stands.
 func sized(f *experiment.File, proxies int) *experiment.File {
 	if proxies == 0 {
--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -36,6 +36,7 @@
 	procs []*process // the last one is the newest
 	ended bool       // no more are started
 	deads int        // times its process was killed on purpose
+	kills int        // by a time line
 	usage Usage      // of those that have ended
 }
 
@@ -385,9 +386,18 @@
 
 // killAndRestart is SIGKILL and a new process after a while.
 func (c *child) killAndRestart(away time.Duration) {
+	c.mu.Lock()
+	c.kills++
+	mine := c.kills
+	c.mu.Unlock()
 	c.kill()
 	time.Sleep(away)
-	c.startAgain()
+	c.mu.Lock()
+	last := c.kills == mine // else it was killed again, and starts after that
+	c.mu.Unlock()
+	if last {
+		c.startAgain()
+	}
 }
 
 // kill is SIGKILL. It returns once the process has ended.
