Have one piece of code read files of settings, and one write results

Need: the change's own duplicates: a fourth copy of writing a command's result, a third of reading a bounded file.

Change: strict.ReadFile for services and coming back (internal/door has its own copy yet), writeResult in lapislab.

Measured: go vet and the tests of the packages pass; no change of behaviour.

--- a/cmd/lapislab/comeback.go
+++ b/cmd/lapislab/comeback.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -75,14 +74,8 @@
 					rows = append(rows, got...)
 				}
 			}
-			if o.json != "" {
-				text, err := json.MarshalIndent(rows, "", " ")
-				if err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
-				if err := os.WriteFile(o.json, append(text, '\n'), 0o644); err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
+			if err := writeResult(o.json, rows); err != nil {
+				return err
 			}
 			if o.svg != "" {
 				if err := drawComeback(o.svg, rows[0]); err != nil {
--- a/cmd/lapislab/experiment.go
+++ b/cmd/lapislab/experiment.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -75,14 +73,8 @@
 			if err != nil {
 				return err
 			}
-			if o.json != "" {
-				text, err := json.MarshalIndent(res, "", " ")
-				if err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
-				if err := os.WriteFile(o.json, append(text, '\n'), 0o644); err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
+			if err := writeResult(o.json, res); err != nil {
+				return err
 			}
 			switch {
 			case res.Partial:
--- a/cmd/lapislab/flood.go
+++ b/cmd/lapislab/flood.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"time"
 
@@ -72,14 +70,8 @@
 					errs = append(errs, err)
 				}
 			}
-			if o.json != "" {
-				text, err := json.MarshalIndent(all, "", " ")
-				if err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
-				if err := os.WriteFile(o.json, append(text, '\n'), 0o644); err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
+			if err := writeResult(o.json, all); err != nil {
+				return err
 			}
 			return errors.Join(errs...)
 		},
--- a/cmd/lapislab/main.go
+++ b/cmd/lapislab/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -64,6 +65,21 @@
 	}
 }
 
+// writeResult writes what a command has come to as JSON, if a file is named.
+func writeResult(path string, v any) error {
+	if path == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return fmt.Errorf("the result: %w", err)
+	}
+	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("the result: %w", err)
+	}
+	return nil
+}
+
 // usage turns a check of arguments into one whose errors are the command line's.
 func usage(check cobra.PositionalArgs) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/cmd/lapislab/overload.go
+++ b/cmd/lapislab/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -59,14 +58,8 @@
 			if err != nil {
 				return err
 			}
-			if o.json != "" {
-				text, err := json.MarshalIndent(points, "", " ")
-				if err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
-				if err := os.WriteFile(o.json, append(text, '\n'), 0o644); err != nil {
-					return fmt.Errorf("the result: %w", err)
-				}
+			if err := writeResult(o.json, points); err != nil {
+				return err
 			}
 			if svg != "" {
 				if err := drawOverload(svg, f, points); err != nil {
--- a/internal/comeback/source/file.go
+++ b/internal/comeback/source/file.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"time"
 
 	"lapisspread/internal/comeback"
@@ -39,16 +38,9 @@
 
 // Load reads a file. Errors name the file, the line where there is one, and the key.
 func Load(path string) (*File, error) {
-	info, err := os.Stat(path)
+	text, err := strict.ReadFile(path, "the settings of coming back", mostFile)
 	if err != nil {
-		return nil, fmt.Errorf("reading the settings of coming back: %w", err)
-	}
-	if info.Size() > mostFile {
-		return nil, fmt.Errorf("%s: %d bytes; %d are the most", path, info.Size(), mostFile)
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("reading the settings of coming back: %w", err)
+		return nil, err
 	}
 	return Parse(path, text)
 }
--- a/internal/services/services.go
+++ b/internal/services/services.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"os"
 	"strings"
 	"time"
 
@@ -103,16 +102,9 @@
 
 // Load reads a file and checks it whole.
 func Load(path string) (*Config, error) {
-	info, err := os.Stat(path)
+	text, err := strict.ReadFile(path, "the services", mostBytes)
 	if err != nil {
-		return nil, fmt.Errorf("reading the services: %w", err)
-	}
-	if info.Size() > mostBytes {
-		return nil, fmt.Errorf("%s: %d bytes; %d are the most", path, info.Size(), mostBytes)
-	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("reading the services: %w", err)
+		return nil, err
 	}
 	return Parse(path, text)
 }
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -24,6 +25,22 @@
 	return nil
 }
 
+// ReadFile gives a file's text, unless it is longer than most bytes. What is for errors: what the file is of.
+func ReadFile(path, what string, most int64) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w", what, err)
+	}
+	if info.Size() > most {
+		return nil, fmt.Errorf("%s: %d bytes; %d are the most", path, info.Size(), most)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w", what, err)
+	}
+	return text, nil
+}
+
 // Decode reads text into v. Path is for errors alone.
 func Decode(path string, text []byte, v any) error {
 	d := toml.NewDecoder(bytes.NewReader(text))
