Drop two script calls that nobody makes, and a cancel that was there twice

Need: read once more: Fleet.Call and Fleet.Recall had no caller; Source.Watch ended its context twice.

Change: removed; behaviour as before.

Measured: go vet, and the tests of comeback and kit with -race, pass.

--- a/internal/comeback/source/source.go
+++ b/internal/comeback/source/source.go
@@ -148,11 +148,9 @@
 		return err
 	}
 	inner, cancel := context.WithCancel(ctx)
-	defer cancel()
 	changed := make(chan struct{}, 1)
 	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
+	defer func() { cancel(); running.Wait() }()
 	if s.guard != nil {
 		running.Go(func() { s.elapse(inner, changed, tell) })
 	}
--- a/internal/lab/live/script.go
+++ b/internal/lab/live/script.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// Remember has proxies start with the list as it is now, whatever comes of it; Recall with the newest again.
+// Remember has proxies start with the list as it is now, whatever comes of it, for the rest of the run.
 func (f *Fleet) Remember() {
 	var lists []catalog
 	for _, a := range f.r.agents {
@@ -166,9 +166,6 @@
 	f.r.remembered.Store(&lists)
 }
 
-// Recall ends that.
-func (f *Fleet) Recall() { f.r.remembered.Store(nil) }
-
 // Told waits until all proxies have been told of the last start of a node.
 func (f *Fleet) Told(nodes ...int) error {
 	return f.Await("the register's news", func() bool {
@@ -180,8 +177,3 @@
 		})
 	})
 }
-
-// Call makes a call of a proxy's console and gives its answer.
-func (f *Fleet) Call(proxy int, line string) (string, error) {
-	return call(f.r.proxies[proxy].newest().console, line)
-}
