Do not blame a proxy for a request that the run's end has overtaken on a slow machine

Change: the ledger tells ids that it has settled from those that never were; the first are reported only by a run whose machine was not late, as the other rules that hang on time are.

--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -613,6 +613,9 @@
 	return append(s, last)
 }
 
+// Forgot tells whether a request was a client's, and is watched no more.
+func (l *Ledger) Forgot(id uint64) bool { return id > 0 && id < l.base }
+
 // Find gives what a client has asked with a request that is still watched.
 func (l *Ledger) Find(id uint64) (world.Arrival, bool) {
 	if id < l.base || id >= l.base+uint64(len(l.entries)) {
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -269,7 +269,11 @@
 				r.mu.Unlock()
 				return c.write("404 Not Found", "", "")
 			}
-			r.problem("node %d: a request with the id %q, which no client has sent of late", n.no, q.id)
+			if r.ledger.Forgot(id) {
+				r.straggler = fmt.Sprintf("node %d: the request with the id %q has come long after its client had left", n.no, q.id)
+			} else {
+				r.problem("node %d: a request with the id %q, which no client has sent", n.no, q.id)
+			}
 			r.mu.Unlock()
 			return c.write("400 Bad Request", "", "")
 		}
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -145,9 +145,11 @@
 	waiting  map[*world.Job]chan world.Answer
 	tries    map[uint64]int // attempts that came to nodes, by account
 	problems []string
-	lateness *hdrhistogram.Histogram // of this machine, in microseconds
-	worst    time.Duration
-	last     judge.Verdict
+	// straggler is a request that came to a node after it had been settled; empty is none.
+	straggler string
+	lateness  *hdrhistogram.Histogram // of this machine, in microseconds
+	worst     time.Duration
+	last      judge.Verdict
 
 	remembered atomic.Pointer[[]catalog] // the lists that proxies start with, by proxy; nil is the newest
 
@@ -298,6 +300,10 @@
 	r.endProxies()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Danger: on a machine that is held up a proxy may send so late that its client has gone and the run is over.
+	if r.straggler != "" && res.Late == "" {
+		r.problem("%s", r.straggler)
+	}
 	res.Problems = slices.Clone(r.problems)
 	for _, c := range r.proxies {
 		res.Usage = append(res.Usage, c.used())
