Remember what a proxy has learned, for the one that starts in its place

Need: after a restart a proxy knows neither the rate of its requests, nor how long they take, nor which servers are sick or cold, and its configuration's list may be hours old; what it does not know it refuses for.

Change: with [memory] in the file of coming back, each proxy writes down each second its register's list and what its module has learned (internal/durable: one file, replaced whole, with a form's number and a checksum); the next one takes it as a prior whose weight falls with its age, void for servers that started anew.

--- a/cmd/lapislab/experiment.go
+++ b/cmd/lapislab/experiment.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"lapisspread/internal/comeback/source"
 	"lapisspread/internal/lab/experiment"
 	"lapisspread/internal/lab/report"
 	"lapisspread/internal/lab/rival"
@@ -219,7 +220,15 @@
 		s, err = playLive(ctx, io.Discard, f, runOptions{seed: seed, policy: policy, proxy: v.Binary, args: v.Args, services: v.Services, flood: v.Flood, admission: v.Admission, comeback: v.Comeback}, v.Load)
 	} else {
 		spec := f.Spec(seed, v.Load)
-		s, err = simulate(ctx, f.Name, &spec, policy, io.Discard)
+		var memory time.Duration
+		if v.Comeback != "" { // there are no lists to doubt and no calls in virtual time
+			c, err := source.Parse(v.Name+": comeback", []byte(v.Comeback))
+			if err != nil {
+				return nil, err
+			}
+			memory = c.Every()
+		}
+		s, err = simulate(ctx, f.Name, &spec, policy, memory, io.Discard)
 	}
 	if err != nil {
 		return nil, err
--- a/cmd/lapislab/simulate.go
+++ b/cmd/lapislab/simulate.go
@@ -69,7 +69,7 @@
 			if o.quiet {
 				progress = io.Discard
 			}
-			s, err := simulate(cmd.Context(), f.Name, &spec, o.policy, progress)
+			s, err := simulate(cmd.Context(), f.Name, &spec, o.policy, 0, progress)
 			if err != nil {
 				return err
 			}
@@ -114,7 +114,7 @@
 }
 
 // simulate plays a spec and tells on progress what it costs.
-func simulate(ctx context.Context, name string, spec *world.Spec, policy string, progress io.Writer) (*report.Summary, error) {
+func simulate(ctx context.Context, name string, spec *world.Spec, policy string, memory time.Duration, progress io.Writer) (*report.Summary, error) {
 	factory, err := rival.Named(policy)
 	if err != nil {
 		return nil, err
@@ -123,6 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.Memory = memory
 	start := time.Now()
 	last := start
 	r.Progress = func(now time.Duration) {
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -106,6 +106,64 @@
 	}
 }
 
+// ---- what one before it has learned ----
+
+// Recall takes in what one before it has remembered, after Start and before the first list. It is a prior:
+// its weight falls with its age, and what it says of a backend is void if that has started anew.
+func (b *Balancer) Recall(now time.Duration, m Memory) {
+	b.now = now
+	age := now - m.At
+	if age < 0 {
+		return
+	}
+	b.recalled = &m
+	keep := math.Exp(-float64(age) / float64(rateOver))
+	// Danger: a proxy that has just started would use a few backends only, while all who waited for it come.
+	// As if requests had come at that rate for an interval; what comes now soon says more.
+	b.since = now - b.interval
+	b.seen = m.Rate * keep * 2 * b.interval.Seconds()
+	for i, c := range b.cfg.Classes {
+		for _, o := range m.Classes {
+			if d := o.Delays; o.Name == c.Name {
+				b.classes[i] = line{d[0] * keep, d[1] * keep, d[2] * keep, d[3] * keep, d[4] * keep}
+			}
+		}
+	}
+}
+
+// recall gives a backend that the list names for the first time what was learned in this same life of it.
+// Danger: a suspected start is no life that the list knows of; the backend is cold though the proxy is new.
+func (b *Balancer) recall(t *target) {
+	if b.recalled == nil {
+		return
+	}
+	for _, o := range b.recalled.Backends {
+		if o.ID == t.ID && o.Started == t.Started {
+			t.healthy, t.served = o.Healthy, decaying{o.Served, b.recalled.At}
+			b.starts(t, o.Cold)
+			if !t.healthy { // probes decide, and soon: it may be well by now
+				t.nextProbe = b.now
+			}
+		}
+	}
+}
+
+// recalledLimit is what the limit for all backends was before, as far as they are the same in the same life.
+// Danger: one that was learned on warm backends would let too much out at cold ones.
+func (b *Balancer) recalledLimit() float64 {
+	m, same := b.recalled, 0
+	if m == nil {
+		return 0
+	}
+	for _, o := range m.Backends {
+		if t := b.byID[o.ID]; t != nil && t.State == Ready && o.Started == t.Started {
+			same++
+		}
+	}
+	keep := math.Exp(-float64(b.now-m.At) / float64(rateOver))
+	return m.Limit * keep * float64(same) / float64(max(1, len(m.Backends)))
+}
+
 // ---- checker ----
 
 // Membership reconciles the targets in place: survivors keep their status.
@@ -133,6 +191,7 @@
 			}
 			t = b.newTarget(e)
 			t.nextProbe = now + jitter(b.rng, restProbe*b.interval)
+			b.recall(t)
 		} else if t.State == Gone && e.State != Gone { // it left and is back: a new target
 			t.healthy, t.fails, t.passes = true, 0, 0
 		}
@@ -145,6 +204,7 @@
 	if b.shared.limit == 0 { // the first list
 		unit := float64(max(1, len(b.listed))) / float64(b.cfg.Instances)
 		b.shared = newLimiter(unit, sharedCut, memory*b.interval)
+		b.shared.limit = max(b.shared.limit, b.recalledLimit())
 	}
 }
 
@@ -226,7 +286,7 @@
 	for b.now-b.since > rateOver {
 		b.fadeRate()
 	}
-	rate := b.seen / (b.now - b.since + b.interval).Seconds()
+	rate := b.rate()
 	n := max(reachLeast, math.Ceil(rate*b.interval.Seconds()*reachPart))
 	if b.cfg.WarmKeys {
 		n = float64(len(b.listed))
@@ -252,6 +312,9 @@
 	}
 }
 
+// rate is how many requests come a second.
+func (b *Balancer) rate() float64 { return b.seen / (b.now - b.since + b.interval).Seconds() }
+
 // fadeRate halves what the rate of requests is taken from, and the time that it is taken over.
 func (b *Balancer) fadeRate() { b.seen, b.since = b.seen/2, b.now-(b.now-b.since)/2 }
 
@@ -967,8 +1030,12 @@
 		b.relax(&t.own)
 	}
 	b.relax(&b.shared)
-	f := math.Exp(-float64(b.interval/sweeps) / float64(b.cfg.Obligations.Cold+b.interval))
-	b.fadeTallies(f)
+	b.fadeTallies(b.fading(b.interval / sweeps))
+}
+
+// fading is the part of a tally that is left after some time.
+func (b *Balancer) fading(d time.Duration) float64 {
+	return math.Exp(-float64(d) / float64(b.cfg.Obligations.Cold+b.interval))
 }
 
 // overdue thinks of another attempt beside, or in place of, one that takes longer than usual.
--- /dev/null
+++ b/decision/memory_test.go
@@ -0,0 +1,98 @@
+package decision
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+)
+
+// learnt is a balancer that has served for a while, with a backend out of order, and one that has started anew.
+func learnt(t *testing.T) (*Balancer, Memory) {
+	t.Helper()
+	b, h := newBalancer(t, testConfig(), 8)
+	now := second
+	for i := range 200 {
+		now += 10 * milli
+		b.Request(now, Request{ID: RequestID(i + 1), Deadline: now + second})
+		for _, a := range h.take("send") {
+			b.Outcome(now+5*milli, Outcome{ID: a.id, Backend: a.to, Result: OK, Final: true})
+		}
+	}
+	b.byID[3].healthy = false
+	b.starts(b.byID[4], now-second) // suspected: the list knows nothing of it
+	var m Memory
+	text, err := json.Marshal(b.Remember(now))
+	if err == nil {
+		err = json.Unmarshal(text, &m)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b, m
+}
+
+func TestWhatIsRecalledIsAPrior(t *testing.T) {
+	old, m := learnt(t)
+	for _, c := range []struct {
+		name            string
+		age             time.Duration
+		started         time.Duration // of all, as the list now says
+		healthy, cold   bool          // of backends 3 and 4
+		least, mostRate float64       // parts of the rate before
+	}{
+		{"at once", milli, 0, false, true, 0.9, 1.01},
+		{"after the time over which the rate is taken", rateOver, 0, false, false, 0.3, 0.4},
+		{"a backend that has started anew is another", second, m.At + milli, true, true, 0.9, 1.01},
+		{"of a time that has not come", -second, 0, true, false, 0, 0},
+	} {
+		h := &recorder{}
+		b, err := New(testConfig(), 1, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := m.At + c.age
+		b.Start(now)
+		b.Recall(now, m)
+		backends := list(8)
+		for i := range backends {
+			backends[i].Started = c.started
+		}
+		b.Membership(now, Membership{Kind: ListCached, Backends: backends})
+		_, cold := b.cold(b.byID[4])
+		if b.byID[3].healthy != c.healthy || cold != c.cold {
+			t.Errorf("%s: healthy %v, cold %v", c.name, b.byID[3].healthy, cold)
+		}
+		if part := b.rate() / old.rate(); part < c.least || part > c.mostRate {
+			t.Errorf("%s: the rate is %.2f of the one before", c.name, part)
+		}
+		if c.age >= 0 {
+			if want, got := old.expected(safe, 0), b.expected(safe, 0); math.Abs(want-got) > 1e-9*want {
+				t.Errorf("%s: a delay of %v is expected, before it was %v", c.name, got, want)
+			}
+		}
+	}
+}
+
+// A suspected start outlives the proxy: what knows nothing of it must not push the cold server over.
+func TestARecalledColdBackendHasItsBudget(t *testing.T) {
+	_, m := learnt(t)
+	b, err := New(testConfig(), 1, &recorder{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(m.At)
+	b.Recall(m.At, m)
+	b.Membership(m.At, Membership{Kind: ListCached, Backends: list(8)})
+	sent := 0
+	for range 1000 {
+		if b.coldAllows(b.byID[4], 100) {
+			b.byID[4].tokens -= 100
+			b.byID[4].out = append(b.byID[4].out, nil)
+			sent++
+		}
+	}
+	if sent > 3 {
+		t.Errorf("%d requests of 100 ms go to a server that is cold for all that is known", sent)
+	}
+}
--- a/decision/state.go
+++ b/decision/state.go
@@ -48,6 +48,7 @@
 	seen                   float64 // requests since the time in since
 	since                  time.Duration
 	lastLog                time.Duration
+	recalled               *Memory   // of one before it; nil is none
 	pool                   []*target // for use within pick
 	ratios                 []float64 // for use within findMedian
 }
--- a/internal/comeback/source/file.go
+++ b/internal/comeback/source/file.go
@@ -14,9 +14,10 @@
 
 // File is deploy/comeback.toml. A part that is left out is off.
 type File struct {
-	Version int    `toml:"version"` // 1
-	List    *List  `toml:"list"`
-	Calls   *Calls `toml:"calls"`
+	Version int     `toml:"version"` // 1
+	List    *List   `toml:"list"`
+	Calls   *Calls  `toml:"calls"`
+	Memory  *Memory `toml:"memory"`
 }
 
 // List says when a list is in doubt: see comeback.GuardSettings.
@@ -33,6 +34,31 @@
 	Hold strict.Span `toml:"hold"` // 20s if left out
 }
 
+// Memory says where a proxy writes down what it has learned, for the one that starts in its place.
+type Memory struct {
+	Folder string      `toml:"folder"` // that for temporary files if left out
+	Every  strict.Span `toml:"every"`  // 1s if left out
+	Most   strict.Span `toml:"most"`   // the oldest that is recalled; 1h if left out
+}
+
+const (
+	leastEvery = 100 * time.Millisecond
+	mostEvery  = time.Hour
+)
+
+// Every is how often it is written; 0 is never.
+func (f *File) Every() time.Duration {
+	if f.Memory == nil {
+		return 0
+	}
+	return time.Duration(or(f.Memory.Every, strict.Span(time.Second)))
+}
+
+// Oldest is the age up to which it is recalled.
+func (f *File) Oldest() time.Duration {
+	return time.Duration(or(f.Memory.Most, strict.Span(time.Hour)))
+}
+
 // mostFile is the longest file that is read, in bytes.
 const mostFile = 1 << 20
 
@@ -54,10 +80,18 @@
 	if f.Version != Version {
 		return nil, fmt.Errorf("%s: version: %d; this program reads %d", path, f.Version, Version)
 	}
-	if f.List == nil && f.Calls == nil {
-		return nil, fmt.Errorf("%s: it has neither [list] nor [calls]: without both there is nothing to go by", path)
+	if f.List == nil && f.Calls == nil && f.Memory == nil {
+		return nil, fmt.Errorf("%s: it has none of [list], [calls] and [memory]: there is nothing to go by", path)
 	}
 	var errs []error
+	if m := f.Memory; m != nil {
+		if v := f.Every(); v < leastEvery || v > mostEvery {
+			errs = append(errs, fmt.Errorf("memory: every: %v is not within %v and %v", v, leastEvery, mostEvery))
+		}
+		if v := f.Oldest(); v < f.Every() {
+			errs = append(errs, fmt.Errorf("memory: most: %v is shorter than every, %v", v, f.Every()))
+		}
+	}
 	if set, on := f.guard(); on {
 		if err := set.Check(); err != nil {
 			errs = append(errs, fmt.Errorf("list: %w", err))
@@ -112,5 +146,9 @@
 	if s, on := f.calls(1, 0); on {
 		calls = fmt.Sprintf("all proxies together call for the list %g times a second, each after %v at the latest", s.Rate, s.Most)
 	}
-	return list + "; " + calls
+	memory := "nothing is remembered"
+	if f.Memory != nil {
+		memory = fmt.Sprintf("what is learned is written down every %v, and recalled for %v", f.Every(), f.Oldest())
+	}
+	return list + "; " + calls + "; " + memory
 }
--- a/internal/comeback/source/source.go
+++ b/internal/comeback/source/source.go
@@ -6,9 +6,12 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"lapisspread/decision"
 	"lapisspread/internal/comeback"
 	"lapisspread/internal/engine"
 )
@@ -25,6 +28,42 @@
 	guards map[string]*guarded
 	calls  map[string]*comeback.Calls // by name, as guards
 	counts Counts
+	held   map[string]Held // by address
+}
+
+// Held is a list as a register has told it.
+type Held struct {
+	List engine.List   `json:"list"`
+	At   time.Duration `json:"at"` // when it last answered, by the plan's clock; 0 is never
+}
+
+// Held tells the lists of all registers, by address.
+func (p *Plan) Held() map[string]Held {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.held)
+}
+
+// hold takes a list into what is held of a register.
+func (p *Plan) hold(addr string, told engine.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.held[addr]
+	h.At = p.now()
+	switch {
+	case told.Full:
+		h.List = told
+	case !told.Past(h.List.Version):
+		members := slices.Clone(h.List.Members) // of which others hold the old ones
+		for _, m := range told.Members {
+			members = slices.DeleteFunc(members, func(o engine.Member) bool { return o.ID == m.ID })
+			if m.State != decision.Gone {
+				members = append(members, m)
+			}
+		}
+		h.List = engine.List{Version: told.Version, Full: true, Members: members}
+	}
+	p.held[addr] = h
 }
 
 // guarded is a guard with the lock under which lists go through it, so that they keep their order.
@@ -42,7 +81,8 @@
 
 // NewPlan makes the plan of one of so many proxies. The seed must be another one for each process.
 func NewPlan(f *File, proxies int, seed uint64, now func() time.Duration, log *slog.Logger) *Plan {
-	return &Plan{file: f, proxies: proxies, seed: seed, now: now, log: log, guards: map[string]*guarded{}, calls: map[string]*comeback.Calls{}}
+	return &Plan{file: f, proxies: proxies, seed: seed, now: now, log: log, guards: map[string]*guarded{}, calls: map[string]*comeback.Calls{},
+		held: map[string]Held{}}
 }
 
 // Later is an error by which a register says when to come back.
@@ -54,6 +94,9 @@
 	s := &Source{Source: inner, plan: p}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, any := p.held[inner.Addr()]; !any {
+		p.held[inner.Addr()] = Held{List: known}
+	}
 	if set, on := p.file.guard(); on {
 		if p.guards[name] == nil {
 			g, err := comeback.NewGuard(set, known)
@@ -139,6 +182,7 @@
 	if err != nil {
 		return list, err
 	}
+	s.plan.hold(s.Addr(), list)
 	return s.take(list), nil
 }
 
@@ -156,6 +200,7 @@
 	}
 	err := s.Source.Watch(ctx, from, func(list engine.List) {
 		s.note(ctx, nil)
+		s.plan.hold(s.Addr(), list)
 		if s.guard == nil {
 			tell(list)
 			return
--- a/internal/comeback/source/source_test.go
+++ b/internal/comeback/source/source_test.go
@@ -153,7 +153,8 @@
 
 func TestFiles(t *testing.T) {
 	for want, text := range map[string]string{
-		`comeback.toml:3: unknown key "list.shrunk"`: "version = 1\n[list]\nshrunk = 1\n", "version: 2": "version = 2\n", "neither [list] nor [calls]": "version = 1\n",
+		`comeback.toml:3: unknown key "list.shrunk"`: "version = 1\n[list]\nshrunk = 1\n", "version: 2": "version = 2\n", "none of [list], [calls] and [memory]": "version = 1\n",
+		"memory: every: 1ms": "version = 1\n[memory]\nevery = \"1ms\"\n", "memory: most: 1s is shorter": "version = 1\n[memory]\nevery = \"2s\"\nmost = \"1s\"\n",
 		"list: shrink: 3": "version = 1\n[list]\nshrink = 3.0\n", "calls: rate: 0": "version = 1\n[calls]\n", "no span of time": "version = 1\n[list]\nhold = \"long\"\n",
 	} {
 		if _, err := Parse("comeback.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
@@ -161,7 +162,7 @@
 		}
 	}
 	f, err := Load("../../../deploy/comeback.toml")
-	if err != nil || !strings.Contains(f.Words(), "30 %") || !strings.Contains(f.Words(), "20 times a second") {
+	if err != nil || !strings.Contains(f.Words(), "30 %") || !strings.Contains(f.Words(), "20 times a second") || !strings.Contains(f.Words(), "written down every 1s") {
 		t.Errorf("%v, %v", f, err)
 	}
 	if _, err := Load("nowhere.toml"); err == nil || !strings.Contains(err.Error(), "nowhere.toml") {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -101,6 +101,8 @@
 	Attach(now time.Duration, id decision.BackendID)
 	Vet(now time.Duration)
 	Census() (known, excluded int)
+	Remember(now time.Duration) decision.Memory
+	Recall(now time.Duration, m decision.Memory)
 }
 
 // New makes an engine. An error names the setting of the module that makes no sense.
@@ -136,6 +138,9 @@
 	defer wake.Stop()
 	l.handle(func() {
 		l.module.Start(l.clock.Now())
+		if l.opts.Recall != nil {
+			l.module.Recall(l.clock.Now(), *l.opts.Recall)
+		}
 		l.obey() // before the list, so that nothing is sent to a backend that is out
 		l.list(l.opts.Known, decision.ListCached)
 		if !l.opts.Module.OnRequest { // the module takes pushed lists as they come and asks for none
@@ -179,6 +184,18 @@
 	}
 }
 
+// Remember tells what the module has learned, unless the engine ends first.
+func (l *Engine) Remember() (m decision.Memory, ok bool) {
+	told := make(chan decision.Memory, 1)
+	l.Post(func() { told <- l.module.Remember(l.clock.Now()) })
+	select {
+	case m = <-told:
+		return m, true
+	case <-l.done:
+		return m, false
+	}
+}
+
 // handle runs an event and what follows from it. Danger: a panic in the decisions would take all requests
 // in hand with it; so it ends that event alone, and its request at the latest at its deadline.
 func (l *Engine) handle(event func()) {
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -155,7 +155,8 @@
 type Options struct {
 	Module   decision.Config
 	Seed     uint64
-	Known    List // the servers as last known
+	Known    List             // the servers as last known
+	Recall   *decision.Memory // what the module before this one has learned; nil is nothing
 	Zones    []string
 	Kinds    []string
 	Upstream Upstream
--- a/internal/lab/kit/comeback_test.go
+++ b/internal/lab/kit/comeback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -44,6 +45,19 @@
 // waits is one by which calls for the list wait their turn.
 const waits = "version = 1\n[calls]\nrate = 5.0\nmost = \"2s\"\n"
 
+// learns is one by which each proxy writes down what it has learned.
+const learns = "version = 1\n[memory]\nevery = \"100ms\"\n"
+
+// recalls waits until what the processes say of what was left to them is this.
+func recalls(f *live.Fleet, what string) error {
+	for _, no := range f.All() {
+		if got, err := f.Recalled(no); err != nil || got != what {
+			return fmt.Errorf("proxy %d: recalled: %q, %w; want %q", no, got, err, what)
+		}
+	}
+	return nil
+}
+
 // The fleet comes back from each of these, by itself, with no rule broken on the way.
 func TestTheFleetComesBack(t *testing.T) {
 	silent := fabric.Trouble{Silent: true}
@@ -135,6 +149,41 @@
 			}
 			return nil
 		}},
+		{Name: "what was learned is recalled, and what was damaged is not", Comeback: learns, Play: func(f *live.Fleet) error {
+			for _, c := range []struct{ do, recalled string }{{"", "yes"}, {"flip", "it is damaged"}, {"tear", "it is damaged"}, {"remove", "none"}} {
+				if err := f.Learned(f.All()...); err != nil {
+					return err
+				}
+				f.Kill(f.All()...)
+				if c.do != "" {
+					f.Spoil(c.do, f.All()...)
+				}
+				f.Start(f.All()...)
+				if err := errors.Join(recalls(f, c.recalled), again(f)); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{Name: "what was learned knows of a server that a list of long ago lacks", Fabric: true, Comeback: learns, Play: func(f *live.Fleet) error {
+			f.Nodes(world.OpDrain, 0, 1, 2, 3, 4)
+			if err := f.Service(enough, f.All()...); err != nil {
+				return err
+			}
+			f.Remember() // as if these had left for good
+			f.Nodes(world.OpStart, 0, 1, 2, 3, 4)
+			if err := errors.Join(f.Told(0, 1, 2, 3, 4), f.Learned(f.All()...)); err != nil {
+				return err
+			}
+			f.Nodes(world.OpDrain, 5)
+			if err := errors.Join(f.Service(enough, f.All()...), f.Learned(f.All()...)); err != nil {
+				return err
+			}
+			return errors.Join(during(f, fabric.Rule{To: "register", Trouble: silent}, func() error {
+				restart(f, f.All()...) // without what was learned there would be the one that drains, and it alone
+				return errors.Join(recalls(f, "yes"), again(f))
+			}), again(f))
+		}},
 		{Name: "nodes and proxies restart in one moment, all cold", Rate: 30, Play: func(f *live.Fleet) error {
 			nodes := []int{0, 1, 2, 3, 4, 5}
 			f.Kill(f.All()...)
--- a/internal/lab/live/script.go
+++ b/internal/lab/live/script.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -177,3 +179,52 @@
 		})
 	})
 }
+
+// memory is what COMEBACK tells of what a proxy remembers.
+type memory struct {
+	Recalled string
+	Written  int64
+}
+
+func (f *Fleet) memory(no int) (m memory, err error) {
+	text, err := call(f.r.proxies[no].newest().console, "COMEBACK")
+	if err != nil {
+		return m, fmt.Errorf("proxy %d: its console: %w", no, err)
+	}
+	var told struct{ Memory *memory }
+	head, _, _ := strings.Cut(text, "\n")
+	if err := json.Unmarshal([]byte(head), &told); err != nil || told.Memory == nil {
+		return m, fmt.Errorf("proxy %d: COMEBACK tells %q, and nothing of a memory", no, text)
+	}
+	return *told.Memory, nil
+}
+
+// Recalled tells what a proxy that remembers says of what the one before it had left: "yes", "none" or why not.
+func (f *Fleet) Recalled(no int) (string, error) {
+	m, err := f.memory(no)
+	if _, why, more := strings.Cut(m.Recalled, ".memory: "); more { // paths differ from run to run
+		return why, err
+	}
+	return m.Recalled, err
+}
+
+// Learned waits until proxies have written down all that they know by now.
+func (f *Fleet) Learned(proxies ...int) error {
+	until := map[int]int64{}
+	for _, no := range proxies {
+		m, err := f.memory(no)
+		if err != nil {
+			return err
+		}
+		until[no] = m.Written + 2 // one may be on its way
+	}
+	for _, no := range proxies {
+		if err := f.Await(fmt.Sprintf("proxy %d writes down what it has learned", no), func() bool {
+			m, err := f.memory(no)
+			return err == nil && m.Written >= until[no]
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -48,6 +48,10 @@
 	starts  []proxyStart
 	kills   []int // by proxy
 
+	// Memory is how often each proxy writes down what it has learned, which one that starts in its place recalls. 0 is never.
+	Memory   time.Duration
+	memories []*decision.Memory // by proxy; nil is none
+
 	// Progress is told the virtual time once a virtual second. It may be nil.
 	Progress func(now time.Duration)
 }
@@ -84,7 +88,7 @@
 			views[i].listing = world.Active
 		}
 		r.views = append(r.views, views)
-		r.proxies, r.kills = append(r.proxies, nil), append(r.kills, 0)
+		r.proxies, r.kills, r.memories = append(r.proxies, nil), append(r.kills, 0), append(r.memories, nil)
 		zone := spec.ProxyZone(no)
 		r.routes[zone] = append(r.routes[zone], no)
 		for node := range spec.Nodes {
@@ -97,6 +101,26 @@
 	return r, nil
 }
 
+// rememberer is a policy that can tell what it has learned.
+type rememberer interface {
+	Remember(now time.Duration) decision.Memory
+	Recall(now time.Duration, m decision.Memory)
+}
+
+// remember has the proxies whose time it is write down what they have learned.
+func (r *Run) remember(now time.Duration) {
+	if r.Memory < Tick {
+		return
+	}
+	for no, p := range r.proxies { // not all in one moment
+		phase := (now + r.Memory*time.Duration(no)/time.Duration(len(r.proxies))) % r.Memory
+		if m, can := p.policy.(rememberer); can && phase < Tick && !p.dead && !p.stopped {
+			learned := m.Remember(now)
+			r.memories[no] = &learned
+		}
+	}
+}
+
 // startProxy puts a new process in a proxy's place.
 func (r *Run) startProxy(now time.Duration, no int) error {
 	r.seq++
@@ -109,6 +133,9 @@
 	p.policy = policy
 	r.proxies[no] = p
 	policy.Start(now)
+	if m, can := policy.(rememberer); can && r.memories[no] != nil {
+		m.Recall(now, *r.memories[no])
+	}
 	r.lists++
 	m := decision.Membership{Kind: decision.ListCached, Version: r.lists}
 	for i := range r.fleet.Nodes {
@@ -191,6 +218,7 @@
 			r.arrive(now, heap.Pop(&r.retries).(world.Arrival))
 		}
 		r.decide(now)
+		r.remember(now)
 		r.serve(now)
 		r.ledger.Advance(now)
 	}
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lapisspread/internal/admission"
+	"lapisspread/internal/comeback/source"
 	"lapisspread/internal/door"
 )
 
@@ -127,7 +128,14 @@
 	if o.comeback == nil {
 		return nil, errors.New("the rules of coming back are off: the proxy was started without --comeback")
 	}
-	return o.comeback.Report(), nil
+	r := struct {
+		source.Report
+		Memory *memoryReport `json:"memory,omitempty"`
+	}{Report: o.comeback.Report()}
+	if o.memory != nil {
+		r.Memory = o.memory.told()
+	}
+	return r, nil
 }
 
 // Block turns an address or a prefix away for a time.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,6 +32,7 @@
 	services *services
 	diameter *diameterSide // nil is none
 	comeback *source.Plan  // nil believes all, and asks at once
+	memory   *memory       // nil remembers nothing
 	ready    atomic.Bool   // it takes clients
 
 	// Shared is told whether another process of this proxy lives beside this one, at the start and at each change:
@@ -223,6 +224,11 @@
 		}
 		seed := p.cfg.Seed ^ uint64(backendID(p.cfg.Name)) // two proxies of one seed must not ask in step
 		p.comeback = source.NewPlan(f, max(1, p.cfg.Module.Instances), seed, engine.NewClock().Now, p.log)
+		if path := p.store.Path("memory"); f.Memory != nil && path != "" {
+			p.memory = openMemory(path, f.Every(), f.Oldest())
+			p.cfg.Known = p.memory.known(p.cfg.Discovery, p.cfg.Known)
+			p.log.Info("what the process before has learned", "recalled", p.memory.report.Recalled, "age_s", p.memory.report.AgeS)
+		}
 	}
 	if p.cfg.Diameter != "" {
 		if err := p.openDiameter(); err != nil {
@@ -252,6 +258,9 @@
 	if p.diameter != nil {
 		running.Go(func() { p.diameter.run(inner) })
 	}
+	if p.memory != nil {
+		running.Go(func() { p.memory.keep(inner, p) })
+	}
 	var err error
 	served := make(chan error, 1)
 	go func() { served <- f.serve(listener) }()
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -391,7 +391,11 @@
 		up = svc.diameter
 	}
 	source, known := s.source(discovery, &spec)
-	svc.engine, err = engine.New(engine.Options{Module: module, Seed: seed, Known: known, Repeat: svc.mayRepeat(s.limits), Zones: s.p.cfg.Zones, Kinds: s.p.cfg.Kinds,
+	var recall *decision.Memory
+	if s.p.memory != nil {
+		recall = s.p.memory.recall(spec.Name)
+	}
+	svc.engine, err = engine.New(engine.Options{Module: module, Seed: seed, Known: known, Recall: recall, Repeat: svc.mayRepeat(s.limits), Zones: s.p.cfg.Zones, Kinds: s.p.cfg.Kinds,
 		Upstream: up, Source: source, Log: s.p.log, Out: s.p.store.Out, Wake: svc.roster.wake, Listed: svc.roster.add,
 		Census: func(known, excluded int) {
 			fig.BackendsKnown.Store(int64(known))
