Tell in a run's summary after how long full service was back, and stale decisions

Change: judge.RecoverAlone compares the part of what was asked for in each second that was served with that part before the strike; run and simulate tell it. run plays an experiment's last variant also in what it remembers.

--- a/cmd/lapislab/run.go
+++ b/cmd/lapislab/run.go
@@ -61,6 +61,7 @@
 			f.Stretch(o.duration)
 			if o.policy == rival.Module { // of an experiment about services, the last variant is the day itself
 				o.services = f.Variants[len(f.Variants)-1].Services
+				o.comeback = f.Variants[len(f.Variants)-1].Comeback
 			}
 			return runOne(cmd.Context(), cmd.OutOrStdout(), f, o)
 		},
--- a/internal/lab/judge/recovery.go
+++ b/internal/lab/judge/recovery.go
@@ -101,6 +101,30 @@
 	return r
 }
 
+// RecoverAlone tells, of a run without a twin, how long after a strike full service returned and held: to whole seconds, by the part
+// of what was asked for in a second that was served, over that part before the strike. A second in which nothing was asked holds.
+func RecoverAlone(v *Verdict, strike time.Duration) (after time.Duration, back bool) {
+	from := int(strike / time.Second)
+	asked, served := 0.0, 0.0
+	for _, s := range v.Seconds[:min(from, len(v.Seconds))] {
+		asked, served = asked+s.Asked, served+s.Served
+	}
+	if asked == 0 {
+		return 0, false
+	}
+	held := 0
+	for i := from; i < len(v.Seconds); i++ {
+		if s := v.Seconds[i]; s.Served < FullShare*served/asked*s.Asked {
+			held = 0
+			continue
+		}
+		if held++; held == int(FullFor/time.Second) {
+			return max(0, time.Duration(i+1-held)*time.Second-strike), true
+		}
+	}
+	return 0, false
+}
+
 // peak is the most in a second from one on, over the twin's mean of the same seconds, and as a number.
 func peak(run, twin []int, from int) (over float64, most int) {
 	sum, n := 0, 0
--- a/internal/lab/judge/recovery_test.go
+++ b/internal/lab/judge/recovery_test.go
@@ -65,3 +65,31 @@
 		t.Errorf("of nothing: %+v", r)
 	}
 }
+
+func TestARunWithoutATwin(t *testing.T) {
+	for name, k := range map[string]struct {
+		bad   func(second int) bool
+		after time.Duration
+		back  bool
+	}{
+		"nothing happens":      {func(int) bool { return false }, 0, true},
+		"bad for three":        {func(s int) bool { return s >= 10 && s < 13 }, 3 * time.Second, true},
+		"falls back after two": {func(s int) bool { return s == 10 || s == 13 }, 4 * time.Second, true},
+		"never":                {func(s int) bool { return s >= 10 && s%4 == 0 }, 0, false},
+	} {
+		v := &Verdict{}
+		for s := range 30 {
+			sec := Second{Asked: float64(10 + s%3)}
+			if sec.Served = 0.9 * sec.Asked; k.bad(s) {
+				sec.Served = 0.8 * sec.Asked
+			}
+			v.Seconds = append(v.Seconds, sec)
+		}
+		if after, back := RecoverAlone(v, 10*time.Second); after != k.after || back != k.back {
+			t.Errorf("%s: %v, %v", name, after, back)
+		}
+	}
+	if _, back := RecoverAlone(&Verdict{}, time.Second); back {
+		t.Error("of nothing")
+	}
+}
--- a/internal/lab/report/summary.go
+++ b/internal/lab/report/summary.go
@@ -31,6 +31,10 @@
 	Scored        bool    `json:"scored"`  // false: the machine was too slow for it to count
 	Late          string  `json:"late,omitempty"`
 	Faults        []Fault `json:"faults"`
+	// From the first fault on until full service is back, to whole seconds: see judge.RecoverAlone. Left out where there is no
+	// fault, or it is not back by the end.
+	ComebackMs *float64 `json:"comeback_ms,omitempty"`
+	Stale      int      `json:"stale_decisions"` // attempts at nodes that the proxy had been told to leave
 	judge.Verdict
 	Usage    []Usage  `json:"usage,omitempty"`    // on sockets: what each proxy took of the machine
 	Problems []string `json:"problems,omitempty"` // what went wrong beside the rules
@@ -66,7 +70,15 @@
 // Summarise makes the summary of a run.
 func Summarise(name, driver, policy string, s *world.Spec, v judge.Verdict, steps []world.Step) *Summary {
 	sum := &Summary{SchemaVersion: Schema, Name: name, Driver: driver, Policy: policy, Seed: s.Seed, Duration: s.Duration.Seconds(),
-		Proxies: s.Proxies, Nodes: s.Nodes, Rate: s.Load.Rate, Scored: true, Verdict: v, Faults: []Fault{}}
+		Proxies: s.Proxies, Nodes: s.Nodes, Rate: s.Load.Rate, Scored: true, Stale: v.ByRule[judge.Drain], Verdict: v, Faults: []Fault{}}
+	strike := s.Duration
+	for _, f := range s.Faults {
+		strike = min(strike, f.At)
+	}
+	if after, back := judge.RecoverAlone(&v, strike); back && len(s.Faults) > 0 {
+		ms := world.Millis(after)
+		sum.ComebackMs = &ms
+	}
 	for _, f := range s.Faults {
 		to := f.At + f.For
 		if f.For == 0 { // one that ends by itself: as long as it strikes
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -19,6 +19,9 @@
 	}
 	fmt.Fprintf(&b, "  %d first tries, %d taken, %d attempts, %d probes, %d lost with killed proxies\n",
 		s.FirstTries, s.Taken, s.Attempts, s.Probes, s.Excused)
+	if s.ComebackMs != nil {
+		fmt.Fprintf(&b, "  full service is back %.0f s after the first fault began; %d stale decisions\n", *s.ComebackMs/1000, s.Stale)
+	}
 	if len(s.Usage) > 0 {
 		most := 0.0
 		for _, u := range s.Usage {
