--- a/cmd/lapislab/comeback.go
+++ b/cmd/lapislab/comeback.go
@@ -37,7 +37,9 @@
 	var o struct {
 		seeds, proxies []uint
 		drawn          int
+		share          float64
 		sockets        bool
+		before         string
 		json, svg      string
 	}
 	c := &cobra.Command{
@@ -62,6 +64,9 @@
 				if err != nil {
 					return err
 				}
+				if f, err = changed(f, o.share, o.before); err != nil {
+					return usageError{err}
+				}
 				sizes := o.proxies
 				if len(sizes) == 0 {
 					sizes = []uint{0}
@@ -93,6 +98,8 @@
 	c.Flags().UintSliceVar(&o.seeds, "seeds", nil, "what chance comes from (default as the experiment says)")
 	c.Flags().UintSliceVar(&o.proxies, "proxies", nil, "fleets of these sizes, with nodes in step (default as the experiment says)")
 	c.Flags().IntVar(&o.drawn, "drawn", 0, "so many drawn sequences of troubles in the experiment's world, in place of its own")
+	c.Flags().Float64Var(&o.share, "share", 0, "of the proxies that are killed (default as the experiment says)")
+	c.Flags().StringVar(&o.before, "before", "", "on sockets: another proxy's program, held beside as a variant of its own")
 	c.Flags().BoolVar(&o.sockets, "sockets", false, "around real proxies, in real time")
 	c.Flags().StringVar(&o.json, "json", "", "write the rows to this file")
 	c.Flags().StringVar(&o.svg, "svg", "", "draw the first row, the run over its twin, into this file")
@@ -199,6 +206,27 @@
 	return nil
 }
 
+// changed is an experiment whose kills take another share, if one is given, and with a further variant of another program.
+func changed(f *experiment.File, share float64, before string) (*experiment.File, error) {
+	if !(share >= 0 && share <= 1) {
+		return nil, fmt.Errorf("--share: %v is not within 0 and 1", share)
+	}
+	out := *f
+	out.Faults = slices.Clone(f.Faults)
+	for i := range out.Faults {
+		if out.Faults[i].Kind == world.KillProxy && share > 0 {
+			out.Faults[i].Share = share
+		}
+	}
+	if before != "" {
+		if _, err := os.Stat(before); err != nil {
+			return nil, fmt.Errorf("--before: %w", err)
+		}
+		out.Variants = append([]experiment.Variant{{Name: "before", Binary: before}}, f.Variants...)
+	}
+	return &out, nil
+}
+
 // sized is an experiment with a fleet of so many proxies, and nodes in step; 0 is as it stands.
 func sized(f *experiment.File, proxies int) *experiment.File {
 	if proxies == 0 {
