--- a/internal/effects/guard/guard.go
+++ b/internal/effects/guard/guard.go
@@ -97,10 +97,16 @@
 		return nil
 	}
 	for {
-		disk, records, err := store.Open(g.o.Path, store.Options{Window: g.o.Ledger.Window, Uncertain: g.o.Ledger.Uncertain})
+		disk, records, err := store.Open(g.o.Path, store.Options{Window: g.o.Ledger.Window, Uncertain: g.o.Ledger.Uncertain, First: g.o.Ledger.Lost < 0})
 		if err == nil {
 			s := g.o.Ledger
-			s.Lost = -1 // the disk has it all
+			s.Lost = -1 // the disk has it all, unless it was lost
+			if at := disk.Lost(); !at.IsZero() {
+				s.Lost = max(0, g.o.Now()-time.Since(at))
+				if g.o.Now()-s.Lost < s.Window {
+					g.o.Log.Warn("the ledger of effects lacks what was known before: repeats of what it does not know are answered as may have run", "since", at)
+				}
+			}
 			rules, err := effects.New(s)
 			if err == nil {
 				err = rules.Restore(g.o.Now(), records)
--- a/internal/effects/store/store.go
+++ b/internal/effects/store/store.go
@@ -9,7 +9,12 @@
 // The layout: in the bucket "effects" the key is the origin, a zero byte and the end-to-end identifier (4 bytes, big
 // endian); the value is the state (1 intent, 2 ended, 3 nobody knows how), a time in Unix nanoseconds (8 bytes; of an intent when it was written, else when it
 // may be forgotten) and the answer. In the bucket
-// "order" the key is the time and that key, for forgetting.
+// "order" the key is the time and that key, for forgetting. In the bucket "meta" are the number of the last transaction ("seq") and
+// when the ledger was last found to lack something ("lost", Unix nanoseconds).
+//
+// A ledger that is gone, or that an older copy of was put back, would have what it has forgotten begin again. So the number of the
+// last transaction stands in a second file too, beside it (".seq"): a ledger whose number is lower lacks what came after, one that is
+// new lacks all. What neither shows is a whole folder that was put back.
 package store
 
 import (
@@ -19,6 +24,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
+	"os"
 	"runtime"
 	"slices"
 	"sync"
@@ -34,6 +41,9 @@
 var (
 	effectsBucket = []byte("effects")
 	orderBucket   = []byte("order")
+	metaBucket    = []byte("meta")
+	seqKey        = []byte("seq")
+	lostKey       = []byte("lost")
 )
 
 const (
@@ -57,6 +67,9 @@
 	db                *bbolt.DB
 	window, uncertain time.Duration
 	now               func() time.Time
+	witness           *os.File // holds the number of the last transaction
+	lost              time.Time
+	seq               uint64 // of the last transaction
 
 	commits atomic.Int64
 
@@ -77,8 +90,12 @@
 	Window    time.Duration    // for which what has ended is kept
 	Uncertain time.Duration    // for which that of which nobody knows how it ended is; Window if it is shorter
 	Now       func() time.Time // the machine's clock; nil is time.Now
+	First     bool             // no process before can have known anything: a new ledger lacks nothing
 }
 
+// Lost is when the ledger was last found to lack what a process before knew; the zero time is never. It is as of Open.
+func (s *Store) Lost() time.Time { return s.lost }
+
 // Open opens or makes a file, and gives what it holds in the order in which it was written, without what is older than
 // the window. A file that is not one, or is held by another process, is an error.
 func Open(path string, o Options) (*Store, []effects.Record, error) {
@@ -94,6 +111,9 @@
 	}
 	s := &Store{db: db, window: o.Window, uncertain: max(o.Window, o.Uncertain), now: o.Now, queue: make(chan *waiter, mostBatch), stop: make(chan struct{}), done: make(chan struct{})}
 	records, err := s.load()
+	if err == nil {
+		err = s.testify(path+".seq", o.First)
+	}
 	if err != nil {
 		db.Close()
 		return nil, nil, fmt.Errorf("effects: %s: %w", path, err)
@@ -151,6 +171,69 @@
 	return out, nil
 }
 
+// testify holds the ledger against its witness, and notes in it whether it lacks something. What was lost may come back as a repeat in
+// the time of a later process too, so that is kept.
+func (s *Store) testify(path string, first bool) error {
+	var err error
+	if s.witness, err = os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+		return err
+	}
+	var seen [8]byte
+	n, err := s.witness.ReadAt(seen[:], 0)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return errors.Join(err, s.witness.Close())
+	}
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		seq, known := number(meta, seqKey)
+		lacks := !known || n < len(seen) || seq < binary.BigEndian.Uint64(seen[:])
+		if at, ever := number(meta, lostKey); ever {
+			s.lost = time.Unix(0, int64(at))
+		}
+		if lacks && !first {
+			s.lost = s.now()
+			err = setNumber(meta, lostKey, uint64(s.lost.UnixNano()))
+		}
+		return errors.Join(err, s.count(tx))
+	})
+	if err == nil {
+		err = s.attest()
+	}
+	if err != nil {
+		return errors.Join(err, s.witness.Close())
+	}
+	return nil
+}
+
+func number(b *bbolt.Bucket, key []byte) (n uint64, known bool) {
+	v := b.Get(key)
+	if len(v) != 8 {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(v), true
+}
+
+func setNumber(b *bbolt.Bucket, key []byte, n uint64) error {
+	return b.Put(key, binary.BigEndian.AppendUint64(nil, n))
+}
+
+// count gives a transaction its number.
+func (s *Store) count(tx *bbolt.Tx) error {
+	n, _ := number(tx.Bucket(metaBucket), seqKey)
+	s.seq = max(n, s.seq) + 1
+	return setNumber(tx.Bucket(metaBucket), seqKey, s.seq)
+}
+
+// attest has the witness say what was committed. Danger: before the commit, a ledger that a kill left one behind would seem to lack
+// something; so it says it after, and never more than is on disk.
+func (s *Store) attest() error {
+	_, err := s.witness.WriteAt(binary.BigEndian.AppendUint64(nil, s.seq), 0)
+	return err
+}
+
 // Write returns once a record is on disk, with others that wait. After an error it is not known whether it is: whoever
 // wanted to begin must not, and whoever has ended must say that it may have run.
 func (s *Store) Write(ctx context.Context, r effects.Record) error {
@@ -207,7 +290,10 @@
 				break more
 			}
 		}
-		err := s.db.Update(func(tx *bbolt.Tx) error { return s.commit(tx, batch) })
+		err := s.db.Update(func(tx *bbolt.Tx) error { return errors.Join(s.commit(tx, batch), s.count(tx)) })
+		if err == nil {
+			err = s.attest()
+		}
 		if err != nil {
 			err = fmt.Errorf("effects: writing: %w", err)
 		}
@@ -299,7 +385,7 @@
 	s.once.Do(func() {
 		close(s.stop)
 		<-s.done
-		err = s.db.Close()
+		err = errors.Join(s.db.Close(), s.witness.Close())
 	})
 	return err
 }
--- a/internal/lab/payouts/payouts.go
+++ b/internal/lab/payouts/payouts.go
@@ -39,6 +39,7 @@
 	Kills   int           // times that the process is killed, spread over the run
 	Ends    int           // times that it is ended in order, with the next one beside it
 	Durable bool          // with a ledger on disk
+	Lose    string        // what befalls that ledger at each kill, if Durable: one of Losses; empty is nothing
 	HTTP    bool          // by HTTP, to HTTP servers that do not fail: to hold the cost against
 	Again   float64       // part of the claims with an answer that are sent once more,
 	Soon    time.Duration // within this; 10s if it is 0
@@ -52,6 +53,34 @@
 	partner.Stray: 0.01, partner.Swap: 0.01, partner.Garbage: 0.0006, partner.HalfHeader: 0.0006, partner.DropBefore: 0.0006, partner.Busy: 0.01,
 	partner.Fails: 0.002, partner.Goodbye: 0.0006}
 
+// Losses are what may befall a ledger: it is gone, the whole state folder is, or it is again as it was at the kill before.
+var Losses = []string{"ledger", "folder", "old"}
+
+// lose has it befall the ledger of a process that is dead.
+func (s *stage) lose() error {
+	folder := filepath.Join(s.tmp, "state")
+	path := filepath.Join(folder, ledgerFile)
+	kept := filepath.Join(s.tmp, "ledger.old")
+	switch s.plan.Lose {
+	case "ledger":
+		return os.Remove(path)
+	case "folder":
+		return errors.Join(os.RemoveAll(folder), os.Mkdir(folder, 0o700))
+	case "old":
+		now, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if old, err := os.ReadFile(kept); err == nil {
+			if err := os.WriteFile(path, old, 0o600); err != nil {
+				return err
+			}
+		}
+		return os.WriteFile(kept, now, 0o600)
+	}
+	return nil
+}
+
 // Table is what came of it.
 type Table struct {
 	Claims         int `json:"claims"`
@@ -120,6 +149,8 @@
 }
 
 const (
+	ledgerFile = "effects.db"
+
 	waitReady = 15 * time.Second
 	giveUp    = time.Second
 	tries     = 30
@@ -284,7 +315,7 @@
 	}
 	ledger := "window = \"4m\"\nentries = 2000000\nbytes = 33554432\n"
 	if s.plan.Durable {
-		ledger += "file = \"effects.db\"\n"
+		ledger += fmt.Sprintf("file = %q\n", ledgerFile)
 	}
 	diameterFile := fmt.Sprintf(`version = 1
 host = "proxy.kigali.example"
@@ -445,6 +476,9 @@
 			t.Kills++
 			p.cmd.Process.Kill()
 			<-p.done
+			if err := s.lose(); err != nil {
+				return fmt.Errorf("losing the ledger: %w", err)
+			}
 		} else {
 			t.Ends++
 			p.cmd.Process.Signal(syscall.SIGTERM)
