Have the laboratory's clients not repeat what a dying proxy may have taken

The client had repeated the request itself: it may send again on a new connection what met the close of an idle one, unless the proxy has died since; but a place counted as dead from just before the signal on, so what the dying process took in between was sent again, if the client was held up until the next process listened (else its connection was refused).

Change: the count is taken before the connection is, and nothing is sent again while the place is between two processes.

Ruled out: the proxy, of which each process sent the request once.

--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -37,6 +37,7 @@
 	procs []*process // the last one is the newest
 	ended bool       // no more are started
 	deads int        // times its process was killed on purpose
+	dying bool       // it is being killed, or was, and no other process has been started
 	kills int        // by a time line
 	usage Usage      // of those that have ended
 }
@@ -310,7 +311,7 @@
 	if err := <-started; err != nil {
 		return nil, fmt.Errorf("proxy %d: starting %s: %w", c.no, c.r.opts.Binary, err)
 	}
-	c.procs = append(c.procs, p)
+	c.procs, c.dying = append(c.procs, p), false
 	return p, nil
 }
 
@@ -320,11 +321,18 @@
 	return c.usage
 }
 
-// lives counts the deaths of the place's processes that were not an end in order.
-func (c *child) lives() int {
+// lives counts the deaths of the place's processes that were not an end in order, and tells whether it is between one and the next
+// process. Danger: a process that is to be killed takes requests until the signal reaches it.
+func (c *child) lives() (deaths int, dying bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.deads
+	return c.deads, c.dying
+}
+
+// livesStill tells whether no process of the place has died, or is about to, since so many had.
+func (c *child) livesStill(deaths int) bool {
+	now, dying := c.lives()
+	return now == deaths && !dying
 }
 
 func (c *child) newest() *process {
@@ -403,6 +411,7 @@
 func (c *child) kill() {
 	c.mu.Lock()
 	c.deads++
+	c.dying = true
 	p := c.procs[len(c.procs)-1]
 	p.expected = true
 	c.mu.Unlock()
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -325,6 +325,7 @@
 		f.again(a, world.Rejected, 0)
 		return
 	}
+	lives, dying := r.proxies[proxy].lives() // before the connection is taken: it may be one to a process that dies
 	c, err := f.connect(proxy, nil)
 	if err != nil {
 		f.again(a, world.Rejected, 0)
@@ -339,7 +340,6 @@
 	a.At, a.Deadline = now, now+patience
 	account := r.ledger.Take(judge.Try{Proxy: proxy, Arrival: a})
 	r.mu.Unlock()
-	lives := r.proxies[proxy].lives()
 	text := requestText(a, class, r.spec, account, patience)
 	var gaveUp atomic.Bool
 	giveUp := time.AfterFunc(patience, func() { // the client's patience ends; the answer is still watched for
@@ -383,7 +383,7 @@
 			}
 			f.keep(proxy, c, false)
 			return // the ledger sees that nothing has come
-		case errors.Is(err, errUnread) && used && !fresh && lives == r.proxies[proxy].lives():
+		case errors.Is(err, errUnread) && used && !fresh && !dying && r.proxies[proxy].livesStill(lives):
 			continue // a close between requests has crossed it; one by a death may have had it in hand
 		}
 		f.keep(proxy, c, false)
