Let a claim that this process has turned away begin when it comes again

Change: what came here as no repeat, also before the ledger was read, is known to be new for as long as that doubt lasts.

--- a/internal/effects/guard/guard.go
+++ b/internal/effects/guard/guard.go
@@ -51,6 +51,7 @@
 	o     Options
 	mu    sync.Mutex
 	rules *effects.Ledger // nil until the store is read
+	early []effects.Key   // that came before as no repeats, and were turned away
 	disk  *store.Store
 	hands map[effects.Key]*hand
 }
@@ -116,6 +117,10 @@
 			}
 			g.mu.Lock()
 			g.rules, g.disk = rules, disk
+			for _, k := range g.early {
+				rules.First(k)
+			}
+			g.early = nil
 			g.mu.Unlock()
 			g.o.Log.Info("the ledger of effects is read", "entries", len(records))
 			return nil
@@ -152,6 +157,9 @@
 func (g *Guard) Do(ctx context.Context, k effects.Key, repeat bool, work Work) (answer []byte, end End, v effects.Verdict) {
 	g.mu.Lock()
 	if g.rules == nil {
+		if !repeat && len(g.early) < g.o.Ledger.Entries {
+			g.early = append(g.early, k)
+		}
 		g.mu.Unlock()
 		g.Counts.Full.Add(1)
 		return nil, NeverRan, effects.Full
--- a/internal/effects/guard/guard_test.go
+++ b/internal/effects/guard/guard_test.go
@@ -205,9 +205,12 @@
 					if _, _, v := g.Do(t.Context(), key(10+i), true, pay); v != unknown {
 						t.Errorf("process %d: a repeat of what is not known: %v, want %v", i, v, unknown)
 					}
-					if _, _, v := g.Do(t.Context(), key(20+i), false, pay); v != effects.Begin {
+					if _, _, v := g.Do(t.Context(), key(20+i), false, func() ([]byte, End) { return nil, NeverRan }); v != effects.Begin {
 						t.Errorf("process %d: a new one: %v", i, v)
 					}
+					if _, _, v := g.Do(t.Context(), key(20+i), true, pay); v != effects.Begin {
+						t.Errorf("process %d: a repeat of what this process has turned away: %v", i, v)
+					}
 					g.Close()
 					time.Sleep(effects.Window / 3)
 				}
--- a/internal/effects/ledger.go
+++ b/internal/effects/ledger.go
@@ -100,6 +100,7 @@
 	over    list.List // of *entry that have ended, those to be forgotten first in front
 	lost    list.List // of *entry of which nobody knows how they ended, likewise
 	bytes   int
+	firsts  map[Key]bool // that came here as no repeat while it is in doubt what was lost: no process before had them
 }
 
 // New makes a ledger. An error names the setting.
@@ -107,7 +108,7 @@
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("effects: %w", err)
 	}
-	return &Ledger{set: s, entries: map[Key]*entry{}}, nil
+	return &Ledger{set: s, entries: map[Key]*entry{}, firsts: map[Key]bool{}}, nil
 }
 
 // Len is how many requests it remembers, and how many bytes of answers.
@@ -129,8 +130,13 @@
 			return MayHaveRun, nil
 		}
 	}
-	if repeat && l.set.Lost >= 0 && now < l.set.Lost+l.set.Window {
-		return MayHaveRun, nil // it may have been in hand of the process before
+	if l.set.Lost >= 0 && now < l.set.Lost+l.set.Window {
+		if repeat && !l.firsts[k] {
+			return MayHaveRun, nil // it may have been in hand of the process before
+		}
+		l.First(k)
+	} else if len(l.firsts) > 0 {
+		clear(l.firsts)
 	}
 	if len(l.entries) >= l.set.Entries || l.bytes >= l.set.Bytes {
 		return Full, nil
@@ -139,6 +145,13 @@
 	return Begin, nil
 }
 
+// First notes a request that came as no repeat and was turned away: a repeat of it is new.
+func (l *Ledger) First(k Key) {
+	if len(l.firsts) < l.set.Entries {
+		l.firsts[k] = true
+	}
+}
+
 // End notes a request's answer. It is kept for the window. Where the answer is longer than what may be kept, the request
 // counts as one that may have run: that is true, if less than all.
 func (l *Ledger) End(now time.Duration, k Key, answer []byte) {
