Play a variant and its twin in one place, and await counts in one

Need: reading the whole change again: lapislab comeback wrote the pair of a run and its calm twin twice, and the kit's Service and Learned were one loop with two counts.

Change: withTwin and Fleet.rises serve both. Behaviour and bounds as they were.

--- a/cmd/lapislab/comeback.go
+++ b/cmd/lapislab/comeback.go
@@ -155,14 +155,7 @@
 		at.Duration = experiment.Span(drawnRun)
 		at.Faults = draw(rand.New(rand.NewPCG(uint64(seed), 23)), sockets)
 		spec := at.Spec(uint64(seed), 1)
-		v := f.Variants[0]
-		calm := v
-		calm.Calm = true
-		run, err := runVariant(ctx, out, &at, v, uint64(seed), runOptions{}, sockets)
-		if err != nil {
-			return err
-		}
-		twin, err := runVariant(ctx, out, &at, calm, uint64(seed), runOptions{}, sockets)
+		run, twin, err := withTwin(ctx, out, &at, f.Variants[0], uint64(seed), sockets)
 		if err != nil {
 			return err
 		}
@@ -206,6 +199,16 @@
 	return nil
 }
 
+// withTwin plays a variant, and again without its faults.
+func withTwin(ctx context.Context, out io.Writer, f *experiment.File, v experiment.Variant, seed uint64, sockets bool) (run, twin *report.Summary, err error) {
+	if run, err = runVariant(ctx, out, f, v, seed, runOptions{}, sockets); err != nil {
+		return nil, nil, err
+	}
+	v.Calm = true
+	twin, err = runVariant(ctx, out, f, v, seed, runOptions{}, sockets)
+	return run, twin, err
+}
+
 // changed is an experiment whose kills take another share, if one is given, and with a further variant of another program.
 func changed(f *experiment.File, share float64, before string) (*experiment.File, error) {
 	if !(share >= 0 && share <= 1) {
@@ -256,12 +259,7 @@
 		worst := 2.0
 		for _, seed := range seeds {
 			row := comeback{Experiment: f.Name, Variant: v.Name, Seed: uint64(seed), Proxies: spec.Proxies}
-			calm := v
-			calm.Calm = true
-			if row.run, err = runVariant(ctx, out, f, v, row.Seed, runOptions{}, sockets); err == nil {
-				row.twin, err = runVariant(ctx, out, f, calm, row.Seed, runOptions{}, sockets)
-			}
-			if err != nil {
+			if row.run, row.twin, err = withTwin(ctx, out, f, v, row.Seed, sockets); err != nil {
 				return rows, fmt.Errorf("%s, %s, seed %d: %w", f.Name, v.Name, seed, err)
 			}
 			if ctx.Err() != nil {
--- a/internal/lab/live/script.go
+++ b/internal/lab/live/script.go
@@ -59,12 +59,24 @@
 
 // Service waits until each of these proxies has served so many requests more.
 func (f *Fleet) Service(n int64, proxies ...int) error {
+	return f.rises("requests served", n, proxies, func(no int) (int64, error) { return f.front.served[no].Load(), nil })
+}
+
+// rises waits until what is counted of each of these proxies has risen by so many. A count that fails under way is taken again.
+func (f *Fleet) rises(what string, by int64, proxies []int, count func(no int) (int64, error)) error {
 	until := map[int]int64{}
 	for _, no := range proxies {
-		until[no] = f.front.served[no].Load() + n
+		n, err := count(no)
+		if err != nil {
+			return err
+		}
+		until[no] = n + by
 	}
 	for _, no := range proxies {
-		if err := f.Await(fmt.Sprintf("proxy %d serves %d more", no, n), func() bool { return f.front.served[no].Load() >= until[no] }); err != nil {
+		if err := f.Await(fmt.Sprintf("proxy %d: %d more %s", no, by, what), func() bool {
+			n, err := count(no)
+			return err == nil && n >= until[no]
+		}); err != nil {
 			return err
 		}
 	}
@@ -210,21 +222,8 @@
 
 // Learned waits until proxies have written down all that they know by now.
 func (f *Fleet) Learned(proxies ...int) error {
-	until := map[int]int64{}
-	for _, no := range proxies {
+	return f.rises("memories written", 2, proxies, func(no int) (int64, error) { // one may be on its way
 		m, err := f.memory(no)
-		if err != nil {
-			return err
-		}
-		until[no] = m.Written + 2 // one may be on its way
-	}
-	for _, no := range proxies {
-		if err := f.Await(fmt.Sprintf("proxy %d writes down what it has learned", no), func() bool {
-			m, err := f.memory(no)
-			return err == nil && m.Written >= until[no]
-		}); err != nil {
-			return err
-		}
-	}
-	return nil
+		return m.Written, err
+	})
 }
