Judge what begins for a client that has left

The laboratory's judge closed such accounts without a look. It is a rule of its own, departed, fed by the same calls in both drivers. Seen to fail without the checks: with both conditions out TestWhatWaitedForTheGone and two cases of TestRules fail ('0 breaches, want 1').

--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -15,7 +15,7 @@
 	"lapisspread/internal/lab/world"
 )
 
-// Rule is one of the four rules.
+// Rule is one of the four rules, or what is owed to nodes where a client has left.
 type Rule string
 
 // The rules.
@@ -24,10 +24,11 @@
 	Duplicate Rule = "duplicate" // what may have run is not repeated nor called harmless, unless its class permits
 	Drain     Rule = "drain"     // nothing new to a node that drains or is gone, after the grace
 	Cold      Rule = "cold"      // no node that has just started is pushed over
+	Departed  Rule = "departed"  // nothing begins for a client that has left
 )
 
 // AllRules in the order of reports.
-var AllRules = []Rule{Lost, Duplicate, Drain, Cold}
+var AllRules = []Rule{Lost, Duplicate, Drain, Cold, Departed}
 
 // Breach is a rule broken once, with what shows it.
 type Breach struct {
@@ -73,6 +74,16 @@
 // are lost.
 const unansweredShare = 200
 
+// What may begin for a client that has left: an attempt within departedGrace, later in so many cases by chance; a first one of what still
+// waited for it within firstGrace, later for a part of these (and fewer than departedLeast) at most.
+const (
+	departedGrace  = 100 * time.Millisecond
+	departedChance = 2
+	firstGrace     = 300 * time.Millisecond
+	departedPart   = 4
+	departedLeast  = 5
+)
+
 // mostAttempts bounds what is kept of one request; what goes beyond it is a breach of its own in any class.
 const mostAttempts = 8
 
@@ -91,7 +102,9 @@
 	runs     int8
 	answered time.Duration // 0 is not
 	end      world.End
-	closed   bool // nothing is owed: answered, or the client or its proxy is gone
+	left     time.Duration // its client has; 0 is not
+	waited   bool          // for its first attempt then
+	closed   bool          // nothing is owed: answered, or the client or its proxy is gone
 	lost     bool
 }
 
@@ -130,6 +143,10 @@
 	refused, failed int
 	ok, timedOut    int
 	departed        int
+	beganLate       int // attempts that began for a client that had left
+	waitedThen      int // requests that waited for their first attempt as their client left
+	waitedSent      int // of these, sent on all the same,
+	lastWaited      Breach
 	excused         int
 	unanswered      []Breach // what each would be if it were lost; the last Keep of them
 	unansweredAll   int
@@ -325,9 +342,42 @@
 	for len(e.attempts) <= number {
 		e.attempts = append(e.attempts, attempt{})
 	}
+	l.sentForNobody(at, id, e, number)
 	e.attempts[number] = attempt{at: at, node: int32(node), present: true}
 }
 
+// sentForNobody convicts for what begins after the client has left.
+func (l *Ledger) sentForNobody(at time.Duration, id uint64, e *entry, number int) {
+	if e.left == 0 {
+		return
+	}
+	story := func(grace time.Duration) []string {
+		return l.story(e, fmt.Sprintf("its client left at %v, attempt %d began at %v, %v after; the grace is %v", e.left, number, at, at-e.left, grace))
+	}
+	if at > e.left+departedGrace {
+		if l.beganLate++; l.beganLate > departedChance {
+			l.breach(Breach{Rule: Departed, What: "an attempt for a client that has left", Proxy: e.Proxy, Node: -1, Evidence: story(departedGrace)}, at, id, e)
+		}
+	}
+	if e.waited && at > e.left+firstGrace {
+		e.waited = false
+		l.waitedSent++
+		l.lastWaited = Breach{Rule: Departed, What: "too many of those whose client left while they waited were sent on", Proxy: e.Proxy, Node: -1,
+			AtMs: world.Millis(at), Request: fmt.Sprint(id), Class: l.class(e).Name, Evidence: story(firstGrace)}
+	}
+}
+
+// settleDeparted convicts, once, if too many of those were.
+func (l *Ledger) settleDeparted() {
+	if l.waitedSent >= departedLeast && l.waitedSent*departedPart > l.waitedThen {
+		l.counts[Departed]++
+		b := l.lastWaited
+		b.Evidence = append(b.Evidence, fmt.Sprintf("%d of %d; one in %d may", l.waitedSent, l.waitedThen, departedPart))
+		l.breaches = append(l.breaches, b)
+	}
+	l.waitedSent, l.waitedThen = 0, 0
+}
+
 func (l *Ledger) attempt(id uint64, number int) (*entry, *attempt) {
 	e := l.entry(id)
 	if e == nil || number < 0 || number >= len(e.attempts) {
@@ -479,11 +529,14 @@
 	}
 }
 
-// Departed notes that a client has left before its time: nothing is owed to it.
-func (l *Ledger) Departed(id uint64) {
+// Departed notes that a client has left before its time: nothing is owed to it, and nothing new may begin for it.
+func (l *Ledger) Departed(at time.Duration, id uint64) {
 	if e := l.entry(id); e != nil && !e.closed {
-		e.closed = true
+		e.closed, e.left, e.waited = true, max(at, 1), !e.sent()
 		l.departed++
+		if e.waited {
+			l.waitedThen++
+		}
 	}
 }
 
@@ -642,6 +695,7 @@
 func (l *Ledger) Finish() {
 	l.Advance(world.Never - 1)
 	l.settleUnanswered()
+	l.settleDeparted()
 }
 
 // Peak is how many requests the ledger held at most at one time.
--- a/internal/lab/judge/ledger_test.go
+++ b/internal/lab/judge/ledger_test.go
@@ -33,6 +33,43 @@
 	l.Answered(at+20*ms, id, world.Served, true)
 }
 
+// sendForNobody has attempts begin at that time for so many clients, all of which left at 10 ms while their requests waited.
+func sendForNobody(l *Ledger, n int, at time.Duration) {
+	var ids []uint64
+	for range n {
+		ids = append(ids, ask(l, 0, 0))
+		l.Departed(10*ms, ids[len(ids)-1])
+	}
+	for _, id := range ids {
+		l.Sent(at, id, 1, 0, 0)
+	}
+}
+
+// Of the requests whose client left while they waited for their first attempt a quarter may be sent on later than 0.3 s.
+func TestWhatWaitedForTheGone(t *testing.T) {
+	for _, k := range []struct {
+		waited, sent int
+		at           time.Duration
+		want         int
+	}{{20, 5, 311 * ms, 0}, {19, 5, 311 * ms, 1}, {19, 5, 310 * ms, 0}, {4, 4, 311 * ms, 0}, {20, 7, 311 * ms, 1}} {
+		l := scene()
+		for range k.waited - k.sent {
+			l.Departed(10*ms, ask(l, 0, 0))
+		}
+		sendForNobody(l, k.sent, k.at)
+		count := 0
+		l.Finish()
+		for _, b := range l.Verdict(UsualPrices).Breaches {
+			if b.What == "too many of those whose client left while they waited were sent on" {
+				count++
+			}
+		}
+		if count != k.want {
+			t.Errorf("%d waited, %d of them sent on at %v: %d breaches, want %d", k.waited, k.sent, k.at, count, k.want)
+		}
+	}
+}
+
 func TestRules(t *testing.T) {
 	const payout, safe = 1, 0
 	for _, k := range []struct {
@@ -56,7 +93,24 @@
 			l.Made(id, 0, 0)
 			l.Answered(2*ms, id, world.Served, false)
 		}, []Rule{Lost}},
-		{"the client left", func(l *Ledger) { l.Departed(ask(l, safe, 0)) }, nil},
+		{"the client left", func(l *Ledger) { l.Departed(ms, ask(l, safe, 0)) }, nil},
+		{"attempts for three who left, in time", func(l *Ledger) {
+			for range 9 {
+				id := ask(l, safe, 0)
+				l.Departed(10*ms, id)
+				l.Sent(110*ms, id, 1, 0, 0)
+			}
+		}, nil},
+		{"attempts for two who left", func(l *Ledger) { sendForNobody(l, 2, 111*ms) }, nil},
+		{"attempts for three who left", func(l *Ledger) { sendForNobody(l, 3, 111*ms) }, []Rule{Departed}},
+		{"a further attempt for three who left", func(l *Ledger) {
+			for range 3 {
+				id := ask(l, safe, 0)
+				l.Sent(ms, id, 1, 0, 0)
+				l.Departed(10*ms, id)
+				l.Sent(111*ms, id, 1, 1, 1)
+			}
+		}, []Rule{Departed}},
 		{"its proxy was killed", func(l *Ledger) { ask(l, payout, 0); l.ProxyDied(1) }, nil},
 		{"another proxy was killed", func(l *Ledger) { ask(l, payout, 0); l.ProxyDied(0) }, []Rule{Lost}},
 		{"its connection broke", func(l *Ledger) { l.Broke(ms, ask(l, safe, 0), "reset") }, []Rule{Lost}},
--- a/internal/lab/live/client.go
+++ b/internal/lab/live/client.go
@@ -497,7 +497,7 @@
 			if a.Leaves > 0 {
 				giveUp.Stop()
 				r.mu.Lock()
-				r.ledger.Departed(account)
+				r.ledger.Departed(r.now(), account)
 				r.mu.Unlock()
 			}
 			f.keep(proxy, c, false)
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -587,7 +587,7 @@
 		case enAnswered:
 			r.ledger.Answered(e.at, e.account, e.end, e.genuine)
 		case enDeparted:
-			r.ledger.Departed(e.account)
+			r.ledger.Departed(e.at, e.account)
 		case enCrossed:
 			r.ledger.Crossed()
 		case enWasted:
