Look right before a request's first byte whether it may still be written

Seen, by tests that act between the choice of an idle connection and the write: a second answer that came in that time was served as the next request's ("wrong" for "fine"), a 500 that nobody had asked for ended it, a close made an unsafe request fail though nothing had been sent; a list that told of a drain or a move was passed over; and a request whose client had left by then, or while its connection came up late, went out in most of 20 tries: an AfterFunc of an ended context runs in a goroutine of its own, after the write as often as before. Ruled out: the dialer (it ends with the context, but a connection may come up in the same moment) and bytes that come after the write, which nothing here can tell from an answer.

At fault: backend.go, takeIdle looked whether a connection was quiet and the backend open, and roundTrip wrote later without looking again; only dial looked once more, at drains.

Now pool.clear asks all of it (left, drains or moved, something has come) in one place, right before the first byte, for idle and new connections, short and long bodies. As nothing was written, exchange goes on with another connection as it did before. takeIdle and dial no longer look by themselves. What is found stale in time does not lower the idle limit.

Seen to fail without each look: quiet (TestWhatComesAsAConnectionIsTakenIsNoAnswer: result OK, body "wrong"), the context (TestNothingIsWrittenForWhoHasLeft: "/api was sent for a client that had left"; TestALateConnectionIsLetGo: "it was written to"), the list (TestAChangeBetweenChoiceAndSend, TestDrainWhileConnecting: "a request went out after the change was told"). 20 times each with -race, also beside four busy loops.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -34,6 +34,7 @@
 var (
 	errNoSockets = errors.New("no socket is left for another backend connection")
 	errClosed    = errors.New("the backend takes nothing new")
+	errStale     = errors.New("something has come on the connection, or its end")
 )
 
 // pool holds the connections to all backends, within a limit on their number.
@@ -211,7 +212,8 @@
 // takeIdle gives the idle connection used last of those that have rested, else the one that has rested for
 // longest, or nil. An error says that nothing may be sent there.
 //
-// Danger: a backend's close, or bytes that belong to nobody, may follow an answer a moment later.
+// Danger: a backend's close, or bytes that belong to nobody, may follow an answer a moment later. Whether any have come
+// is looked at by clear, no sooner.
 func (p *pool) takeIdle(b *backend) (*conn, error) {
 	var stale []*conn
 	defer func() { closeAll(stale) }() // after the lock is given back: a close takes it
@@ -228,8 +230,7 @@
 		}
 		c := b.idle[i]
 		b.idle = slices.Delete(b.idle, i, i+1)
-		// Danger: what stands unread on a connection would be taken for the next request's answer.
-		if now.Sub(c.idleAt) < p.idleLimit(now) && c.quiet() {
+		if now.Sub(c.idleAt) < p.idleLimit(now) {
 			return c, nil
 		}
 		stale = append(stale, c)
@@ -334,16 +335,28 @@
 		p.unreserve()
 		return nil, err
 	}
-	c := newConn(nc, epoch, p.unreserve)
-	// Danger: the backend may have begun to drain, or have moved, while the connection was being made.
+	return newConn(nc, epoch, p.unreserve), nil
+}
+
+// clear tells why a request's first byte may not be written to a connection, asked right before it would be.
+//
+// Danger: since the connection was chosen it may have taken its time to come up, or its goroutine may have had to wait
+// for a processor. By then the backend may drain or have moved; who asked may have left, which a goroutine of its own
+// would tell the connection, maybe after the write; and what has come on the connection would be taken for the answer.
+func (p *pool) clear(ctx context.Context, b *backend, c *conn) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	p.mu.Lock()
-	closed := b.draining || b.epoch != epoch
+	closed := b.draining || b.epoch != c.epoch
 	p.mu.Unlock()
-	if closed {
-		c.Close()
-		return nil, errClosed
+	switch {
+	case closed:
+		return errClosed
+	case !c.quiet():
+		return errStale
 	}
-	return c, nil
+	return nil
 }
 
 // message is a request as a client has sent it: what goes to a backend, as often as the module says.
@@ -392,8 +405,8 @@
 			return decision.ConnectFailed, nil
 		}
 		result, body, untouched := p.roundTrip(ctx, b, c, m)
-		// Danger: a backend may close an idle connection just as it is taken. As long as not one byte was
-		// written to it nothing has been sent, and another connection will do.
+		// Danger: a backend may close an idle connection just as it is taken, or send more than its answer. As long as
+		// not one byte was written to it nothing has been sent, and another connection will do.
 		if !untouched || !reused || ctx.Err() != nil || m.upload.isSpent() {
 			return result, body
 		}
@@ -408,10 +421,12 @@
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
-	var err error
-	if m.upload != nil {
+	err := p.clear(ctx, b, c)
+	switch {
+	case err != nil:
+	case m.upload != nil:
 		written, whole, err = c.writeStreamed(req, m.upload)
-	} else {
+	default:
 		written, whole, err = c.write(req)
 	}
 	if whole && !m.probe {
@@ -444,7 +459,8 @@
 	stop()
 	c.Close()
 	cause := context.Cause(ctx)
-	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) {
+	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) &&
+		!errors.Is(err, errStale) && !errors.Is(err, errClosed) {
 		p.broke(began.Sub(idle))
 	}
 	untouched = written == 0
--- /dev/null
+++ b/internal/proxy/crossings_test.go
@@ -0,0 +1,264 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// hookedConn is a connection to a backend that has a test act at a point in an attempt's way.
+type hookedConn struct {
+	*net.TCPConn
+	chosen func()    // for an attempt, of which nothing is written yet
+	came   func(int) // so many bytes were read, and are not yet handed over
+}
+
+// RemoteAddr is asked once for each attempt, between the choice of the connection and the first byte.
+func (c *hookedConn) RemoteAddr() net.Addr {
+	if c.chosen != nil {
+		c.chosen()
+	}
+	return c.TCPConn.RemoteAddr()
+}
+
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.came != nil {
+		c.came(n)
+	}
+	return n, err
+}
+
+// hooked is a pool whose connections pass through with, in the order in which they come up.
+func hooked(t *testing.T, addr string, with func(n int, c *hookedConn)) (*pool, *backend) {
+	t.Helper()
+	p, b := testPool(t, addr)
+	dial, n := p.dialer, 0
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		h := &hookedConn{TCPConn: c.(*net.TCPConn)}
+		with(n, h)
+		n++
+		return h, nil
+	}
+	return p, b
+}
+
+// untilNoted waits until something stands to be read on a connection, or its end.
+func untilNoted(t *testing.T, c net.Conn) {
+	for start := time.Now(); silent(c); time.Sleep(time.Millisecond) {
+		if time.Since(start) > patience {
+			t.Error("what came was not noticed")
+			return
+		}
+	}
+}
+
+// testUpload is a long body that has come whole.
+func testUpload() *upload {
+	return &upload{ahead: make([]byte, bodyBytes), length: bodyBytes + 4, began: time.Now(), rest: strings.NewReader("rest"),
+		limit: func(time.Time) error { return nil }, whole: func() {}, failed: make(chan error, 1)}
+}
+
+// What comes on an idle connection after it was chosen for a request, and before the request's first byte, is no answer
+// to it; nor is the connection's end a break. Nothing was written, so also what may not be repeated goes out on another one.
+func TestWhatComesAsAConnectionIsTakenIsNoAnswer(t *testing.T) {
+	for name, act := range map[string]func(net.Conn){
+		"a second answer":   func(c net.Conn) { say(c, "HTTP/1.1 200 OK\nContent-Length: 5\n\nwrong") },
+		"an error":          func(c net.Conn) { say(c, "HTTP/1.1 500 Oh\nContent-Length: 0\n\n") },
+		"half a line":       func(c net.Conn) { io.WriteString(c, "HTTP/1.1 2") },
+		"the close":         func(c net.Conn) { c.Close() },
+		"a reset":           func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"noise and a close": func(c net.Conn) { io.WriteString(c, "\x00\x01"); c.Close() },
+	} {
+		for _, long := range []bool{false, true} {
+			kind := map[bool]string{false: "short body", true: "long body"}[long]
+			t.Run(name+", "+kind, func(t *testing.T) {
+				cross, reuse := make(chan bool, 1), false
+				var requests [2]atomic.Int32
+				addr := rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+					for i := 0; readWhole(in); i++ {
+						requests[min(n, 1)].Add(1)
+						say(c, served)
+						if n == 0 && i == 0 {
+							<-cross
+							act(c)
+						}
+					}
+				})
+				p, b := hooked(t, addr, func(n int, c *hookedConn) {
+					c.chosen = func() {
+						if n == 0 && reuse {
+							cross <- true
+							untilNoted(t, c)
+						}
+					}
+				})
+				if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+					t.Fatalf("first: result %v", result)
+				}
+				reuse = true
+				m := testMessage("POST", []byte("x"))
+				if long {
+					m.body, m.upload = nil, testUpload()
+				}
+				if result, body := p.exchange(t.Context(), b, m); result != decision.OK || string(body) != "fine" {
+					t.Errorf("result %v, body %q", result, body)
+				}
+				if a, z := requests[0].Load(), requests[1].Load(); a != 1 || z != 1 {
+					t.Errorf("%d requests on the first connection, %d on others", a, z)
+				}
+				if p.open != 1 {
+					t.Errorf("%d connections are open", p.open)
+				}
+			})
+		}
+	}
+}
+
+// Who has left gets nothing sent: not on a connection that comes up late, and not on an idle one chosen just then.
+func TestNothingIsWrittenForWhoHasLeft(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		name := map[bool]string{false: "late connection", true: "idle connection"}[idle]
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // without the look the request goes out in most
+				got := make(chan string, 2)
+				addr := rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+					for {
+						req, err := http.ReadRequest(in)
+						if err != nil {
+							got <- "end"
+							return
+						}
+						got <- req.URL.Path
+						say(c, served)
+					}
+				})
+				ctx, leave := context.WithCancel(t.Context())
+				now := !idle
+				p, b := hooked(t, addr, func(_ int, c *hookedConn) {
+					if now {
+						leave() // after it has come up
+					}
+					c.chosen = func() {
+						if idle && now {
+							leave()
+						}
+					}
+				})
+				if idle {
+					if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != decision.OK {
+						t.Fatalf("first: result %v", result)
+					}
+					within(t, got, "no request came")
+					now = true
+				}
+				if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != decision.Cancelled {
+					t.Errorf("result %v, want Cancelled", result)
+				}
+				if path := within(t, got, "the connection stayed open"); path != "end" {
+					t.Fatalf("%s was sent for a client that had left", path)
+				}
+				if p.open != 0 {
+					t.Errorf("%d connections are still counted", p.open)
+				}
+			}
+		})
+	}
+}
+
+// A connection that comes up long after its client left is closed with no byte written and no longer counted.
+func TestALateConnectionIsLetGo(t *testing.T) {
+	got := make(chan int, 1)
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	}))
+	dialing, up := make(chan bool), make(chan bool)
+	p.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+		close(dialing)
+		<-up // the network's pace: it does not know who has left
+		return net.Dial(network, addr)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan decision.Result, 1)
+	go func() {
+		result, _ := p.exchange(ctx, b, testMessage("POST", []byte("x")))
+		done <- result
+	}()
+	within(t, dialing, "nothing was dialled")
+	leave()
+	close(up)
+	if result := within(t, done, "no end"); result != decision.Cancelled {
+		t.Errorf("result %v, want Cancelled", result)
+	}
+	if n := within(t, got, "the connection stayed open"); n != 0 {
+		t.Error("it was written to")
+	}
+	if p.open != 0 {
+		t.Errorf("%d connections are still counted", p.open)
+	}
+}
+
+// A change of the list that comes between the choice of an idle connection and the request's first byte takes effect.
+func TestAChangeBetweenChoiceAndSend(t *testing.T) {
+	for name, c := range map[string]struct {
+		state decision.State
+		moved bool
+		want  decision.Result
+	}{
+		"drains": {decision.Draining, false, decision.ConnectFailed},
+		"left":   {decision.Gone, false, decision.ConnectFailed},
+		"moved":  {decision.Ready, true, decision.OK}, // there
+	} {
+		t.Run(name, func(t *testing.T) {
+			var old, other atomic.Int32
+			count := func(requests *atomic.Int32) string {
+				return rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+					for readWhole(in) {
+						requests.Add(1)
+						say(c, served)
+					}
+				})
+			}
+			member := Member{ID: "a", Addr: count(&old), State: c.state}
+			elsewhere := count(&other)
+			var p *pool
+			reuse := false
+			p, b := hooked(t, member.Addr, func(n int, h *hookedConn) {
+				h.chosen = func() {
+					if n == 0 && reuse {
+						p.Update(List{Members: []Member{member}})
+					}
+				}
+			})
+			if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+				t.Fatalf("first: result %v", result)
+			}
+			reuse = true
+			if c.moved {
+				member.Addr = elsewhere
+			}
+			if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != c.want {
+				t.Errorf("result %v, want %v", result, c.want)
+			}
+			if old.Load() != 1 {
+				t.Error("a request went out after the change was told")
+			}
+			if moved := c.want == decision.OK; (other.Load() == 1) != moved {
+				t.Errorf("%d requests at the new address", other.Load())
+			}
+		})
+	}
+}
