Tell a body's own failure from a backend that can't be reached

Seen: a client that breaks off its long body, or leaves, ended the attempt as ConnectFailed, which the module takes as evidence against the backend: two close together count as a restart, and clients that break off could have well backends taken for cold. Likewise what a backend says before the body's end (503 with X-Not-Processed, 500, 413) was never read: errEarly, errClient and errGone never matched in roundTrip.

Cause: net/http's Request.Write wraps what a body's reader has said in a type without Unwrap (request.go, requestBodyReadError), so errors.Is found none of them. Ruled out: the order of the cases in roundTrip, which is right once they match. At fault: stream.go, writeStreamed, which took Write's error.

Now the reader keeps its own error, and writeStreamed goes by that one.

Seen to fail without it: TestAnAnswerBeforeTheBodysEnd ("result 4, want 2": ConnectFailed for Full; and for Error), TestABodyThatFailsIsNotTheBackends ("result 4, want Cancelled"). 20 times with -race beside three busy loops.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -120,11 +120,19 @@
 // uploadReader reads an upload for one attempt, from the first byte on.
 type uploadReader struct {
 	*upload
-	to *conn
-	at int // in what was read ahead
+	to  *conn
+	at  int   // in what was read ahead
+	err error // that ended it short of the body's end
 }
 
-func (r *uploadReader) Read(p []byte) (int, error) {
+func (r *uploadReader) Read(p []byte) (n int, err error) {
+	if n, err = r.next(p); err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
+func (r *uploadReader) next(p []byte) (int, error) {
 	// Danger: the backend may answer as soon as it has the last byte, before whoever writes has seen the end here.
 	if r.ended.Load() {
 		return 0, io.EOF
@@ -158,10 +166,15 @@
 	if u.isSpent() {
 		return 0, false, errSpent
 	}
-	req.ContentLength, req.Body = u.length, io.NopCloser(&uploadReader{upload: u, to: c})
-	to := &sender{conn: c}
+	body, to := &uploadReader{upload: u, to: c}, &sender{conn: c}
+	req.ContentLength, req.Body = u.length, io.NopCloser(body)
 	err := req.Write(to)
 	if err != nil {
+		// Danger: net/http tells what the body's reader has said by a type that errors.Is does not look into; a client
+		// that fails its body would count as a backend that can't be reached.
+		if body.err != nil {
+			err = body.err
+		}
 		return to.n, false, fmt.Errorf("sending a body: %w", err)
 	}
 	c.limitWrite(time.Time{})
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
+
+	"lapisspread/decision"
 )
 
 // echoBackend answers each request with its body, in pieces and with the framing that the path asks for.
@@ -224,3 +227,76 @@
 	}
 	p.done <- <-p.done
 }
+
+// readerFunc reads the rest of a body.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// What a backend says while a long body is on its way is read; what is no whole answer leaves it at a body that broke off
+// before its last byte, which has not run.
+func TestAnAnswerBeforeTheBodysEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		says string
+		want decision.Result
+	}{
+		"turned away":    {"HTTP/1.1 503 Full\nX-Not-Processed: 1\nContent-Length: 0\n\n", decision.Full},
+		"error":          {"HTTP/1.1 500 Oh\nContent-Length: 2\n\nno", decision.Error},
+		"too long":       {"HTTP/1.1 413 Long\nTransfer-Encoding: chunked\n\n2\nno\n0\n\n", decision.Error},
+		"served already": {served, decision.ConnectFailed}, // it can't have been
+		"noise":          {"\x00\x01\n\n", decision.ConnectFailed},
+		"half a line":    {"HTTP/1.1 5", decision.ConnectFailed},
+		"its end":        {"", decision.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var to *hookedConn
+			p, b := hooked(t, rawBackend(t, func(_ int, nc net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				if say(nc, c.says); c.says == "" {
+					nc.(*net.TCPConn).CloseWrite()
+				}
+				io.Copy(io.Discard, in)
+			}), func(_ int, h *hookedConn) { to = h })
+			u := testUpload()
+			u.length, u.rest = -1, readerFunc(func(p []byte) (int, error) {
+				untilNoted(t, to)
+				return 1, nil
+			})
+			if name == "half a line" {
+				p.connectTimeout = 100 * time.Millisecond // for the rest of it, which does not come
+			}
+			m := testMessage("POST", nil)
+			m.upload = u
+			if result, _ := p.exchange(t.Context(), b, m); result != c.want {
+				t.Errorf("result %v, want %v", result, c.want)
+			}
+			if p.open != 0 {
+				t.Errorf("%d connections are open", p.open)
+			}
+		})
+	}
+}
+
+// A client that fails its body, or has left, says nothing of the backend that the body was on its way to.
+func TestABodyThatFailsIsNotTheBackends(t *testing.T) {
+	for name, leave := range map[string]func(*upload) error{
+		"breaks off": func(*upload) error { return io.ErrUnexpectedEOF },
+		"left":       func(u *upload) error { go u.stop(); return os.ErrDeadlineExceeded },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, b := testPool(t, rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) { io.Copy(io.Discard, in) }))
+			u := testUpload()
+			u.rest = readerFunc(func([]byte) (int, error) { return 0, leave(u) })
+			m := testMessage("POST", nil)
+			m.upload = u
+			if result, _ := p.exchange(t.Context(), b, m); result != decision.Cancelled {
+				t.Errorf("result %v, want Cancelled", result)
+			}
+			if p.open != 0 {
+				t.Errorf("%d connections are open", p.open)
+			}
+		})
+	}
+}
