Refuse settings that can't be served by field and reason, and bring all others to range

The worst of these is reached by ordinary settings: a client's repeat counts in no tally, and the first request of a class after a minute of none was one. Its gain was lifted by the tally's decay: with Cold 2 s and 90 s of silence the mean gain rises from 0.49 to 20410, and every later request of a proxy among many is held against that (partFor: the least part of each limit) until thousands of requests have come by.

Check now names the field by its path in the settings and the reason (SettingError). What only weighs is brought to its range by Bounded, and spans are bound to 30 days. A tally counts for no less than the request itself.

--- a/cmd/lapissim/main_test.go
+++ b/cmd/lapissim/main_test.go
@@ -69,7 +69,7 @@
 			batch(1, 3, append([]any{11, uint16(5)}, append(initRecord(1), 10)...)...),
 			batch(2, 2, 11, uint16(5), 6, uint32(1))}},
 		{"bad settings line", "settings line 1", [][]byte{batch(1, 2, 11, uint16(5), 1, uint64(1), uint32(3), "abc")}},
-		{"settings that make no sense", "Classes", [][]byte{batch(1, 2, 11, uint16(5), 1, uint64(1), uint32(3), "a=b")}},
+		{"settings that can't be served", "Services: none given", [][]byte{batch(1, 2, 11, uint16(5), 1, uint64(1), uint32(3), "a=b")}},
 		{"truncated", "truncated", [][]byte{batch(1, 0), batch(2, 2, 11, uint16(5), 6, uint32(1))[:25]}},
 	} {
 		out, err := run(t, c.frames...)
--- a/cmd/lapisspread/command_test.go
+++ b/cmd/lapisspread/command_test.go
@@ -28,7 +28,7 @@
 		{"a good file", "config check " + good, `proxy "n0", 1 classes`, "", 0},
 		{"no seed", "config check " + write("seed.json", `"1f"`, `"none"`), "", "seed.json: seed:", 1},
 		{"few sockets", "config check " + write("few.json", "1024", "10"), "", "sockets 10", 1},
-		{"an aim of nothing", "config check " + write("aim.json", "800", "0"), "", "Classes[0]: Aim", 1},
+		{"an aim of nothing", "config check " + write("aim.json", "800", "0"), "", "aim.json: settings: Services.0.Aim: must be above 0", 1},
 		{"not JSON", "config check " + write("json.json", "{", ""), "", "json.json: ", 1},
 		{"nowhere to listen", "config check " + write("addr.json", "127.0.0.1:0", ""), "", "listen and discovery", 1},
 		{"no such file", "config check " + dir + "/none", "", "no such file", 1},
--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -79,11 +79,12 @@
 	logEvery = 2 * time.Second // a line at most, for a tired reader
 )
 
-// New makes a Balancer. Settings that make no sense give an error that names them.
+// New makes a Balancer. Settings that can't be served give a *SettingError.
 func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := cfg.check(); err != nil {
+	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
+	cfg = cfg.Bounded()
 	if cfg.RetryShare == 0 {
 		cfg.RetryShare = retryShare
 	}
@@ -608,7 +609,7 @@
 		l.learn(millis(c.Aim)/2, millis(c.Aim)/2, 1)
 	}
 	r := &request{Request: q, arrived: now}
-	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(q.Cost)), q.Deadline)
+	r.aimAt = min(now+c.Aim+span(c.AimStretch*millis(q.Cost)), q.Deadline)
 	b.requests[q.ID] = r
 	b.retries = min(b.retries+b.cfg.RetryShare, retryBurst)
 	b.probes += probeShare
@@ -654,18 +655,23 @@
 // its class's and tenant's if worst served, times the chance that the answer comes in time.
 func (b *Balancer) gain(r *request) float64 {
 	g, c := &b.cfg.Goal, &b.cfg.Classes[r.Class]
-	v := (g.Whole + g.WorstWindow) / max(b.all[0].asked, 1e-9)
+	// Danger: a client's repeat counts in no tally. One that comes to a tally that has faded, unasked,
+	// would be worth a thousand others, and the mean that all are held against would stay up for hours.
+	part := func(t *tally, goal float64) float64 {
+		return goal * r.worth / max(t.asked, r.worth, 1e-9)
+	}
+	v := part(&b.all[0], g.Whole+g.WorstWindow)
 	if t := &b.byClass[r.Class]; worst(t, b.byClass, worstNear) {
-		v += g.WorstClass / t.asked
+		v += part(t, g.WorstClass)
 	}
 	if i := r.Tenant; i >= 0 && i < len(b.byTenant) && worst(&b.byTenant[i], b.byTenant, worstNear) {
-		v += g.WorstTenant / b.byTenant[i].asked * (1 - r.over)
+		v += part(&b.byTenant[i], g.WorstTenant) * (1 - r.over)
 	}
 	mean := b.expected(r.Class, millis(r.Cost)) * b.median
 	inTime := func(until time.Duration) float64 { return 1 - math.Exp(-max(0, millis(until-b.now))/mean) }
 	chance := inTime(r.aimAt)
 	chance += c.LateShare * (inTime(r.Deadline) - chance)
-	return v * r.worth * chance / b.workOf(r)
+	return v * chance / b.workOf(r)
 }
 
 // crowded keeps the last of the requests that may be open for those that bring more than the mean for each
@@ -976,7 +982,7 @@
 	}
 	c := &b.cfg.Classes[r.Class]
 	r.whole, r.arrived, r.Deadline = true, now, deadline
-	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(r.Cost)), deadline)
+	r.aimAt = min(now+c.Aim+span(c.AimStretch*millis(r.Cost)), deadline)
 	for _, a := range r.attempts {
 		if !a.done {
 			a.waitFrom(now)
--- a/decision/balancer_test.go
+++ b/decision/balancer_test.go
@@ -1,7 +1,6 @@
 package decision
 
 import (
-	"strings"
 	"testing"
 	"time"
 )
@@ -13,26 +12,6 @@
 	anywhere
 )
 
-func TestNewNamesTheSettingThatMakesNoSense(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		break_ func(*Config)
-	}{
-		{"Classes", func(c *Config) { c.Classes = nil }},
-		{"Classes[0]", func(c *Config) { c.Classes[0].Aim = 0 }},
-		{"Classes[1]", func(c *Config) { c.Classes[1].Window = -1 }},
-		{"Obligations", func(c *Config) { c.Obligations.Cold = -1 }},
-		{"Tick", func(c *Config) { c.Tick = -1 }},
-		{"Instances", func(c *Config) { c.Instances = 0 }},
-	} {
-		cfg := testConfig()
-		c.break_(&cfg)
-		if _, err := New(cfg, 1, &recorder{}); err == nil || !strings.Contains(err.Error(), c.name) {
-			t.Errorf("%s: error %v", c.name, err)
-		}
-	}
-}
-
 // How a request that got the given result may go on, by its class's effect.
 func TestFurtherAttemptsByEffect(t *testing.T) {
 	for _, c := range []struct {
--- a/decision/config.go
+++ b/decision/config.go
@@ -1,54 +1,112 @@
 package decision
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
 
-// check returns an error that names the setting that makes no sense, or nil.
-func (c *Config) check() error {
+// A SettingError names a setting that can't be served, by its path in the settings, and says why.
+type SettingError struct{ Field, Reason string }
+
+func (e *SettingError) Error() string { return e.Field + ": " + e.Reason }
+
+// Check looks for settings that can't be served: without a class, an attempt or a proxy nothing can be; a class
+// whose time is over at once has no answer; and what the rules are counted by must be a figure. All else is
+// served, brought to its range if need be. The error is a *SettingError, or nil.
+func (c *Config) Check() error {
 	if len(c.Classes) == 0 {
-		return fmt.Errorf("Classes: none given")
+		return &SettingError{"Services", "none given, so there is nothing to serve"}
+	}
+	if c.Instances < 1 {
+		return &SettingError{"Balancers", fmt.Sprintf("%d, must be 1 or more", c.Instances)}
+	}
+	if c.Caps.MaxAttempts < 1 {
+		return &SettingError{"Caps.MaxAttempts", fmt.Sprintf("%d, must be 1 or more: no request could be sent", c.Caps.MaxAttempts)}
 	}
 	for i, s := range c.Classes {
-		if s.Aim <= 0 || s.GiveUp <= 0 {
-			return fmt.Errorf("Classes[%d]: Aim %v and GiveUp %v must be above 0", i, s.Aim, s.GiveUp)
+		for _, f := range [2]figure{{"Aim", float64(s.Aim)}, {"GiveUp", float64(s.GiveUp)}} {
+			if f.value <= 0 {
+				return &SettingError{fmt.Sprintf("Services.%d.%s", i, f.name), "must be above 0: no answer could be in time"}
+			}
 		}
-		if s.Window < 0 || s.Value < 0 || s.AimStretch < 0 || s.LateShare < 0 {
-			return fmt.Errorf("Classes[%d]: Window, Value, AimStretch or LateShare is negative", i)
+		if s.Window < 0 {
+			return &SettingError{fmt.Sprintf("Services.%d.Window", i), "is negative"}
 		}
 	}
-	for i, t := range c.Tenants {
-		if t.Share < 0 || t.QuotaPerS < 0 {
-			return fmt.Errorf("Tenants[%d]: Share or QuotaPerS is negative", i)
+	o, k := &c.Obligations, &c.Caps
+	for _, f := range []figure{
+		{"Tick", float64(c.Tick)},
+		{"RetryShare", c.RetryShare},
+		{"Obligations.AnswerSlack", float64(o.AnswerSlack)},
+		{"Obligations.AskEvery", float64(o.AskEvery)},
+		{"Obligations.Cold", float64(o.Cold)},
+		{"Obligations.DrainGrace", float64(o.DrainGrace)},
+		{"Obligations.Fall", float64(o.Fall)},
+		{"Obligations.FallMultiple", o.FallMultiple},
+		{"Obligations.StartCapacity", o.StartCapacity},
+		{"Caps.ConnIdle", float64(k.ConnIdle)},
+		{"Caps.ConnectTimeout", float64(k.ConnectTimeout)},
+		{"Caps.MaxRetryAfter", float64(k.MaxRetryAfter)},
+	} {
+		switch {
+		case f.value < 0:
+			return &SettingError{f.name, "is negative"}
+		case math.IsNaN(f.value) || math.IsInf(f.value, 0):
+			return &SettingError{f.name, "is no number"}
 		}
 	}
-	o, k, g, p := &c.Obligations, &c.Caps, &c.Goal, &c.Prices
-	for _, s := range []struct {
-		name     string
-		negative bool
-	}{
-		{"Tick", c.Tick < 0},
-		{"RetryShare", c.RetryShare < 0},
-		{"Rank", c.Rank < 0},
-		{"OverShareWorth", c.OverShareWorth < 0},
-		{"Obligations.AnswerSlack", o.AnswerSlack < 0},
-		{"Obligations.AskEvery", o.AskEvery < 0},
-		{"Obligations.Cold", o.Cold < 0},
-		{"Obligations.DrainGrace", o.DrainGrace < 0},
-		{"Obligations.Fall", o.Fall < 0},
-		{"Obligations.FallMultiple", o.FallMultiple < 0},
-		{"Obligations.StartCapacity", o.StartCapacity < 0},
-		{"Goal", min(g.Whole, g.WorstClass, g.WorstTenant, g.WorstWindow) < 0},
-		{"Prices", min(p.Connection, p.CrossZone, p.Discovery, p.Handshake, p.LateFail, p.Peer, p.Probe, p.Waste) < 0},
-		{"Caps.ConnIdle", k.ConnIdle < 0},
-		{"Caps.ConnectTimeout", k.ConnectTimeout < 0},
-		{"Caps.MaxRetryAfter", k.MaxRetryAfter < 0},
-		{"Caps.MaxAttempts", k.MaxAttempts < 0},
-	} {
-		if s.negative {
-			return fmt.Errorf("%s is negative", s.name)
+	return nil
+}
+
+type figure struct {
+	name  string
+	value float64
+}
+
+const (
+	longestSpan = 30 * 24 * time.Hour // no one waits for longer; a few hundred times this is still a span
+	mostWorth   = 1e12                // sums of it over all requests are still numbers
+	mostTries   = 255                 // an attempt's number is one byte in a timer's token, as on the wire
+	usualFall   = time.Second         // where no span is told in which a cold backend falls
+)
+
+// Bounded gives the settings with what only weighs brought to its range, and with no span so long that sums of
+// it would overflow. It shares nothing with these.
+func (c *Config) Bounded() Config {
+	m := *c
+	m.Classes, m.Tenants = slices.Clone(c.Classes), slices.Clone(c.Tenants)
+	bound := func(spans ...*time.Duration) {
+		for _, d := range spans {
+			*d = min(*d, longestSpan)
 		}
 	}
-	if c.Instances < 1 {
-		return fmt.Errorf("Instances: %d, must be 1 or more", c.Instances)
+	within := func(most float64, weights ...*float64) {
+		for _, w := range weights {
+			if *w = min(*w, most); !(*w >= 0) {
+				*w = 0
+			}
+		}
 	}
-	return nil
+	o, k, g := &m.Obligations, &m.Caps, &m.Goal
+	bound(&m.Tick, &o.AnswerSlack, &o.AskEvery, &o.Cold, &o.DrainGrace, &o.Fall, &k.ConnIdle, &k.ConnectTimeout, &k.MaxRetryAfter)
+	within(1, &o.StartCapacity)
+	within(mostWorth, &m.OverShareWorth, &o.FallMultiple, &g.Whole, &g.WorstClass, &g.WorstTenant, &g.WorstWindow)
+	for i := range m.Classes {
+		s := &m.Classes[i]
+		bound(&s.Aim, &s.GiveUp, &s.Window)
+		within(mostWorth, &s.Value, &s.AimStretch, &s.LateShare)
+	}
+	for i := range m.Tenants {
+		within(mostWorth, &m.Tenants[i].Share, &m.Tenants[i].QuotaPerS)
+	}
+	k.MaxAttempts = min(k.MaxAttempts, mostTries)
+	if *g == (Goal{}) { // nothing is told of what counts
+		g.Whole = 1
+	}
+	if o.Fall == 0 {
+		o.Fall = usualFall
+	}
+	return m
 }
--- a/decision/stats.go
+++ b/decision/stats.go
@@ -122,7 +122,11 @@
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// span is a span of so many ms. Danger: one out of a Duration's range would turn negative, and be due at once.
+func span(ms float64) time.Duration {
+	most := millis(longestSpan)
+	return time.Duration(min(max(ms, -most), most) * float64(time.Millisecond))
+}
 
 // median sorts the values and gives the one in the middle, 1 if there are none.
 func median(values []float64) float64 {
