Notice a client that leaves with bytes behind its request, and send nothing for it

Seen: a client sends a request and a byte or more behind it, and leaves. net/http looks for a client's end by a read of one byte in the background; clientConn.Read handed it the next message's first byte (from pending, or from the socket), after which the server reads no more and r.Context() is never cancelled. The request stayed in the queue, or its attempt out, up to its deadline, and further attempts went out. Also seen: an attempt whose client left while its connection was being made was written when the connection came up together with the cancel (the interrupt runs beside the write), and always where the settings' Caps.Cancel is off, since the module then calls nothing off; and a client that had closed only its sending read an empty 200 that no server gave (net/http words a silent handler so). Ruled out: the module (Gone drops queued requests and orders no further attempt), the engine's Send (Moot once ended).

Lines: proxy/clients.go Read and note, proxy/backend.go roundTrip, proxy/frontend.go ServeHTTP's last case.

Changed: while a request is in hand Read gives nothing but the client's end; what comes behind is held back, up to a head's 16 KiB. Whoever sends more ahead of its answer is served that one request and then closed; who has its answer is held back by the window. An attempt is asked for just before its first byte whether anybody waits (engine.Attempt.Wanted, set off by Exchange.Leave at once and by every end) and ends as Moot if not; one given up by then isn't written either, and its connection is kept. A gone client's connection is answered 502 and closed.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -364,6 +364,7 @@
 		return
 	}
 	r.ended = true
+	r.over.Store(true)
 	a.MayHaveRun = r.mayHaveRun()
 	r.result <- a
 	l.drop(r.expiry)
@@ -501,7 +502,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b := h.opts.Upstream.Find(to)
-	if r.ended || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
+	if r.over.Load() || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
 		r.out > 1 && !h.opts.Module.Caps.SecondCopies || n > 0 && !h.opts.Repeat() {
 		h.deferred = append(h.deferred, func() { h.outcome(r, n, decision.Moot, nil) })
 		return
@@ -523,7 +524,7 @@
 	if !r.Uploading() {
 		a.limit(until - now)
 	}
-	t := Attempt{Message: r.Message, Timeout: until - now, Token: permit.Token, Begin: func(d Stream) bool {
+	t := Attempt{Message: r.Message, Timeout: until - now, Token: permit.Token, Wanted: func() bool { return !r.over.Load() }, Begin: func(d Stream) bool {
 		if a.ctx.Err() != nil {
 			return false
 		}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"lapisspread/decision"
@@ -77,6 +78,9 @@
 	Timeout time.Duration     // how long it will be waited for, to be told to the server
 	Token   string            // of a Budget, to be told to the server; empty is none
 	Begin   func(Stream) bool // takes a long answer that has begun, or tells that it comes too late
+	// Wanted is asked just before the first byte goes out: whether anybody waits for an answer yet. An attempt that is
+	// not wanted is not sent and ends as decision.Moot.
+	Wanted func() bool
 }
 
 // Permit lets an attempt out.
@@ -146,7 +150,8 @@
 	attempts []*attempt
 	out      int
 	ended    bool
-	timedOut bool // the last attempt
+	over     atomic.Bool // it has ended, or its client has left: read by attempts that are yet to be sent
+	timedOut bool        // the last attempt
 	expiry   *timer
 	stream   Stream // its answer, if that is a long one
 }
@@ -154,6 +159,10 @@
 // Open readies an exchange for its result.
 func (x *Exchange) Open() { x.result = make(chan Result, 1) }
 
+// Leave notes that the client has left, for attempts that are about to be sent: these ask by it before the engine has come
+// to handle Gone. It may be called by any goroutine.
+func (x *Exchange) Leave() { x.over.Store(true) }
+
 // Result gives the one result.
 func (x *Exchange) Result() <-chan Result { return x.result }
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -147,6 +147,7 @@
 func (p peer) Exchange(ctx context.Context, a engine.Attempt) (decision.Result, any) {
 	m := *a.Message.(*message)
 	m.begin = func(d *download) bool { return a.Begin(d) }
+	m.wanted = a.Wanted
 	m.header = m.header.Clone()
 	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, a.Timeout.Milliseconds()), 10))
 	if p.pool.fleet {
@@ -357,6 +358,7 @@
 
 	upload *upload              // in place of body, for a long one
 	begin  func(*download) bool // takes a long answer, or tells that it comes too late; nil takes none
+	wanted func() bool          // asked before the first byte goes out; nil is always
 }
 
 // Spent tells whether there can be no further attempt.
@@ -405,6 +407,19 @@
 func (p *pool) roundTrip(ctx context.Context, b *backend, c *conn, m *message) (result decision.Result, body []byte, untouched bool) {
 	began, idle := time.Now(), c.idleAt
 	stop := context.AfterFunc(ctx, c.interrupt)
+	// Danger: whoever waited may have left while the connection was made or taken, and the interrupt may come after the
+	// write. The connection is as good as before.
+	if given := ctx.Err() != nil; given || m.wanted != nil && !m.wanted() {
+		if stop() {
+			p.putIdle(b, c)
+		} else {
+			c.Close()
+		}
+		if given {
+			return unsent(ctx), nil, false
+		}
+		return decision.Moot, nil, false
+	}
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
@@ -461,6 +476,14 @@
 	return decision.Reset, nil, false
 }
 
+// unsent is how an attempt ends that was given up before its first byte went out.
+func unsent(ctx context.Context) decision.Result {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return decision.Cancelled
+	}
+	return decision.ConnectFailed
+}
+
 // handOver has a long answer read by whoever wants it, and waits for its end. Of an answer that is no success
 // nothing but the status counts.
 func (p *pool) handOver(ctx context.Context, resp *http.Response, d *download, m *message) error {
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -21,6 +21,8 @@
 	closeRest  = 5 * time.Millisecond  // a connection that is to be closed was silent for so long,
 	freshRest  = time.Second           // or for so long if nothing ever came on it
 	duckLook   = 20 * time.Millisecond // how often a lame duck looks for idle connections
+	heldBytes  = headerBytes           // behind a request in hand; whoever sends more ahead of its answer is served no further
+	heldPiece  = 1 << 10
 )
 
 // clientConns keeps track of the clients' connections, within a limit on their number.
@@ -58,11 +60,22 @@
 	served  bool // and was served
 	framer  framer
 	pending []byte // read, but of a next message: net/http gets one at a time, each after its framing is known
+	inHand  bool   // the last byte of a request was handed to the server, and it has not done with it
+	wrote   bool   // something of an answer to it
+	overrun bool   // more came behind a request than is held
 }
 
-// Read gives what has come, up to the end of a message.
+// Read gives what has come, up to the end of a message. While a request is in hand it gives nothing but the client's end.
 func (c *clientConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.inHand {
+		c.mu.Unlock()
+		return 0, c.watch()
+	}
+	if c.overrun { // what would come next was thrown away
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
 	if n := copy(p, c.pending); n > 0 {
 		defer c.mu.Unlock()
 		c.pending = c.pending[n:]
@@ -86,6 +99,60 @@
 	return c.receive(p)
 }
 
+// watch reads on behind the request in hand until the client's end, or until the server has done with the request.
+//
+// Danger: the server looks for a client's end by a read of one byte, and by none any more once it has that byte. A
+// client that has sent something behind its request and left would be taken for one that waits. So these bytes are held
+// back here and the look goes on.
+func (c *clientConn) watch() error {
+	raw, err := rawOf(c.Conn)
+	if err != nil {
+		return err
+	}
+	var piece []byte
+	for full := false; err == nil && !full; {
+		failed := raw.Read(func(fd uintptr) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			// A client that has its answer may send its next request before the server has done with this one.
+			if full = c.wrote && len(c.pending)+heldPiece > heldBytes; full {
+				return true
+			}
+			if piece == nil {
+				piece = make([]byte, heldPiece)
+			}
+			var n int
+			n, err = read(fd, piece)
+			if errors.Is(err, syscall.EAGAIN) {
+				err = nil
+				return false
+			}
+			switch {
+			case err != nil:
+				err = readError(os.NewSyscallError("read", err), c)
+			case n == 0:
+				err = io.EOF
+			case c.overrun || len(c.pending)+n > heldBytes:
+				c.overrun, c.pending = true, nil
+			default:
+				c.pending = append(c.pending, piece[:n]...)
+			}
+			return true
+		})
+		if failed != nil { // the server has done with the request, or the connection is closed
+			return readError(failed, c)
+		}
+	}
+	return err
+}
+
+// read is one read from a socket.
+func read(fd uintptr, p []byte) (n int, err error) {
+	for n, err = syscall.Read(int(fd), p); errors.Is(err, syscall.EINTR); n, err = syscall.Read(int(fd), p) {
+	}
+	return n, err
+}
+
 // receive reads from the socket. Danger: what is read has to be noted under the lock of those who look whether the
 // connection is quiet. Between the two it stands nowhere, and a request that has come in time would be closed as silence.
 func (c *clientConn) receive(p []byte) (n int, err error) {
@@ -96,10 +163,7 @@
 	failed := raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		n, err = syscall.Read(int(fd), p)
-		for errors.Is(err, syscall.EINTR) {
-			n, err = syscall.Read(int(fd), p)
-		}
+		n, err = read(fd, p)
 		if errors.Is(err, syscall.EAGAIN) {
 			return false
 		}
@@ -140,12 +204,21 @@
 		c.waiting, c.fresh = false, false
 	}
 	whole := c.framer.scan(b)
+	c.inHand = c.inHand || len(b) > 0 && c.framer.between()
 	if whole < len(b) {
 		c.pending = append(slices.Clone(b[whole:]), c.pending...)
 	}
 	return whole, err
 }
 
+// Write sends what belongs to an answer.
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.wrote = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // framing is that of the request being handled. Each may be asked for once.
 func (c *clientConn) framing() (framing, bool) {
 	c.mu.Lock()
@@ -235,6 +308,8 @@
 		c.waiting, c.since = waits, time.Now()
 	}
 	c.serving = c.serving && state != http.StateIdle
+	c.inHand = c.inHand && state != http.StateIdle
+	c.wrote = c.wrote && state != http.StateIdle
 	c.mu.Unlock()
 }
 
--- a/internal/proxy/framer.go
+++ b/internal/proxy/framer.go
@@ -77,6 +77,9 @@
 	return len(b)
 }
 
+// between tells whether a message has ended and no byte of the next one is there.
+func (f *framer) between() bool { return f.state == inHead && !f.first && len(f.line) == 0 }
+
 func (f *framer) reset() {
 	f.state, f.first, f.left = inHead, false, 0
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -187,11 +187,17 @@
 		}
 		f.answer(w, req, u, a)
 	case err := <-failed:
+		req.Leave()
 		svc.engine.Post(func() { svc.engine.Gone(&req.Exchange) })
 		u.stop()
 		f.turnAway(w, req, unread(err))
 	case <-r.Context().Done():
+		req.Leave()
 		svc.engine.Post(func() { svc.engine.Gone(&req.Exchange) })
+		// Danger: the server words a handler's silence as an empty 200, and who has closed only its sending would read that.
+		w.Header().Set("Connection", "close")
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.writeTimeout))
+		write(w, answer{status: http.StatusBadGateway})
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/leaving_test.go
@@ -0,0 +1,263 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// ways are those in which a client can be gone, with what it has sent behind its request by then.
+var ways = map[string]struct {
+	behind string
+	leave  func(c *net.TCPConn)
+}{
+	"closes":                       {"", func(c *net.TCPConn) { c.Close() }},
+	"resets":                       {"", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+	"ends its sending":             {"", func(c *net.TCPConn) { c.CloseWrite() }},
+	"closes, a byte behind":        {"G", func(c *net.TCPConn) { c.Close() }},
+	"closes, a request behind":     {hidden, func(c *net.TCPConn) { c.Close() }},
+	"closes, more than is held":    {strings.Repeat("x", 5*heldBytes), func(c *net.TCPConn) { c.Close() }},
+	"resets, a request behind":     {hidden, func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+	"ends its sending, bytes left": {hidden, func(c *net.TCPConn) { c.CloseWrite() }},
+}
+
+// leaver sends a request and what comes behind it.
+func leaver(t *testing.T, p *running, class, behind string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: l%d\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: 19000\r\n\r\n%s", lastAsked.Add(1), class, behind)
+	return c.(*net.TCPConn)
+}
+
+// only is the pool of a proxy with one service, once it serves.
+func (p *running) only(t *testing.T) *pool {
+	t.Helper()
+	eventually(t, "it does not serve", p.proxy.ready.Load)
+	return p.proxy.services.now.Load().only.pool
+}
+
+// inFlight waits until so many requests are in hand.
+func (p *running) inFlight(t *testing.T, n int64) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%d requests in hand, want %d", p.proxy.own.InFlight.Load(), n), func() bool { return p.proxy.own.InFlight.Load() == n })
+}
+
+func eventually(t *testing.T, missing string, so func() bool) {
+	t.Helper()
+	for start := time.Now(); !so(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > patience {
+			t.Fatal(missing)
+		}
+	}
+}
+
+// A client that has left is noticed whatever stands unread behind its request: its attempt is called off.
+func TestALeaverIsNoticed(t *testing.T) {
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			came, closed := make(chan bool, 1), make(chan bool, 1)
+			addr := rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+				came <- readWhole(in)
+				readWhole(in)
+				closed <- true
+			})
+			p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), nil)
+			c := leaver(t, p, "hand-in", way.behind)
+			within(t, came, "the backend got nothing")
+			way.leave(c)
+			within(t, closed, "the attempt went on after the client had left")
+		})
+	}
+}
+
+// A client leaves while no server takes its request: when one comes up nothing is sent to it. Whoever stayed is served.
+func TestALeaverInTheQueueIsNotSentOn(t *testing.T) {
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := make(chan *http.Request, 8)
+			catalog := newCatalog(t)
+			p := startProxy(t, listText(1, true), catalog, nil)
+			c := leaver(t, p, "fetch-work", way.behind)
+			p.inFlight(t, 1)
+			stays := leaver(t, p, "fetch-work", "")
+			p.inFlight(t, 2)
+			way.leave(c)
+			p.inFlight(t, 1)
+			catalog.lists <- listText(2, true, memberText("a", countingBackend(t, got), "active"))
+			mustAnswer(t, 200)(readAnswer(bufio.NewReader(stays)))
+			if len(got) != 1 {
+				t.Errorf("%d requests were sent on, want the one whose client stayed", len(got))
+			}
+		})
+	}
+}
+
+// A client leaves while the connection for its first or a further attempt is being made, which comes up at last: nothing is
+// sent on it, also where the settings know no cancelling, and the connection is kept.
+func TestALeaverIsNotSentOnByALateConnection(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		for n, state := range []string{"first", "further"} {
+			t.Run(fmt.Sprintf("%s attempt, cancelling %v", state, cancel), func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				requests := 0
+				addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+					if _, err := in.Peek(1); err != nil {
+						return
+					}
+					mu.Lock()
+					requests++
+					mu.Unlock()
+					readWhole(in)
+					say(c, "HTTP/1.1 503 Service Unavailable\nX-Not-Processed: 1\nContent-Length: 0\nConnection: close\n\n")
+				})
+				p := startProxy(t, listText(1, true, memberText("a", addr, "active"), memberText("b", addr, "active")), newCatalog(t), func(c *Config) {
+					c.Module.Caps.Cancel = cancel
+					c.Module.Caps.ConnectTimeout = patience
+				})
+				pool := p.only(t)
+				dial, dials := pool.dialer, 0
+				dialling, comeUp, up := make(chan bool, 8), make(chan bool), make(chan net.Conn, 8)
+				pool.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+					mu.Lock()
+					dials++
+					last := dials > n
+					mu.Unlock()
+					if !last {
+						return dial(context.Background(), network, addr)
+					}
+					dialling <- true
+					<-comeUp
+					c, err := dial(context.Background(), network, addr)
+					up <- c
+					return c, err
+				}
+				c := leaver(t, p, "fetch-work", "G")
+				within(t, dialling, "no connection is made")
+				c.Close()
+				p.inFlight(t, 0)
+				close(comeUp)
+				within(t, up, "no connection came up")
+				eventually(t, "the attempt does not end", func() bool {
+					pool.mu.Lock()
+					defer pool.mu.Unlock()
+					idle := 0
+					for _, b := range pool.backends {
+						idle += len(b.idle)
+					}
+					return idle == pool.open
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				if requests != n {
+					t.Errorf("%d attempts were sent, want the %d from before the client left", requests, n)
+				}
+			})
+		}
+	}
+}
+
+// An attempt that was given up, or that nobody wants, while its connection was made is not sent.
+func TestNothingIsSentOnceGivenUp(t *testing.T) {
+	for name, x := range map[string]struct {
+		give   func(cancel context.CancelCauseFunc, m *message)
+		result decision.Result
+	}{
+		"cancelled":  {func(cancel context.CancelCauseFunc, _ *message) { cancel(context.Canceled) }, decision.Cancelled},
+		"overdue":    {func(cancel context.CancelCauseFunc, _ *message) { cancel(context.DeadlineExceeded) }, decision.ConnectFailed},
+		"not wanted": {func(_ context.CancelCauseFunc, m *message) { m.wanted = func() bool { return false } }, decision.Moot},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan *http.Request, 64)
+			p, b := testPool(t, countingBackend(t, got))
+			dial := p.dialer
+			for range 20 {
+				ctx, cancel := context.WithCancelCause(t.Context())
+				m := testMessage("GET", nil)
+				p.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+					defer x.give(cancel, m)
+					return dial(context.Background(), network, addr)
+				}
+				if result, _ := p.exchange(ctx, b, m); result != x.result {
+					t.Errorf("result %v, want %v", result, x.result)
+				}
+				cancel(nil)
+				p.Release(backendID("a"))
+			}
+			p.dialer = dial
+			if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK {
+				t.Errorf("afterwards: %v", result)
+			}
+			if len(got) != 1 {
+				t.Errorf("%d requests came, want the last", len(got))
+			}
+		})
+	}
+}
+
+// Who has only ended its sending reads no answer that no server gave.
+func TestALeaverReadsNoMadeUpAnswer(t *testing.T) {
+	came := make(chan bool, 1)
+	addr := rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		came <- readWhole(in)
+		readWhole(in)
+	})
+	p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), nil)
+	c := leaver(t, p, "hand-in", "")
+	within(t, came, "the backend got nothing")
+	c.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(patience))
+	text, err := io.ReadAll(c)
+	if strings.HasPrefix(string(text), "HTTP/1.1 200") || timedOut(err) {
+		t.Errorf("read %q, %v", text, err)
+	}
+}
+
+// A client that has its answer and sends a long next request at once is served that too, whole, though the server has not
+// done with the first.
+func TestALongRequestRightBehindAnAnswerIsServed(t *testing.T) {
+	conns := newClientConns(4)
+	client, c := clientPair(t, conns)
+	defer c.Close()
+	in := make([]byte, 4096)
+	io.WriteString(client, "GET / HTTP/1.1\r\n\r\n")
+	if n, err := c.Read(in); err != nil || string(in[:n]) != "GET / HTTP/1.1\r\n\r\n" {
+		t.Fatalf("read %q, %v", in[:n], err)
+	}
+	if _, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	next := fmt.Sprintf("PUT / HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", 4*heldBytes, strings.Repeat("x", 4*heldBytes))
+	go io.WriteString(client, next)
+	c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := c.Read(in[:1]); err != nil { // the server's look for the client's end
+		t.Fatal(err)
+	}
+	conns.state(c, http.StateIdle)
+	var text []byte
+	for len(text) < len(next) {
+		n, err := c.Read(in)
+		if err != nil {
+			t.Fatalf("after %d of %d bytes: %v", len(text), len(next), err)
+		}
+		text = append(text, in[:n]...)
+	}
+	if string(text) != next {
+		t.Error("the bytes are others")
+	}
+}
