Ask in one place whether a request's first byte may still be written

Two mends had each put a look ahead of the write in roundTrip: for who has left (Attempt.Wanted) and for what has come on the connection, drains and ended contexts (pool.clear). They are one look now, clear; a connection that was made for nobody is closed.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -35,6 +35,7 @@
 	errNoSockets = errors.New("no socket is left for another backend connection")
 	errClosed    = errors.New("the backend takes nothing new")
 	errStale     = errors.New("something has come on the connection, or its end")
+	errUnwanted  = errors.New("nobody waits for an answer any more")
 )
 
 // pool holds the connections to all backends, within a limit on their number.
@@ -344,9 +345,12 @@
 // Danger: since the connection was chosen it may have taken its time to come up, or its goroutine may have had to wait
 // for a processor. By then the backend may drain or have moved; who asked may have left, which a goroutine of its own
 // would tell the connection, maybe after the write; and what has come on the connection would be taken for the answer.
-func (p *pool) clear(ctx context.Context, b *backend, c *conn) error {
-	if ctx.Err() != nil {
+func (p *pool) clear(ctx context.Context, b *backend, c *conn, m *message) error {
+	switch {
+	case ctx.Err() != nil:
 		return context.Cause(ctx)
+	case m.wanted != nil && !m.wanted():
+		return errUnwanted
 	}
 	p.mu.Lock()
 	closed := b.draining || b.epoch != c.epoch
@@ -420,23 +424,10 @@
 func (p *pool) roundTrip(ctx context.Context, b *backend, c *conn, m *message) (result decision.Result, body []byte, untouched bool) {
 	began, idle := time.Now(), c.idleAt
 	stop := context.AfterFunc(ctx, c.interrupt)
-	// Danger: whoever waited may have left while the connection was made or taken, and the interrupt may come after the
-	// write. The connection is as good as before.
-	if given := ctx.Err() != nil; given || m.wanted != nil && !m.wanted() {
-		if stop() {
-			p.putIdle(b, c)
-		} else {
-			c.Close()
-		}
-		if given {
-			return unsent(ctx), nil, false
-		}
-		return decision.Moot, nil, false
-	}
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
-	err := p.clear(ctx, b, c)
+	err := p.clear(ctx, b, c, m)
 	switch {
 	case err != nil:
 	case m.upload != nil:
@@ -475,14 +466,14 @@
 	c.Close()
 	cause := context.Cause(ctx)
 	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) &&
-		!errors.Is(err, errStale) && !errors.Is(err, errClosed) {
+		!errors.Is(err, errStale) && !errors.Is(err, errClosed) && !errors.Is(err, errUnwanted) {
 		p.broke(began.Sub(idle))
 	}
 	untouched = written == 0
 	switch {
 	case errors.Is(cause, context.Canceled), errors.Is(err, errClient), errors.Is(err, errGone):
 		return decision.Cancelled, nil, untouched
-	case errors.Is(err, errSpent):
+	case errors.Is(err, errSpent), errors.Is(err, errUnwanted):
 		return decision.Moot, nil, false
 	case !whole: // its last byte never went out
 		return decision.ConnectFailed, nil, untouched
@@ -492,14 +483,6 @@
 	return decision.Reset, nil, false
 }
 
-// unsent is how an attempt ends that was given up before its first byte went out.
-func unsent(ctx context.Context) decision.Result {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
-		return decision.Cancelled
-	}
-	return decision.ConnectFailed
-}
-
 // handOver has a long answer read by whoever wants it, and waits for its end. Of an answer that is no success
 // nothing but the status counts.
 func (p *pool) handOver(ctx context.Context, resp *http.Response, d *download, m *message) error {
