Name file, field and reason of a configuration that can't be served, at start and SIGHUP

Seen: the module looked at the settings only once its engine was made, so that the start told "settings: ..." without a file, and a new file with bad settings was taken in at SIGHUP. Errors gave a line of a text that the program had made itself, in the order of a map (internal/proxy/config.go readSettings). A "known" list with one odd entry refused the start, though discovery has the true one; so did keys that are new and hold "=" or a line's end, a whole number written as 192.5, a Kinds or FailureDomains that is no list of words. A memory_mb of 1e17 left room for no byte of any body. Two classes of one name were both taken, and requests went by the last one's effect; two that differ by a space became one.

Now each is a ConfigError with the path of the file, the path of the field, and the reason, and the whole check runs in parseConfig: for the start, SIGHUP and config check. Addresses must have a host and a port. A bad known list is logged and left out; config check tells of it. Names are looked up as they are told first, and in the plain form second; the same name twice is refused.

Seen to fail without: the check in readSettings (bad file 1 is not counted; "Servants": error <nil>), the look at addresses ("discovery": error <nil>), that for names twice, the names as told (class "close_trip" is number 0), the skipped keys ("settings line 24: Brand.x"), the bound of memory_mb (- bytes), the known list left out.

--- a/cmd/lapisspread/main.go
+++ b/cmd/lapisspread/main.go
@@ -100,6 +100,9 @@
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: good: proxy %q, %d classes, %d tenants, %d backends known\n",
 				args[0], c.Name, len(c.Module.Classes), len(c.Module.Tenants), len(c.Known.Members))
+			if c.KnownBad != nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%v; it is served without, and discovery is asked\n", c.KnownBad)
+			}
 			return nil
 		},
 	})
--- a/cmd/lapisspread/main_test.go
+++ b/cmd/lapisspread/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -135,3 +136,91 @@
 		t.Errorf("ended with %v, want code 0", err)
 	}
 }
+
+// A new configuration that can't be served changes nothing: it is counted, its field is named in the log, and the
+// discovery that it names is never asked. A good one after it is taken in.
+func TestABadFileAtSighupLeavesTheOldConfiguration(t *testing.T) {
+	addr, second := freeAddr(t), freeAddr(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := strings.NewReplacer("127.0.0.1:0", addr, `"seed"`, fmt.Sprintf(`"console":%q,"seed"`, second)).Replace(goodConfig)
+	replace := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replace(text)
+	c := program(t, "BALANCER_CONFIG="+path, "BALANCER_CONSOLE=")
+	logs, err := os.Create(path + ".log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer logs.Close()
+	c.Stderr = logs
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it serves", func() bool { return health(addr) == 200 })
+	asked := make(chan string, 64)
+	newDiscovery := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case asked <- name:
+			default:
+			}
+			io.WriteString(w, `{"generation":1,"reset":true,"instances":[]}`)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	bad := strings.Replace(text, "127.0.0.1:1\"", newDiscovery("bad")+`"`, 1)
+	reloads := func() (ok, failed int) {
+		var f struct {
+			OK     int `json:"reloads_ok"`
+			Failed int `json:"reloads_failed"`
+		}
+		line, _, _ := strings.Cut(say(second, "INFO"), "\n")
+		if err := json.Unmarshal([]byte(line), &f); err != nil {
+			t.Fatalf("INFO: %q: %v", line, err)
+		}
+		return f.OK, f.Failed
+	}
+	for i, spoilt := range []string{
+		"{",
+		strings.Replace(bad, `"Aim":800`, `"Aim":0`, 1),
+		strings.Replace(bad, `"sockets":1024`, `"sockets":"many"`, 1),
+		strings.Replace(text, "127.0.0.1:1\"", `nowhere"`, 1),
+	} {
+		replace(spoilt)
+		if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until(t, fmt.Sprintf("bad file %d is counted", i), func() bool { _, failed := reloads(); return failed == i+1 })
+	}
+	if ok, _ := reloads(); ok != 0 || len(asked) > 0 || health(addr) != 200 {
+		t.Errorf("%d bad files taken, %d calls to their discovery, health %d", ok, len(asked), health(addr))
+	}
+	replace(strings.Replace(text, "127.0.0.1:1\"", newDiscovery("good")+`"`, 1))
+	if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the good file's discovery is asked", func() bool { return len(asked) > 0 })
+	if name := <-asked; name != "good" {
+		t.Errorf("the discovery of the %s file is asked", name)
+	}
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Wait(); err != nil {
+		t.Errorf("ended with %v, want code 0", err)
+	}
+	written, err := os.ReadFile(path + ".log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range []string{path + ": settings.Services.0.Aim: ", path + ": limits.sockets: ", path + ": discovery: "} {
+		if !strings.Contains(string(written), field) {
+			t.Errorf("the log does not name %s\n%s", field, written)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/config_test.go
@@ -0,0 +1,266 @@
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// changed is the text of a good configuration with something replaced in it.
+func changed(t *testing.T, from, to string) string {
+	t.Helper()
+	text := string(configText("null"))
+	if !strings.Contains(text, from) {
+		t.Fatalf("%s is not in it", from)
+	}
+	return strings.Replace(text, from, to, 1)
+}
+
+// load reads a configuration as the start does.
+func load(t *testing.T, text string, env ...string) (Config, string, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	vars := map[string]string{"BALANCER_CONFIG": path}
+	for i := 0; i+1 < len(env); i += 2 {
+		vars[env[i]] = env[i+1]
+	}
+	c, err := LoadConfig(func(name string) string { return vars[name] })
+	return c, path, err
+}
+
+// What can't be served is refused at the start and at a reload, with the file, the field's path in it and the reason.
+func TestWhatCantBeServedIsRefusedByFileAndField(t *testing.T) {
+	for _, c := range []struct{ from, to, field, reason string }{
+		{`{"name"`, `{"name`, "", "invalid"},
+		{`"127.0.0.1:0"`, `""`, "listen", "must be given"},
+		{`"127.0.0.1:0"`, `"127.0.0.1"`, "listen", "missing port"},
+		{`"127.0.0.1:1"`, `""`, "discovery", "must be given"},
+		{`"127.0.0.1:1"`, `"discovery"`, "discovery", "missing port"},
+		{`"127.0.0.1:1"`, `"127.0.0.1:"`, "discovery", "no port"},
+		{`"127.0.0.1:1"`, `"127.0.0.1:99999"`, "discovery", "no port"},
+		{`"8c1f30d27a5be964"`, `"no"`, "seed", "invalid"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores", "above 0"},
+		{`"cores":1.0`, `"cores":"one"`, "limits.cores", "want a float64"},
+		{`"memory_mb":192`, `"memory_mb":2`, "limits.memory_mb", "16 or more"},
+		{`"sockets":1024`, `"sockets":-1`, "limits.sockets", "64 or more"},
+		{`"settings":{`, `"Settings-":{`, "settings", "none given"},
+		{`"settings":{`, `"settings":7,"old":{`, "settings", "number"},
+		{`"Services":[`, `"Servants":[`, "settings.Services", "none given"},
+		{`"Balancers":1`, `"Balancers":0`, "settings.Balancers", "1 or more"},
+		{`"Balancers":1`, `"Balancers":1.5`, "settings.Balancers", "whole number"},
+		{`"Tick":5.0`, `"Tick":"often"`, "settings.Tick", "not a number"},
+		{`"Tick":5.0`, `"Tick":-1`, "settings.Tick", "negative"},
+		{`"on_request"`, `"by_post"`, "settings.Discovery", "one of pushed, on_request"},
+		{`"ConnectTimeout":250.0,`, ``, "settings.Caps.ConnectTimeout", "above 0"},
+		{`"MaxAttempts":6`, `"MaxAttempts":0`, "settings.Caps.MaxAttempts", "1 or more"},
+		{`"Cancel":true`, `"Cancel":"maybe"`, "settings.Caps.Cancel", "one of false, true"},
+		{`"DrainGrace":250.0`, `"DrainGrace":-250.0`, "settings.Obligations.DrainGrace", "negative"},
+		{`"Cold":23000.0`, `"Cold":1e300`, "settings.Obligations.Cold", "not a span"},
+		{`"Effect":"fragile"`, `"Effect":"brittle"`, "settings.Services.1.Effect", "one of fragile"},
+		{`"Effect":"fragile","Group":"all"`, `"Effect":"dedup","Group":"half"`, "settings.Services.1.Group", "one of cell"},
+		{`"hand-in","Aim":8000.0`, `"hand-in","Aim":0`, "settings.Services.1.Aim", "above 0"},
+		{`"GiveUp":20000.0,"Effect":"fragile"`, `"Effect":"fragile"`, "settings.Services.1.GiveUp", "above 0"},
+		{`"hand-in"`, `"fetch-work"`, "settings.Services.1.Name", `"fetch-work" is the name of Services.0 too`},
+	} {
+		text := changed(t, c.from, c.to)
+		_, path, err := load(t, text)
+		bad := (*ConfigError)(nil)
+		if !errors.As(err, &bad) || bad.File != path || bad.Field != c.field || !strings.Contains(bad.Err.Error(), c.reason) {
+			t.Errorf("%s: error %v, want one for %s: %s", c.to, err, c.field, c.reason)
+		}
+		if err != nil && (!strings.Contains(err.Error(), path+": "+c.field) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s: the error is no line with file and field: %v", c.to, err)
+		}
+		if c.field == "listen" { // which a reload does not ask for
+			continue
+		}
+		if _, err := ReloadConfig(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }); err == nil {
+			t.Errorf("%s: taken at a reload", c.to)
+		}
+	}
+	if _, _, err := load(t, changed(t, `"127.0.0.1:0"`, `""`), "BALANCER_PASSED_SOCKET", "3"); err != nil {
+		t.Errorf("where the socket is passed no address is needed: %v", err)
+	}
+}
+
+// A refusal to start fails a whole day: what can be served is. Keys that are new, absent or told oddly are no reason.
+func TestWhatCanBeServedIs(t *testing.T) {
+	for _, c := range []struct{ from, to string }{
+		{`"WorthBy":"work"`, `"WorthBy":"mood","Brand":{"New":[1,{"a":null}],"":5,"a=b":1,"x\ny":2},"Kinds.0":3`},
+		{`"WorthBy":"work",`, ``},
+		{`"Tick":5.0,`, ``},
+		{`"Balancers":1,"Rank":0,"Zone":0,`, ``},
+		{`"Rank":0,"Zone":0`, `"Rank":-7,"Zone":99`},
+		{`"FailureDomains":["dc one"]`, `"FailureDomains":[1,"a","a"]`},
+		{`"FailureDomains":["dc one"],`, ``},
+		{`"Kinds":["fast-5","slow-5"]`, `"kinds":3`},
+		{`"Tenants":[]`, `"Tenants":[{"Name":"a","Share":7},{"Name":"a","Share":-1,"QuotaPerS":0}]`},
+		{`"Tenants":[],`, ``},
+		{`"MaxAttempts":6,"MaxRetryAfter":2000.0,`, ``},
+		{`"ConnIdle":15000.0,`, ``},
+		{`"ConnIdle":15000.0`, `"ConnIdle":0.001`},
+		{`"StreamsPerConn":1`, `"StreamsPerConn":0,"MaxOpen":0`},
+		{`"Obligations":{"AnswerSlack":20.0,"AskEvery":10000.0,"Cold":23000.0,"DrainGrace":250.0,"Fall":2000.0,"FallMultiple":2.5,"StartCapacity":0.13},`, ``},
+		{`"StartCapacity":0.13`, `"StartCapacity":34`},
+		{`"Fall":2000.0,"FallMultiple":2.5`, `"Fall":0,"FallMultiple":0`},
+		{`"Cold":23000.0`, `"Cold":1e12`},
+		{`"Value":8.0`, `"Value":-8.0,"LateShare":-1,"AimStretch":1e300`},
+		{`"Aim":8000.0`, `"Aim":90000.0`},
+		{`"Effect":"fragile","Group":"all"`, `"Group":"half"`},
+		{`"hand-in"`, `"fetch_work"`},
+		{`"memory_mb":192,"sockets":1024`, `"memory_mb":192.5,"sockets":1e12`},
+		{`"memory_mb":192`, `"memory_mb":1e17`},
+		{`"cores":1.0`, `"cores":1e17`},
+		{`"known":null`, `"known":{"generation":1,"instances":[{}]}`},
+		{`"known":null,`, ``},
+	} {
+		cfg, _, err := load(t, changed(t, c.from, c.to))
+		if err != nil {
+			t.Errorf("%s: refused: %v", c.to, err)
+			continue
+		}
+		if bodyRoom(&cfg) < 1<<20 || clientPlaces(&cfg) < 19 {
+			t.Errorf("%s: no room: %d bytes, %d places", c.to, bodyRoom(&cfg), clientPlaces(&cfg))
+		}
+		if _, err := decision.New(cfg.Module, 1, nil); err != nil {
+			t.Errorf("%s: %v", c.to, err)
+		}
+	}
+}
+
+// A tree of settings of which each part may be missing, of another kind, or extreme, is refused by field or can be served.
+func TestDrawnSettingsAreServedOrRefusedByField(t *testing.T) {
+	odd := []any{nil, true, "", "words, and more", -1, 0, 1e-9, 0.5, 1e9, 1e300, []any{}, []any{1, "a"}, []any{map[string]any{"Name": "a"}}, map[string]any{"Name": "b"}}
+	served := 0
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 27))
+		var tree map[string]any
+		if err := json.Unmarshal([]byte(settings), &tree); err != nil {
+			t.Fatal(err)
+		}
+		var spoil func(v any)
+		spoil = func(v any) {
+			switch v := v.(type) {
+			case map[string]any:
+				var keys []string
+				for key := range v {
+					keys = append(keys, key)
+				}
+				slices.Sort(keys)
+				for _, key := range keys {
+					switch rng.IntN(60) {
+					case 0:
+						delete(v, key)
+					case 1:
+						v[key] = odd[rng.IntN(len(odd))]
+					default:
+						spoil(v[key])
+					}
+				}
+			case []any:
+				for _, item := range v {
+					spoil(item)
+				}
+			}
+		}
+		spoil(tree)
+		text, err := json.Marshal(tree)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := parseConfig(fmt.Appendf(nil, `{"name":"n0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, text))
+		if err != nil {
+			if bad := (*ConfigError)(nil); !errors.As(err, &bad) || !strings.HasPrefix(bad.Field, "settings") {
+				t.Errorf("seed %d: no field: %v", seed, err)
+			}
+			continue
+		}
+		served++
+		if _, err := decision.New(cfg.Module, 1, nil); err != nil {
+			t.Errorf("seed %d: taken, and can't be served: %v\n%s", seed, err, text)
+		}
+		if _, err := gateOf(&cfg.Module); err != nil {
+			t.Errorf("seed %d: taken, and can't share: %v\n%s", seed, err, text)
+		}
+		if n := len(cfg.Module.Classes); n != len(cfg.Names.Classes) || len(cfg.Module.Tenants) > len(cfg.Names.Tenants) {
+			t.Errorf("seed %d: %d classes and %d tenants, of names %q", seed, n, len(cfg.Module.Tenants), cfg.Names)
+		}
+	}
+	if served < 100 {
+		t.Errorf("of 500 only %d are served", served)
+	}
+}
+
+// Names that differ by a space or a comma only are two: one may be repeated, the other must never run twice.
+func TestNamesThatDifferByASpaceAreTwo(t *testing.T) {
+	text := strings.NewReplacer(`"fetch-work"`, `"close trip"`, `"hand-in"`, `"close_trip"`, `"Tenants":[]`,
+		`"Tenants":[{"Name":"a,b","Share":0.5},{"Name":"a_b","Share":0.4},{"Name":"c d","Share":0.1}]`).Replace(string(configText("null")))
+	cfg, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := List{Version: 1, Full: true}
+	cfg.Known, cfg.Discovery = known, "127.0.0.1:1"
+	c := newCatalog(t)
+	p := startProxy(t, listText(1, true), c, func(to *Config) { cfg.Discovery, cfg.pace = to.Discovery, to.pace; *to = cfg })
+	within(t, c.queries, "no watch")
+	svc := p.proxy.services.now.Load().only
+	for name, want := range map[string]int{"close trip": 0, "close_trip": 1, "close,trip": 1} {
+		if got, known := named(svc.classes, name); !known || got != want {
+			t.Errorf("class %q is number %d, %v", name, got, known)
+		}
+	}
+	for name, want := range map[string]int{"a,b": 0, "a_b": 1, "c d": 2, "c_d": 2} {
+		if got, known := named(svc.tenants, name); !known || got != want {
+			t.Errorf("tenant %q is number %d, %v", name, got, known)
+		}
+	}
+	if _, known := named(svc.classes, "open trip"); known {
+		t.Error("a class that there is not")
+	}
+}
+
+// A list that can't be read is no reason not to serve: discovery is asked, and what it says is served.
+func TestABadKnownListIsServedWithout(t *testing.T) {
+	got := make(chan *http.Request, 8)
+	c := newCatalog(t)
+	p := startProxy(t, `{"generation":7,"reset":true,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:1","lifecycle":"active"},{}]}`, c, nil)
+	if q := within(t, c.queries, "discovery is not asked"); strings.HasPrefix(q, "from=7&") {
+		t.Errorf("asked for %q, as if the list that can't be read were known", q)
+	}
+	c.lists <- listText(8, true, memberText("a", countingBackend(t, got), "active"))
+	within(t, c.queries, "no watch after the list")
+	mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+	if !strings.Contains(p.logs.String(), "the list that the configuration knows can't be read") {
+		t.Errorf("the log says nothing of it:\n%s", p.logs.String())
+	}
+	if cfg, err := parseConfig(configText(`{"generation":1,"instances":[{}]}`)); err != nil || cfg.KnownBad == nil || len(cfg.Known.Members) > 0 {
+		t.Errorf("known %+v, bad %v, error %v", cfg.Known, cfg.KnownBad, err)
+	}
+}
+
+// The calls for the list come in time whatever the settings say of how old an answer may grow.
+func TestThePaceOfCallsStaysWithinBounds(t *testing.T) {
+	for _, every := range []string{"0", "1", "1e12"} {
+		cfg, err := parseConfig([]byte(changed(t, `"AskEvery":10000.0`, `"AskEvery":`+every)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if cfg.pace.hold < time.Second || cfg.pace.hold > 20*time.Second {
+			t.Errorf("AskEvery %s: held for %v", every, cfg.pace.hold)
+		}
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -411,7 +411,7 @@
 	if id := h.Get("X-Request-Id"); id == "" || len(id) > idBytes {
 		return nil, malformed("no X-Request-ID, or a very long one")
 	}
-	class, known := svc.classes[plain(h.Get("X-Priority-Class"))]
+	class, known := named(svc.classes, h.Get("X-Priority-Class"))
 	if !known {
 		return nil, malformed("unknown X-Priority-Class %q", h.Get("X-Priority-Class"))
 	}
@@ -423,14 +423,24 @@
 		return nil, malformed("%s %q is not for a proxy of this kind", r.Method, r.RequestURI)
 	}
 	timeout := min(time.Duration(ms)*time.Millisecond, longTimeout)
+	tenant, _ := named(svc.tenants, h.Get("X-Tenant-Id"))
 	m := &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}
-	req := &request{message: m, service: svc, Exchange: engine.Exchange{Message: m, Class: class, Tenant: svc.tenants[plain(h.Get("X-Tenant-Id"))],
+	req := &request{message: m, service: svc, Exchange: engine.Exchange{Message: m, Class: class, Tenant: tenant,
 		Key: keyHash(r.URL.Query().Get("key")), Cost: hint(h.Get("X-Cost")), Repeat: h.Get("X-Retried") == "1",
 		Timeout: timeout - min(answerRoom, timeout/roomPart)}}
 	req.Open()
 	return req, nil
 }
 
+// named gives the number of a name, as it is told or else in its plain form.
+func named(numbers map[string]int, name string) (int, bool) {
+	if i, known := numbers[name]; known {
+		return i, true
+	}
+	i, known := numbers[plain(name)]
+	return i, known
+}
+
 // hint is the guess at a request's work; one that makes no sense counts as none.
 func hint(text string) time.Duration {
 	us, err := strconv.ParseFloat(text, 64)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -242,6 +242,9 @@
 	if _, err := p.store.Refresh(); err != nil {
 		p.log.Error("what the process before left can't be read", "err", err)
 	}
+	if p.cfg.KnownBad != nil {
+		p.log.Error("the list that the configuration knows can't be read: discovery is asked for all", "err", p.cfg.KnownBad)
+	}
 	p.cfg.Module.Caps.MaxOpen = int(openSockets * float64(p.cfg.Sockets))
 	if p.cfg.Admission != "" {
 		if err := p.openDoor(); err != nil {
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -384,14 +384,20 @@
 
 // newService starts an engine with connections of its own.
 func (s *services) newService(ctx context.Context, discovery string, spec config.Service, module decision.Config, fig *figures.Figures) (*service, error) {
-	svc := &service{name: spec.Name, spec: spec, module: module, classes: map[string]int{}, tenants: map[string]int{}, figures: fig, roster: newRoster(),
+	svc := &service{name: spec.Name, spec: spec, module: module, figures: fig, roster: newRoster(),
 		idle: make(chan struct{}, 1), ended: make(chan struct{})}
-	for i, c := range module.Classes {
-		svc.classes[c.Name] = i
+	var classes, tenants []string
+	for _, c := range module.Classes {
+		classes = append(classes, c.Name)
 	}
-	for i, t := range module.Tenants {
-		svc.tenants[t.Name] = i
+	for _, t := range module.Tenants {
+		tenants = append(tenants, t.Name)
 	}
+	told := s.p.cfg.Names
+	if len(spec.Classes) > 0 { // its own ones
+		told.Classes = nil
+	}
+	svc.classes, svc.tenants = numbered(classes, told.Classes), numbered(tenants, told.Tenants)
 	idle := module.Caps.ConnIdle
 	if spec.Name != "" { // what stands idle here is kept from others: it comes back within the recall time
 		idle = min(idle, defaultRecall)
@@ -429,13 +435,6 @@
 	var fleetBudget engine.Budget // stays nil where nothing covers the service
 	if link := s.p.fleet.Load(); link != nil {
 		svc.pool.fleet = true
-		var classes, tenants []string
-		for _, c := range module.Classes {
-			classes = append(classes, c.Name)
-		}
-		for _, t := range module.Tenants {
-			tenants = append(tenants, t.Name)
-		}
 		sight, err := link.Sight(spec.Name, classes, tenants)
 		if err != nil {
 			return nil, err
