Take no answer for whole whose length, version or end is not plainly told

Seen, each by a case of TestSpoiltAnswers against the code as it was: HTTP/1.0 with chunks and "Transfer-Encoding : chunked" were served with the chunks' frames in the body; "Content-Length : 4" was read until the connection's end; HTTP/0.9, HTTP/2.0 and statuses 0 to 99 ahead of an answer were passed over, and the connection kept; a 503 with X-Not-Processed whose body was never read to its end counted as proof that nothing ran, so a request that may not be repeated would have been. Ruled out: obsolete folds, signs and lists in a length, odd encodings, chunks cut off, resets in place of an end, bodies where none may be, all of which were handled.

At fault: conn.go, checkLengths and readAnswer, which left versions and odd names to net/http (it drops an encoding in HTTP/1.0, and takes a name with a space for another header); and backend.go, roundTrip, which went by the status alone where an answer was cut.

Now these are spoilt. A turned-away request's answer is waited for to its end, within the attempt's time, and counts as an error if there is none.

TestOutcomes reads what takes longer than 25 ms to end: on a busy machine its answers of no told length came out as Reset.

Seen to fail without: the spaces, the version of an encoding (both: result OK, body "4\r\nfine..."), version and status ("result 0, want 5"), the cut (Full for Error), the wait ("result 1, want 3"). 20 times with -race beside four busy loops.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -444,13 +444,18 @@
 			failed = p.handOver(ctx, resp, long, m)
 		}
 		if failed == nil && (whole || resp.StatusCode != http.StatusOK) {
-			if !stop() || resp.Close || !whole || long != nil && resp.StatusCode != http.StatusOK {
+			result, cut := answered(resp), long != nil && resp.StatusCode != http.StatusOK
+			if !stop() || resp.Close || !whole || cut {
 				c.Close()
 			} else {
 				c.limitRead(time.Time{})
 				p.putIdle(b, c)
 			}
-			return answered(resp), body, false
+			// Danger: what was not read to its end may be spoilt, and a spoilt answer does not prove that nothing ran.
+			if cut && result == decision.Full {
+				result = decision.Error
+			}
+			return result, body, false
 		}
 		if err == nil {
 			err = failed
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -134,7 +134,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, b := testPool(t, rawBackend(t, c.serve))
-			result, body := p.exchange(t.Context(), b, testMessage("POST", []byte("work")))
+			m := testMessage("POST", []byte("work"))
+			read := func() []byte { return nil }
+			if name != "answer too long" { // which must not be asked for
+				read = readLong(m)
+			}
+			result, body := p.exchange(t.Context(), b, m)
+			if long := read(); long != nil {
+				body = long
+			}
 			if result != c.want {
 				t.Errorf("result %v, want %v", result, c.want)
 			}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lapisspread/decision"
 )
 
 const (
@@ -129,6 +131,9 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, nil, nil, fmt.Errorf("%w: other protocols were not asked for", errSpoilt)
 		}
+		if resp.ProtoMajor != 1 || resp.StatusCode < http.StatusContinue {
+			return nil, nil, nil, fmt.Errorf("%w: %s with status %q", errSpoilt, resp.Proto, resp.Status)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			body, d, err := c.readBody(resp)
 			return resp, body, d, err
@@ -138,7 +143,8 @@
 }
 
 // checkHead waits for a whole head, which must fit into the buffer and tell the body's length in one way
-// only: net/http passes over a length beside an encoding.
+// only: net/http passes over a length beside an encoding, and over an encoding in HTTP/1.0, whose chunks would then be
+// taken for the body.
 func (c *conn) checkHead() error {
 	for from := 0; ; {
 		head, err := c.in.Peek(c.in.Buffered())
@@ -160,17 +166,26 @@
 func checkLengths(head []byte) error {
 	lengths, encodings := 0, 0
 	for line := range bytes.Lines(head) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch name = bytes.TrimSpace(name); {
+		told, _, _ := bytes.Cut(line, []byte(":"))
+		name := bytes.TrimSpace(told)
+		switch {
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			lengths++
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			encodings++
+		default:
+			continue
+		}
+		if len(name) < len(told) { // Danger: net/http takes that for another header, and reads to the connection's end
+			return fmt.Errorf("%w: there are spaces beside the name %s", errSpoilt, name)
 		}
 	}
 	if lengths > 1 || lengths > 0 && encodings > 0 {
 		return fmt.Errorf("%w: its length is told more than once", errSpoilt)
 	}
+	if encodings > 0 && bytes.HasPrefix(head, []byte("HTTP/1.0")) {
+		return fmt.Errorf("%w: HTTP/1.0 has no encodings", errSpoilt)
+	}
 	return nil
 }
 
@@ -192,8 +207,12 @@
 		}
 		return body, nil, nil
 	}
+	hold := time.Duration(holdAnswer)
+	if answered(resp) == decision.Full { // only a whole one is proof that nothing ran, and none is passed on
+		hold = readStall
+	}
 	ahead := startPump(&limited{from: resp.Body, c: c})
-	body, whole, err := ahead.wait(holdAnswer)
+	body, whole, err := ahead.wait(hold)
 	switch {
 	case err != nil:
 		ahead.close()
