Reset a client of HTTP/1.0 whose answer of no told length broke off

Seen: to a client of HTTP/1.0 an answer of no told length goes out without chunks and ends with the connection; when the backend reset it on the way, the client read the first part and a clean end, and took it for whole. Ruled out: the reading from the backend (a reset comes as an error, never as an end; the error is told once, and only the answer's reader asks), and clients of HTTP/1.1, who miss the last chunk.

At fault: frontend.go, answer, which left the connection to net/http's close. Now it is reset.

Seen to fail without it: TestAResetOnTheWayIsNoEnd/HTTP/1.0 ("the rest: <nil>"). 20 times with -race.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -287,6 +287,9 @@
 	if err != nil {
 		req.ended(figures.Failed)
 		f.log.Warn("a long answer broke off", "err", err)
+		if req.old && stream.length < 0 {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler) // the client must be able to tell
 	}
 	req.ended(figures.Served)
@@ -424,7 +427,7 @@
 	}
 	timeout := min(time.Duration(ms)*time.Millisecond, longTimeout)
 	m := &message{method: r.Method, host: r.Host, url: *r.URL, header: forwarded(h)}
-	req := &request{message: m, service: svc, Exchange: engine.Exchange{Message: m, Class: class, Tenant: svc.tenants[plain(h.Get("X-Tenant-Id"))],
+	req := &request{message: m, service: svc, old: !r.ProtoAtLeast(1, 1), Exchange: engine.Exchange{Message: m, Class: class, Tenant: svc.tenants[plain(h.Get("X-Tenant-Id"))],
 		Key: keyHash(r.URL.Query().Get("key")), Cost: hint(h.Get("X-Cost")), Repeat: h.Get("X-Retried") == "1",
 		Timeout: timeout - min(answerRoom, timeout/roomPart)}}
 	req.Open()
@@ -480,6 +483,7 @@
 	engine.Exchange
 	message *message
 	service *service
+	old     bool          // its client has HTTP/1.0: an answer of no told length ends with the connection
 	took    time.Duration // to its answer, if that served
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -348,6 +348,23 @@
 	}
 }
 
+// reset ends a client's connection by a reset. Danger: where an answer ends with the connection, a close would make what
+// has come of it seem whole.
+func reset(w http.ResponseWriter) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	socket := nc
+	if c, ours := nc.(*clientConn); ours {
+		socket = c.Conn
+	}
+	if tcp, is := socket.(*net.TCPConn); is {
+		tcp.SetLinger(0)
+	}
+}
+
 // timedOut tells whether an error is a limit on time that ran out.
 func timedOut(err error) bool {
 	ne := net.Error(nil)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -132,6 +132,48 @@
 	}
 }
 
+// An answer of no told length that breaks off after its beginning was passed on: a reset of the backend's is no end, and
+// the client can tell, also one of HTTP/1.0, for which a close would be the end.
+func TestAResetOnTheWayIsNoEnd(t *testing.T) {
+	for _, version := range []string{"1.1", "1.0"} {
+		for _, whole := range []bool{true, false} {
+			t.Run(fmt.Sprintf("HTTP/%s, whole %v", version, whole), func(t *testing.T) {
+				t.Parallel()
+				begun := make(chan bool)
+				addr := rawBackend(t, func(_ int, nc net.Conn, in *bufio.Reader) {
+					if readWhole(in) {
+						say(nc, "HTTP/1.1 200 OK\n\nabc")
+						<-begun
+						if !whole {
+							nc.(*net.TCPConn).SetLinger(0)
+						}
+					}
+				})
+				p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), nil)
+				c, err := net.Dial("tcp", p.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				fmt.Fprintf(c, "GET /api HTTP/%s\r\nHost: s\r\nX-Request-ID: s%d\r\nX-Priority-Class: fetch-work\r\nX-Timeout-Ms: 9000\r\n\r\n", version, lastAsked.Add(1))
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				begin := make([]byte, 3)
+				if _, err := io.ReadFull(resp.Body, begin); err != nil || string(begin) != "abc" {
+					t.Errorf("%q, %v", begin, err)
+				}
+				close(begun)
+				if _, err := io.ReadAll(resp.Body); (err == nil) != whole {
+					t.Errorf("the rest: %v", err)
+				}
+			})
+		}
+	}
+}
+
 // A long body that the backend turns away early gets its answer while it is being sent.
 func TestABodyTurnedAwayEarlyIsAnswered(t *testing.T) {
 	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
