Let no attempt out on a connection that comes up after its window or its request's end

Seen by reading, and then by tests: the module orders a keyed repeat within its window (maySend, balancer.go), but from there on nothing looked at the window. pool.exchange then dials for up to the settings' connect time-out, and roundTrip writes. With a window of 40 ms and a connection that comes up after 1 s the repeat went out ('1s after the first the repeat goes out: true'), and would run a second time. Likewise a first attempt whose own dial is slow goes out long after its copy has begun. Where the settings allow no cancels (Caps.Cancel), an attempt in its dial also went out after its client had left, after its copy was answered and after its time; where they do, the cancelled context forbade that already, and still does.

Now the engine knows of each request when its attempts began (sends.go), and an attempt carries May: the upstream asks it right before the first byte, on each connection that it tries. It says no once the request has ended, and for a keyed class once the window since the first attempt that began and is not proved never to have run is over; for an unsafe one while there is any such attempt. It also tells until when the last byte may go out: the pool bounds the write by that, so one that stands in a full socket ends as never sent. The Diameter upstream asks once its peer's connection is open. What may not go out ends as Moot, and the module answers at once.

Seen to fail without: the look at 'over' and sends.end ('it goes out', three cases), the window ('40ms after the first the repeat goes out: true', the late first attempt, the unsafe one), the note of when an attempt began, its being taken back when it never ran ('1s after the first the repeat goes out: false'), the own attempt passed over, safe classes without a bound; in the pool the look itself ('144 bytes went out'), a look before the dial instead (the same), the bound of the write ('the whole request went out after its window'), the bound left on for the answer ('ended as 5'), errTooLate apart from other failures; in Diameter the look ('ended as 0'). 20 repeats with -race beside busy loops pass; all of internal/engine, internal/proxy, internal/diameter and decision pass with -race.

--- a/internal/diameter/node/peer.go
+++ b/internal/diameter/node/peer.go
@@ -21,6 +21,7 @@
 	ErrNotOpen = errors.New("diameter: no connection to the peer is open")
 	ErrLeaving = errors.New("diameter: the peer is leaving")
 	ErrTooMany = errors.New("diameter: too many requests are out to the peer")
+	ErrTooLate = errors.New("diameter: the connection came up too late for the request")
 	ErrUnsent  = errors.New("diameter: the connection broke before the request was sent")
 	ErrBroken  = errors.New("diameter: the connection broke after the request was sent") // it may have run
 	ErrSpoilt  = errors.New("diameter: an answer that can't be read")                    // and so may this
@@ -618,7 +619,12 @@
 // The message is the caller's again when it returns; its hop-by-hop identifier is changed. Unsent tells that not a byte
 // of it has gone out nor will: whatever the error, it never ran.
 func (p *Peer) Send(ctx context.Context, m diameter.Message) (answer diameter.Message, unsent bool, err error) {
-	k, err := p.out(ctx, m)
+	return p.SendIf(ctx, m, func() bool { return true })
+}
+
+// SendIf is Send, unless may says no once the connection is there. May must not call the peer.
+func (p *Peer) SendIf(ctx context.Context, m diameter.Message, may func() bool) (answer diameter.Message, unsent bool, err error) {
+	k, err := p.out(ctx, m, may)
 	if err != nil {
 		return nil, true, err
 	}
@@ -643,7 +649,7 @@
 }
 
 // out puts a request on its way.
-func (p *Peer) out(ctx context.Context, m diameter.Message) (*call, error) {
+func (p *Peer) out(ctx context.Context, m diameter.Message, may func() bool) (*call, error) {
 	for {
 		p.mu.Lock()
 		switch {
@@ -656,6 +662,9 @@
 		case p.open != nil && p.suspect:
 			p.mu.Unlock()
 			return nil, ErrNotOpen
+		case p.open != nil && !may():
+			p.mu.Unlock()
+			return nil, ErrTooLate
 		case p.open != nil:
 			id := p.id()
 			m.SetHopByHop(id)
--- a/internal/diameter/upstream/upstream.go
+++ b/internal/diameter/upstream/upstream.go
@@ -169,7 +169,7 @@
 	if p == nil || !ours {
 		return decision.ConnectFailed, nil
 	}
-	answer, unsent, err := m.send(ctx, p, msg)
+	answer, unsent, err := m.send(ctx, p, msg, func() bool { _, ok := a.Go(); return ok })
 	if err == nil {
 		return m.read(answer)
 	}
@@ -177,6 +177,8 @@
 	switch {
 	case errors.Is(cause, context.Canceled):
 		return decision.Cancelled, nil
+	case errors.Is(err, node.ErrTooLate):
+		return decision.Moot, nil
 	case unsent:
 		return decision.ConnectFailed, nil
 	case cause != nil:
@@ -187,7 +189,7 @@
 	return decision.Reset, nil
 }
 
-func (m *member) send(ctx context.Context, p *node.Peer, msg *Message) (diameter.Message, bool, error) {
+func (m *member) send(ctx context.Context, p *node.Peer, msg *Message, may func() bool) (diameter.Message, bool, error) {
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !p.Open() { // a connection that is being made is waited for no longer than the settings allow
@@ -198,7 +200,7 @@
 		})
 		defer t.Stop()
 	}
-	answer, unsent, err := p.Send(inner, msg.next())
+	answer, unsent, err := p.SendIf(inner, msg.next(), may)
 	if !unsent {
 		msg.sent.Store(true)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -364,6 +364,7 @@
 		return
 	}
 	r.ended = true
+	r.sends.end()
 	a.MayHaveRun = r.mayHaveRun()
 	r.result <- a
 	l.drop(r.expiry)
@@ -382,6 +383,7 @@
 	now, a := l.clock.Now(), r.attempts[n]
 	a.cancel()
 	a.result, a.over = result, true
+	r.sends.ended(n, result)
 	r.out--
 	r.timedOut = result == decision.Timeout
 	spent := result != decision.OK && r.Message != nil && r.Message.Spent()
@@ -523,7 +525,15 @@
 	if !r.Uploading() {
 		a.limit(until - now)
 	}
-	t := Attempt{Message: r.Message, Timeout: until - now, Token: permit.Token, Begin: func(d Stream) bool {
+	window := repeats(h.opts.Module.Classes[min(max(r.Class, 0), len(h.opts.Module.Classes)-1)])
+	may := func() (time.Time, bool) {
+		by, ok := r.sends.begin(n, h.clock.Now(), window)
+		if by == 0 {
+			return time.Time{}, ok
+		}
+		return h.clock.Time(by), ok
+	}
+	t := Attempt{Message: r.Message, Timeout: until - now, Token: permit.Token, May: may, Begin: func(d Stream) bool {
 		if a.ctx.Err() != nil {
 			return false
 		}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -77,6 +77,20 @@
 	Timeout time.Duration     // how long it will be waited for, to be told to the server
 	Token   string            // of a Budget, to be told to the server; empty is none
 	Begin   func(Stream) bool // takes a long answer that has begun, or tells that it comes too late
+
+	// May is asked just before the first byte goes out, on each connection that is tried: whether the attempt may still be
+	// made, and if by is not zero, until when its last byte may go out. Danger: a connection may come up long after the
+	// attempt was ordered; the request may have been answered since, its client may have left, or the window for repeats
+	// may be over. nil lets all go out.
+	May func() (by time.Time, ok bool)
+}
+
+// Go asks May.
+func (a Attempt) Go() (by time.Time, ok bool) {
+	if a.May == nil {
+		return time.Time{}, true
+	}
+	return a.May()
 }
 
 // Permit lets an attempt out.
@@ -149,6 +163,7 @@
 	timedOut bool // the last attempt
 	expiry   *timer
 	stream   Stream // its answer, if that is a long one
+	sends    sends
 }
 
 // Open readies an exchange for its result.
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -35,6 +35,7 @@
 	errNoSockets = errors.New("no socket is left for another backend connection")
 	errClosed    = errors.New("the backend takes nothing new")
 	errStale     = errors.New("something has come on the connection, or its end")
+	errTooLate   = errors.New("the attempt may not be made any more")
 )
 
 // pool holds the connections to all backends, within a limit on their number.
@@ -148,6 +149,7 @@
 func (p peer) Exchange(ctx context.Context, a engine.Attempt) (decision.Result, any) {
 	m := *a.Message.(*message)
 	m.begin = func(d *download) bool { return a.Begin(d) }
+	m.may = a.Go
 	m.header = m.header.Clone()
 	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, a.Timeout.Milliseconds()), 10))
 	if p.pool.fleet {
@@ -368,8 +370,21 @@
 	body         []byte
 	probe        bool
 
-	upload *upload              // in place of body, for a long one
-	begin  func(*download) bool // takes a long answer, or tells that it comes too late; nil takes none
+	upload *upload                        // in place of body, for a long one
+	begin  func(*download) bool           // takes a long answer, or tells that it comes too late; nil takes none
+	may    func() (by time.Time, ok bool) // see engine.Attempt; nil is at any time
+}
+
+// mayGo tells until when the message's last byte may go out, zero is at any time, or that its first may not any more.
+func (m *message) mayGo() (by time.Time, err error) {
+	if m.may == nil {
+		return time.Time{}, nil
+	}
+	by, ok := m.may()
+	if !ok {
+		err = errTooLate
+	}
+	return by, err
 }
 
 // Spent tells whether there can be no further attempt.
@@ -422,12 +437,20 @@
 	var written int
 	var whole bool
 	err := p.clear(ctx, b, c)
+	var by time.Time
+	if err == nil {
+		by, err = m.mayGo()
+	}
 	switch {
 	case err != nil:
-	case m.upload != nil:
+	case m.upload != nil: // there is no further attempt at it once bytes of it have gone out
 		written, whole, err = c.writeStreamed(req, m.upload)
+	case by.IsZero():
+		written, whole, err = c.write(req)
 	default:
+		c.limitWrite(by)
 		written, whole, err = c.write(req)
+		c.limitWrite(time.Time{})
 	}
 	if whole && !m.probe {
 		p.attempts.Add(1)
@@ -460,14 +483,14 @@
 	c.Close()
 	cause := context.Cause(ctx)
 	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) &&
-		!errors.Is(err, errStale) && !errors.Is(err, errClosed) {
+		!errors.Is(err, errStale) && !errors.Is(err, errClosed) && !errors.Is(err, errTooLate) {
 		p.broke(began.Sub(idle))
 	}
 	untouched = written == 0
 	switch {
 	case errors.Is(cause, context.Canceled), errors.Is(err, errClient), errors.Is(err, errGone):
 		return decision.Cancelled, nil, untouched
-	case errors.Is(err, errSpent):
+	case errors.Is(err, errSpent), errors.Is(err, errTooLate):
 		return decision.Moot, nil, false
 	case !whole: // its last byte never went out
 		return decision.ConnectFailed, nil, untouched
--- /dev/null
+++ b/internal/proxy/late_test.go
@@ -0,0 +1,142 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+	"lapisspread/internal/engine"
+)
+
+// A connection comes up after its attempt may not be made any more: not a byte goes out on it, and it is told that nothing was
+// sent. The look is after the dial, not before it.
+func TestNothingGoesOutOnAConnectionThatComesUpTooLate(t *testing.T) {
+	heard := make(chan int64, 1)
+	addr := rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, in)
+		heard <- n
+	})
+	p, _ := testPool(t, addr)
+	late := false // set while the dial is held
+	dial := p.dialer
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		late = true
+		return c, err
+	}
+	for name, m := range map[string]*message{
+		"a short body": testMessage("POST", []byte("body")),
+		"no body":      testMessage("GET", nil),
+	} {
+		late = false
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second) // should it go out
+		a := engine.Attempt{Message: m, Timeout: time.Second, May: func() (time.Time, bool) { return time.Time{}, !late }}
+		if result, _ := p.Find(backendID("a")).Exchange(ctx, a); result != decision.Moot {
+			t.Errorf("%s: ended as %v", name, result)
+		}
+		cancel()
+		if n := within(t, heard, "the connection is not closed"); n != 0 {
+			t.Errorf("%s: %d bytes went out", name, n)
+		}
+	}
+	if n := p.attempts.Load(); n != 0 {
+		t.Errorf("%d attempts count as written", n)
+	}
+}
+
+// An idle connection is at hand, and the attempt may not be made any more: it is not tried on another connection either.
+func TestAnAttemptThatMayNotBeMadeIsNotTriedElsewhere(t *testing.T) {
+	asked := make(chan bool, 8)
+	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for readWhole(in) {
+			asked <- true
+			say(c, served)
+		}
+	})
+	p, b := testPool(t, addr)
+	if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK {
+		t.Fatalf("at first: %v", result)
+	}
+	looks := 0
+	a := engine.Attempt{Message: testMessage("GET", nil), Timeout: time.Second, May: func() (time.Time, bool) { looks++; return time.Time{}, false }}
+	if result, _ := p.Find(backendID("a")).Exchange(t.Context(), a); result != decision.Moot || looks != 1 {
+		t.Errorf("ended as %v after %d looks", result, looks)
+	}
+	if len(asked) != 1 {
+		t.Errorf("%d requests reached the backend, want the first alone", len(asked))
+	}
+}
+
+// A repeat is being written as its window ends, to a backend that does not read: its last byte does not go out after that, and
+// it never ran.
+func TestARepeatIsNotWrittenPastItsWindow(t *testing.T) {
+	small := func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}
+	listener, err := (&net.ListenConfig{Control: small}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	read, whole := make(chan bool), make(chan bool, 1)
+	go serveRaw(listener, func(_ int, _ net.Conn, in *bufio.Reader) {
+		<-read
+		whole <- readWhole(in)
+	})
+	p, _ := testPool(t, listener.Addr().String())
+	dial := p.dialer
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			c.(*net.TCPConn).SetWriteBuffer(4096)
+		}
+		return c, err
+	}
+	a := engine.Attempt{Message: testMessage("POST", make([]byte, bodyBytes)), Timeout: patience,
+		May: func() (time.Time, bool) { return time.Now().Add(30 * time.Millisecond), true }}
+	ended := make(chan decision.Result, 1)
+	go func() {
+		result, _ := p.Find(backendID("a")).Exchange(t.Context(), a)
+		ended <- result
+	}()
+	var result decision.Result
+	select {
+	case result = <-ended:
+		close(read)
+	case <-time.After(2 * time.Second): // it is being written yet
+		close(read)
+		result = within(t, ended, "no end")
+	}
+	if !result.NeverRan() {
+		t.Errorf("ended as %v", result)
+	}
+	if within(t, whole, "the backend does not see the end") {
+		t.Error("the whole request went out after its window")
+	}
+}
+
+// The bound is for the request's bytes alone: the answer may take longer.
+func TestAnAnswerMayComeAfterTheWindow(t *testing.T) {
+	over := make(chan bool)
+	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if readWhole(in) {
+			<-over
+			say(c, served)
+		}
+	})
+	p, _ := testPool(t, addr)
+	may := func() (time.Time, bool) {
+		by := time.Now().Add(time.Second)
+		time.AfterFunc(time.Until(by)+10*time.Millisecond, func() { close(over) })
+		return by, true
+	}
+	a := engine.Attempt{Message: testMessage("POST", []byte("body")), Timeout: patience, May: may}
+	if result, body := p.Find(backendID("a")).Exchange(t.Context(), a); result != decision.OK || string(body.([]byte)) != "fine" {
+		t.Errorf("ended as %v", result)
+	}
+}
