--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -364,7 +364,7 @@
 		return
 	}
 	r.ended = true
-	r.over.Store(true)
+	r.sends.end()
 	a.MayHaveRun = r.mayHaveRun()
 	r.result <- a
 	l.drop(r.expiry)
@@ -383,6 +383,7 @@
 	now, a := l.clock.Now(), r.attempts[n]
 	a.cancel()
 	a.result, a.over = result, true
+	r.sends.ended(n, result)
 	r.out--
 	r.timedOut = result == decision.Timeout
 	spent := result != decision.OK && r.Message != nil && r.Message.Spent()
@@ -502,7 +503,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b := h.opts.Upstream.Find(to)
-	if r.over.Load() || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
+	if r.sends.isOver() || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
 		r.out > 1 && !h.opts.Module.Caps.SecondCopies || n > 0 && !h.opts.Repeat() {
 		h.deferred = append(h.deferred, func() { h.outcome(r, n, decision.Moot, nil) })
 		return
@@ -524,7 +525,15 @@
 	if !r.Uploading() {
 		a.limit(until - now)
 	}
-	t := Attempt{Message: r.Message, Timeout: until - now, Token: permit.Token, Wanted: func() bool { return !r.over.Load() }, Begin: func(d Stream) bool {
+	window := repeats(h.opts.Module.Classes[min(max(r.Class, 0), len(h.opts.Module.Classes)-1)])
+	may := func() (time.Time, bool) {
+		by, ok := r.sends.begin(n, h.clock.Now(), window)
+		if by == 0 {
+			return time.Time{}, ok
+		}
+		return h.clock.Time(by), ok
+	}
+	t := Attempt{Message: r.Message, Timeout: until - now, Token: permit.Token, May: may, Begin: func(d Stream) bool {
 		if a.ctx.Err() != nil {
 			return false
 		}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -11,7 +11,6 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"lapisspread/decision"
@@ -78,9 +77,20 @@
 	Timeout time.Duration     // how long it will be waited for, to be told to the server
 	Token   string            // of a Budget, to be told to the server; empty is none
 	Begin   func(Stream) bool // takes a long answer that has begun, or tells that it comes too late
-	// Wanted is asked just before the first byte goes out: whether anybody waits for an answer yet. An attempt that is
-	// not wanted is not sent and ends as decision.Moot.
-	Wanted func() bool
+
+	// May is asked just before the first byte goes out, on each connection that is tried: whether the attempt may still be
+	// made, and if by is not zero, until when its last byte may go out. Danger: a connection may come up long after the
+	// attempt was ordered; the request may have been answered since, its client may have left, or the window for repeats
+	// may be over. nil lets all go out.
+	May func() (by time.Time, ok bool)
+}
+
+// Go asks May.
+func (a Attempt) Go() (by time.Time, ok bool) {
+	if a.May == nil {
+		return time.Time{}, true
+	}
+	return a.May()
 }
 
 // Permit lets an attempt out.
@@ -150,10 +160,10 @@
 	attempts []*attempt
 	out      int
 	ended    bool
-	over     atomic.Bool // it has ended, or its client has left: read by attempts that are yet to be sent
-	timedOut bool        // the last attempt
+	timedOut bool // the last attempt
 	expiry   *timer
 	stream   Stream // its answer, if that is a long one
+	sends    sends
 }
 
 // Open readies an exchange for its result.
@@ -161,7 +171,7 @@
 
 // Leave notes that the client has left, for attempts that are about to be sent: these ask by it before the engine has come
 // to handle Gone. It may be called by any goroutine.
-func (x *Exchange) Leave() { x.over.Store(true) }
+func (x *Exchange) Leave() { x.sends.end() }
 
 // Result gives the one result.
 func (x *Exchange) Result() <-chan Result { return x.result }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -35,7 +35,7 @@
 	errNoSockets = errors.New("no socket is left for another backend connection")
 	errClosed    = errors.New("the backend takes nothing new")
 	errStale     = errors.New("something has come on the connection, or its end")
-	errUnwanted  = errors.New("nobody waits for an answer any more")
+	errTooLate   = errors.New("the attempt may not be made any more")
 )
 
 // pool holds the connections to all backends, within a limit on their number.
@@ -149,7 +149,7 @@
 func (p peer) Exchange(ctx context.Context, a engine.Attempt) (decision.Result, any) {
 	m := *a.Message.(*message)
 	m.begin = func(d *download) bool { return a.Begin(d) }
-	m.wanted = a.Wanted
+	m.may = a.Go
 	m.header = m.header.Clone()
 	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, a.Timeout.Milliseconds()), 10))
 	if p.pool.fleet {
@@ -345,12 +345,9 @@
 // Danger: since the connection was chosen it may have taken its time to come up, or its goroutine may have had to wait
 // for a processor. By then the backend may drain or have moved; who asked may have left, which a goroutine of its own
 // would tell the connection, maybe after the write; and what has come on the connection would be taken for the answer.
-func (p *pool) clear(ctx context.Context, b *backend, c *conn, m *message) error {
-	switch {
-	case ctx.Err() != nil:
+func (p *pool) clear(ctx context.Context, b *backend, c *conn) error {
+	if ctx.Err() != nil {
 		return context.Cause(ctx)
-	case m.wanted != nil && !m.wanted():
-		return errUnwanted
 	}
 	p.mu.Lock()
 	closed := b.draining || b.epoch != c.epoch
@@ -373,9 +370,21 @@
 	body         []byte
 	probe        bool
 
-	upload *upload              // in place of body, for a long one
-	begin  func(*download) bool // takes a long answer, or tells that it comes too late; nil takes none
-	wanted func() bool          // asked before the first byte goes out; nil is always
+	upload *upload                        // in place of body, for a long one
+	begin  func(*download) bool           // takes a long answer, or tells that it comes too late; nil takes none
+	may    func() (by time.Time, ok bool) // see engine.Attempt; nil is at any time
+}
+
+// mayGo tells until when the message's last byte may go out, zero is at any time, or that its first may not any more.
+func (m *message) mayGo() (by time.Time, err error) {
+	if m.may == nil {
+		return time.Time{}, nil
+	}
+	by, ok := m.may()
+	if !ok {
+		err = errTooLate
+	}
+	return by, err
 }
 
 // Spent tells whether there can be no further attempt.
@@ -427,13 +436,21 @@
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
-	err := p.clear(ctx, b, c, m)
+	err := p.clear(ctx, b, c)
+	var by time.Time
+	if err == nil {
+		by, err = m.mayGo()
+	}
 	switch {
 	case err != nil:
-	case m.upload != nil:
+	case m.upload != nil: // there is no further attempt at it once bytes of it have gone out
 		written, whole, err = c.writeStreamed(req, m.upload)
+	case by.IsZero():
+		written, whole, err = c.write(req)
 	default:
+		c.limitWrite(by)
 		written, whole, err = c.write(req)
+		c.limitWrite(time.Time{})
 	}
 	if whole && !m.probe {
 		p.attempts.Add(1)
@@ -471,14 +488,14 @@
 	c.Close()
 	cause := context.Cause(ctx)
 	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) &&
-		!errors.Is(err, errStale) && !errors.Is(err, errClosed) && !errors.Is(err, errUnwanted) {
+		!errors.Is(err, errStale) && !errors.Is(err, errClosed) && !errors.Is(err, errTooLate) {
 		p.broke(began.Sub(idle))
 	}
 	untouched = written == 0
 	switch {
 	case errors.Is(cause, context.Canceled), errors.Is(err, errClient), errors.Is(err, errGone):
 		return decision.Cancelled, nil, untouched
-	case errors.Is(err, errSpent), errors.Is(err, errUnwanted):
+	case errors.Is(err, errSpent), errors.Is(err, errTooLate):
 		return decision.Moot, nil, false
 	case !whole: // its last byte never went out
 		return decision.ConnectFailed, nil, untouched
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -178,9 +178,11 @@
 		give   func(cancel context.CancelCauseFunc, m *message)
 		result decision.Result
 	}{
-		"cancelled":  {func(cancel context.CancelCauseFunc, _ *message) { cancel(context.Canceled) }, decision.Cancelled},
-		"overdue":    {func(cancel context.CancelCauseFunc, _ *message) { cancel(context.DeadlineExceeded) }, decision.ConnectFailed},
-		"not wanted": {func(_ context.CancelCauseFunc, m *message) { m.wanted = func() bool { return false } }, decision.Moot},
+		"cancelled": {func(cancel context.CancelCauseFunc, _ *message) { cancel(context.Canceled) }, decision.Cancelled},
+		"overdue":   {func(cancel context.CancelCauseFunc, _ *message) { cancel(context.DeadlineExceeded) }, decision.ConnectFailed},
+		"not wanted": {func(_ context.CancelCauseFunc, m *message) {
+			m.may = func() (time.Time, bool) { return time.Time{}, false }
+		}, decision.Moot},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got := make(chan *http.Request, 64)
