Answer late requests of a drain before its end, and catch SIGTERM from the first moment

Seen: (1) a request read late in a drain, on a connection that had only just come, kept its whole deadline: with settings of 3 s and more it was still out when the process was killed, min(longest deadline, 3 s) + 0.7 s after SIGTERM. (2) At the drain's own end, once no request was entered, server.Close cut all connections, also one whose request was just being read or stood unread. (3) SIGTERM while the configuration was being read killed the program: the handler was set after LoadConfig. A second SIGTERM, SIGINT or SIGHUP amid a drain was safe already.

Lines: proxy/frontend.go drain and ServeHTTP, cmd/lapisspread/serve.go.

Changed: what comes more than acceptOn after SIGTERM gets no more time than is left until the drain's end, in its attempts too; what comes later still is refused with 503 and never sent on. At its end the drain closes by Evict what is no whole request and has nothing unread, and waits for the rest. The signals are taken before the configuration is read.

Seen to fail without: the cut ("an attempt is waited for 7994 ms: past the end"); the refusal ("status 504, want 503"); Evict's look for whole requests ("in hand: stays false, want true"); the drain's wait (server.Close at once: "no answer: unexpected EOF" in each state); the early handler ("ended with signal: terminated"); the handler kept through the drain ("no answer: unexpected EOF"). 20 repeats with -race beside three busy loops passed.

--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -27,6 +27,9 @@
 func serve(profile string, files serveFiles) error {
 	hup := make(chan os.Signal, 1) // before all else: SIGHUP would end the program
 	signal.Notify(hup, syscall.SIGHUP)
+	// SIGTERM would too, out of order. Danger: no later one may: a second SIGTERM amid a drain would lose what is in hand.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	cfg, err := proxy.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -45,8 +48,6 @@
 		defer pprof.StopCPUProfile()
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	signal.Ignore(syscall.SIGPIPE) // a log whose reader has died must not take the proxy with it
 	writer := logline.New(os.Stderr)
 	defer writer.Close()
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -31,7 +32,8 @@
 	all      map[*clientConn]bool
 	most     int
 	draining bool          // the process ends
-	lastIn   time.Duration // by the loop's clock: who comes after it has no time for a long answer
+	lastIn   time.Duration // by the front end's clock: who comes after it has no time for a long answer,
+	ends     time.Duration // and a short one must be out by then
 	duckFrom time.Time     // lame duck since then; zero if it is none
 
 	door     *door.Door // who gets a place; nil is whoever comes, for whom nothing was heard of for longest
@@ -420,15 +422,16 @@
 	return found
 }
 
+// list gives all connections.
+func (s *clientConns) list() []*clientConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.all))
+}
+
 // closeIdle closes the connections that wait for a request, and tells how many remain.
 func (s *clientConns) closeIdle(now time.Time) int {
-	s.mu.Lock()
-	all := make([]*clientConn, 0, len(s.all))
-	for c := range s.all {
-		all = append(all, c)
-	}
-	s.mu.Unlock()
-	for _, c := range all {
+	for _, c := range s.list() {
 		c.closeWaiting(now)
 	}
 	s.mu.Lock()
@@ -436,20 +439,34 @@
 	return len(s.all)
 }
 
-// setDraining has the connections end, and tells from when on there is no time left for long answers.
-func (s *clientConns) setDraining(lastIn time.Duration) {
+// setDraining has the connections end from now on, and the answers to what comes late within most.
+func (s *clientConns) setDraining(now, most time.Duration) {
 	s.mu.Lock()
-	s.draining, s.lastIn = true, lastIn
+	s.draining, s.lastIn, s.ends = true, now+acceptOn, now+most
 	s.mu.Unlock()
 }
 
-// endsSoon tells whether a request that came then is too late for a long answer.
-func (s *clientConns) endsSoon(came time.Duration) bool {
+// isLate tells whether a request that came then comes late in a drain.
+func (s *clientConns) isLate(came time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.draining && came > s.lastIn
 }
 
+// left is how much time a request that comes now has at most, if it comes late in a drain.
+func (s *clientConns) left(now time.Duration) (left time.Duration, late bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ends - now, s.draining && now > s.lastIn
+}
+
+// closeUnread closes all connections but those with a whole request in hand or with something that stands to be read.
+func (s *clientConns) closeUnread() {
+	for _, c := range s.list() {
+		c.Evict()
+	}
+}
+
 // isDraining tells whether clients are sent away, for good or for a time.
 func (s *clientConns) isDraining() bool {
 	s.mu.Lock()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -83,10 +83,9 @@
 // while yet, unless a later process takes them from the same socket; then the idle ones are closed, and it waits
 // for what was taken.
 func (f *frontend) drain(listener net.Listener, succeeded bool) {
-	f.conns.setDraining(f.clock.Now() + acceptOn)
 	began := time.Now()
-	most := drainRoom
-	most = max(most, min(f.services.longest(), lastCall)+drainRoom)
+	most := min(f.services.longest(), lastCall) + drainRoom
+	f.conns.setDraining(f.clock.Now(), most)
 	if succeeded {
 		listener.Close()
 	}
@@ -95,9 +94,13 @@
 	// Danger: what is in hand when the process ends by itself is lost. Past the last deadline that can only be long
 	// answers and bodies; these go on until they end, or until somebody ends the process.
 	for f.conns.closeIdle(time.Now()) > 0 {
-		if passed := time.Since(began); passed >= drainLong || passed >= most && f.inHand() == 0 {
+		passed := time.Since(began)
+		if passed >= drainLong {
 			break
 		}
+		if passed >= most {
+			f.conns.closeUnread()
+		}
 		time.Sleep(drainLook)
 	}
 	f.server.Close()
@@ -159,6 +162,13 @@
 		f.turnAway(w, req, err)
 		return
 	}
+	// Danger: what comes late in a drain, on a connection that was open yet, is lost if the process's end finds it unanswered.
+	if left, late := f.conns.left(f.clock.Now()); late && left <= 0 {
+		f.turnAway(w, req, &rejection{status: http.StatusServiceUnavailable, text: "the proxy is ending"})
+		return
+	} else if late {
+		req.Timeout = min(req.Timeout, left)
+	}
 	u := req.message.upload
 	if u != nil {
 		defer func() {
@@ -282,7 +292,7 @@
 		return
 	}
 	// Danger: of what comes late in a drain a long answer may be cut off by the process's end, and be lost.
-	if f.conns.endsSoon(f.clock.Now() - req.service.clock.Now() + req.Came()) {
+	if f.conns.isLate(f.clock.Now() - req.service.clock.Now() + req.Came()) {
 		stream.End(errGone)
 		req.ended(figures.Failed)
 		write(w, answer{status: http.StatusBadGateway})
@@ -391,13 +401,6 @@
 	return nil
 }
 
-// inHand is how many requests were taken, or are on their way, and have no whole answer.
-func (f *frontend) inHand() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.open)
-}
-
 // leave ends what enter began.
 func (f *frontend) leave(id string, bytes int64) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/proxy/shutdown_test.go
@@ -0,0 +1,240 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// ending stops a proxy and waits until it drains.
+func (p *running) ending(t *testing.T) {
+	t.Helper()
+	p.stop()
+	eventually(t, "it does not drain", p.proxy.conns.isDraining)
+}
+
+// ended waits for the proxy's end.
+func (p *running) ended(t *testing.T) {
+	t.Helper()
+	if err := within(t, p.done, "the proxy did not end"); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	p.done <- nil
+}
+
+// The process is told to end while a request stands in each of its states: it is answered whole, by the backend's answer,
+// and the answer closes the connection.
+func TestTheEndCrossesARequest(t *testing.T) {
+	const head = "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: e%d\r\nX-Priority-Class: fetch-work\r\nX-Timeout-Ms: 19000\r\nContent-Length: 8\r\n\r\n"
+	const short, long = 32 << 10, 16 << 20
+	states := map[string]struct {
+		list     bool // known from the start
+		dials    int  // that come up by themselves; -1 is all
+		cut      int  // bytes of the request that come before, if not 0
+		full     bool // the first attempt is turned away, else
+		hold     bool // its answer waits
+		length   int  // of the answer, which is not read before
+		inFlight bool
+	}{
+		"its head half read":                 {list: true, dials: -1, cut: 20},
+		"its body half read":                 {list: true, dials: -1, cut: -4},
+		"queued":                             {dials: -1, inFlight: true},
+		"in its dial":                        {list: true, inFlight: true},
+		"in its attempt":                     {list: true, dials: -1, hold: true, inFlight: true},
+		"between two attempts":               {list: true, dials: 1, full: true, inFlight: true},
+		"its answer half written":            {list: true, dials: -1, length: short, inFlight: true},
+		"its long answer half written":       {list: true, dials: -1, length: long, inFlight: true},
+		"queued, then in its second attempt": {dials: -1, full: true, hold: true, inFlight: true},
+	}
+	for name, s := range states {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			came, release, open := make(chan bool, 8), make(chan bool), make(chan bool)
+			var attempts, dials atomic.Int32
+			text := strings.Repeat("y", max(s.length, 1))
+			addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				if !readWhole(in) {
+					return
+				}
+				if attempts.Add(1) == 1 && s.full {
+					say(c, "HTTP/1.1 503 Service Unavailable\nX-Not-Processed: 1\nContent-Length: 0\nConnection: close\n\n")
+					return
+				}
+				came <- true
+				if s.hold {
+					<-release
+				}
+				say(c, fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: %d\nConnection: close\n\n%s", len(text), text))
+			})
+			members := []string{memberText("a", addr, "active"), memberText("b", addr, "active")}
+			catalog, known := newCatalog(t), listText(1, true)
+			if s.list {
+				known = listText(1, true, members...)
+			}
+			p := startProxy(t, known, catalog, func(c *Config) {
+				if s.dials >= 0 {
+					c.Module.Caps.ConnectTimeout = patience
+				}
+			})
+			pool := p.only(t)
+			dial, dialling := pool.dialer, make(chan bool, 8)
+			pool.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if s.dials >= 0 && int(dials.Add(1)) > s.dials {
+					dialling <- true
+					<-open
+				}
+				return dial(ctx, network, addr)
+			}
+			c, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			request := fmt.Sprintf(head, lastAsked.Add(1)) + "homework"
+			cut := s.cut
+			if cut <= 0 {
+				cut += len(request)
+			}
+			io.WriteString(c, request[:cut])
+			switch {
+			case cut < len(request):
+				eventually(t, "nothing is read", func() bool {
+					for _, c := range p.proxy.conns.list() {
+						c.mu.Lock()
+						begun := !c.fresh
+						c.mu.Unlock()
+						return begun
+					}
+					return false
+				})
+			case s.dials >= 0:
+				within(t, dialling, "no connection is made")
+			case s.hold && s.list, s.length > 0:
+				within(t, came, "the backend got nothing")
+			}
+			if s.inFlight && s.length == 0 {
+				p.inFlight(t, 1)
+			}
+			p.ending(t)
+			io.WriteString(c, request[cut:])
+			close(open)
+			close(release)
+			if !s.list {
+				catalog.lists <- listText(2, true, members...)
+			}
+			c.SetReadDeadline(time.Now().Add(patience))
+			resp, body := mustAnswer(t, 200)(readAnswer(bufio.NewReader(c)))
+			if body != text {
+				t.Errorf("%d bytes of %d came", len(body), len(text))
+			}
+			if !resp.Close && s.length == 0 { // one that was on its way may have been promised otherwise
+				t.Error("the answer leaves its connection open")
+			}
+			p.ended(t)
+		})
+	}
+}
+
+// drainingFront is a front end that was told to end so long ago, before a backend that never answers and notes what it is
+// told of the time.
+func drainingFront(t *testing.T, ago, most time.Duration, told chan<- string) *running {
+	t.Helper()
+	addr := rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			told <- req.Header.Get("X-Timeout-Ms")
+		}
+	})
+	list, err := parseList([]byte(listText(1, true, memberText("a", addr, "active"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	svcs := testServices(t, list)
+	ctx, cancel := context.WithCancel(t.Context())
+	if err := svcs.start(ctx, &svcs.p.cfg); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newClientConns(8)
+	f := newFrontend(svcs, &svcs.p.cfg, slog.New(slog.DiscardHandler), conns)
+	conns.setDraining(f.clock.Now()-ago, most)
+	go f.serve(listener)
+	t.Cleanup(func() { f.server.Close(); cancel(); svcs.wait() })
+	return &running{addr: listener.Addr().String()}
+}
+
+// What comes so late in a drain that its own deadline lies past the process's end is answered before that, and what comes
+// later still is refused at once and never sent on.
+func TestLateInADrain(t *testing.T) {
+	told := make(chan string, 64)
+	const left = 300 * time.Millisecond
+	p := drainingFront(t, acceptOn+time.Second, acceptOn+time.Second+left, told)
+	resp, _, err := p.ask(t, "hand-in", 59000, "homework")
+	if err != nil || resp.StatusCode == 200 {
+		t.Fatalf("answer %v, %v", resp, err)
+	}
+	for len(told) > 0 {
+		if ms, err := strconv.Atoi(<-told); err != nil || ms > int(left.Milliseconds()) {
+			t.Errorf("an attempt is waited for %d ms, %v: past the end", ms, err)
+		}
+	}
+	p = drainingFront(t, time.Minute, drainRoom, told)
+	if resp, _ := mustAnswer(t, http.StatusServiceUnavailable)(p.ask(t, "hand-in", 59000, "homework")); !resp.Close {
+		t.Error("the refusal leaves its connection open")
+	}
+	if len(told) != 0 {
+		t.Error("what came after the end was sent on")
+	}
+}
+
+// At a drain's end what never became a request goes; a whole request in hand stays, and so does one that stands unread.
+func TestTheDrainsEndLeavesRequestsAlone(t *testing.T) {
+	conns := newClientConns(8)
+	open := func(text string, read int) (net.Conn, *clientConn) {
+		client, c := clientPair(t, conns)
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(client, text)
+		if read > 0 {
+			if _, err := io.ReadFull(c, make([]byte, read)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if read < len(text) {
+			eventually(t, "nothing comes", func() bool { return !silent(c.Conn) })
+		}
+		return client, c
+	}
+	whole := "GET / HTTP/1.1\r\n\r\n"
+	_, inHand := open(whole, len(whole))
+	_, unread := open(whole, 0)
+	_, body := open("PUT / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", len("PUT / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"))
+	_, half := open("GET / HT", 8)
+	_, silent := open("", 0)
+	conns.closeUnread()
+	for name, x := range map[string]struct {
+		c     *clientConn
+		stays bool
+	}{"in hand": {inHand, true}, "unread": {unread, true}, "body half read": {body, true}, "half a head": {half, false}, "silent": {silent, false}} {
+		conns.mu.Lock()
+		if conns.all[x.c] != x.stays {
+			t.Errorf("%s: stays %v, want %v", name, conns.all[x.c], x.stays)
+		}
+		conns.mu.Unlock()
+	}
+}
