Have idle clients make place where descriptors run out, also without a file of admission

Seen: without a file of who is admitted, accept's "too many open files" went to net/http, which rests for up to a second while all clients wait and the idle ones keep their places. The listener that goes on accepting was used with a door only, and closed whoever came. Ruled out: the reserve itself (spareSockets, clientPart): with the process's own limit on descriptors at the configured one, idle clients coming twice over and discovery down, its return was heard and the server that it named was reached.

Lines: proxy/proxy.go serve, door/listener.go relieve.

Changed: the listener is used in any case; where there is no door it first closes the connection that was idle for longest (clientConns.evictIdle), and only where none is idle the one that comes.

--- a/internal/door/listener.go
+++ b/internal/door/listener.go
@@ -12,16 +12,18 @@
 
 const (
 	shortRest = 5 * time.Millisecond // between two accepts while no descriptor is left
+	freedRest = time.Millisecond     // and once one was closed, whose descriptor comes back a moment later
 	sayEvery  = time.Second          // a line in the log about it
 )
 
-// Listener goes on accepting when the process, or the machine, has no descriptor left: it gives up one that it holds for
-// that, takes the connection and closes it at once, so that it does not stand in the queue for good; and it rests a
-// little, so that nothing spins. Requests in hand go on meanwhile.
+// Listener goes on accepting when the process, or the machine, has no descriptor left: whoever is idle makes place. Where
+// nobody is, it gives up a descriptor that it holds for that, takes the connection and closes it at once, so that it does
+// not stand in the queue for good. It rests a little, so that nothing spins. Requests in hand go on meanwhile.
 type Listener struct {
 	net.Listener
 	log   *slog.Logger
-	count func() // one was closed for want of descriptors
+	free  func() bool // closes a connection that is idle, if there is one
+	count func()      // one was closed for want of descriptors
 
 	mu    sync.Mutex
 	spare *os.File
@@ -30,7 +32,13 @@
 
 // NewListener wraps a listener. It holds one descriptor more.
 func (d *Door) NewListener(l net.Listener, log *slog.Logger) *Listener {
-	out := &Listener{Listener: l, log: log, count: func() { d.short.Add(1) }}
+	return NewListener(l, log, func() bool { return false }, func() { d.short.Add(1) })
+}
+
+// NewListener wraps a listener where there is no door: free closes a connection that is idle, or tells that none is, and
+// count is called for each that is turned away.
+func NewListener(l net.Listener, log *slog.Logger, free func() bool, count func()) *Listener {
+	out := &Listener{Listener: l, log: log, free: free, count: count}
 	out.hold()
 	return out
 }
@@ -63,6 +71,10 @@
 		l.said = time.Now()
 		l.log.Error("no descriptor is left for clients", "err", why)
 	}
+	if l.free() {
+		time.Sleep(freedRest)
+		return
+	}
 	if l.spare != nil {
 		l.spare.Close()
 		l.spare = nil
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -273,7 +273,7 @@
 }
 
 // evict closes the connection for one that comes, unless something stands to be read on it.
-func (c *clientConn) evict() {
+func (c *clientConn) evict() bool {
 	c.mu.Lock()
 	evicted := (c.waiting || c.fresh) && c.quiet()
 	c.closed = c.closed || evicted
@@ -282,6 +282,7 @@
 	if evicted {
 		c.Close()
 	}
+	return evicted
 }
 
 // begun is the time at which a request's own time began.
@@ -389,6 +390,22 @@
 	return nil
 }
 
+// evictIdle closes the connection that has been silent or idle for longest, if there is one.
+func (s *clientConns) evictIdle() bool {
+	for range evictTries {
+		s.mu.Lock()
+		victim := s.longestWaiting()
+		s.mu.Unlock()
+		if victim == nil {
+			return false
+		}
+		if victim.evict() {
+			return true
+		}
+	}
+	return false
+}
+
 // mostTold is how many of those that are turned away in a second are told so: a flood need not be answered.
 const mostTold = 1000
 
--- a/internal/proxy/clients_test.go
+++ b/internal/proxy/clients_test.go
@@ -49,8 +49,8 @@
 	}{
 		"for one that comes, by the door, new": {true, func(c *clientConn) { c.Evict() }},
 		"for one that comes, by the door":      {false, func(c *clientConn) { c.Evict() }},
-		"for one that comes, new":              {true, (*clientConn).evict},
-		"for one that comes":                   {false, (*clientConn).evict},
+		"for one that comes, new":              {true, func(c *clientConn) { c.evict() }},
+		"for one that comes":                   {false, func(c *clientConn) { c.evict() }},
 		"as the proxy ends, new":               {true, func(c *clientConn) { c.closeWaiting(time.Now()) }},
 		"as the proxy ends":                    {false, func(c *clientConn) { c.closeWaiting(time.Now()) }},
 	} {
--- /dev/null
+++ b/internal/proxy/descriptors_test.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"lapisspread/internal/door"
+)
+
+// narrow is a listener whose process has descriptors for so many clients.
+type narrow struct {
+	net.Listener
+	conns *clientConns
+	most  int
+}
+
+func (n narrow) Accept() (net.Conn, error) {
+	n.conns.mu.Lock()
+	full := len(n.conns.all) >= n.most
+	n.conns.mu.Unlock()
+	if full {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return n.Listener.Accept()
+}
+
+// Where descriptors run out before the places do, idle clients make place for those that come, and nobody that comes is
+// closed.
+func TestIdleClientsMakePlaceWhereDescriptorsRunOut(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newClientConns(100)
+	var turnedAway atomic.Int32
+	l := &clientListener{door.NewListener(narrow{inner, conns, 3}, slog.New(slog.DiscardHandler), conns.evictIdle,
+		func() { turnedAway.Add(1) }), conns}
+	defer l.Close()
+	taken := make(chan net.Conn, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			taken <- c
+		}
+	}()
+	for range 20 {
+		client := silentConns(t, inner.Addr().String(), 1)[0]
+		c := within(t, taken, "a client that comes is not taken")
+		defer c.Close()
+		if got, want := c.RemoteAddr().String(), client.LocalAddr().String(); got != want {
+			t.Fatalf("%s is taken, want %s", got, want)
+		}
+	}
+	if n := turnedAway.Load(); n != 0 {
+		t.Errorf("%d that came were closed", n)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -249,6 +249,9 @@
 			return fmt.Errorf("settings: %w", err)
 		}
 		listener = p.conns.door.NewListener(listener, p.log)
+	} else {
+		// Danger: net/http rests for up to a second when a descriptor is missing, and all clients wait meanwhile.
+		listener = door.NewListener(listener, p.log, p.conns.evictIdle, func() {})
 	}
 	if p.cfg.Fleet != "" {
 		end, err := p.joinFleet()
