Bound an answer that trickles without end by the time it is waited for

Seen, in virtual time: an answer of no told length that sends a byte every 9 s, or 16 bytes every 100 ms, was read for as long as the client stayed: the only limits were 10 s without a byte and 32 MiB, which a trickle reaches after years. It held a connection of the backend's, the request and, in a drain, the process. Once an answer has begun the attempt's own time-out is off, as it must be. Ruled out: floods (by bytes) and silence (by the 10 s).

At fault: stream.go, limited. Now the time that is waited for all of an answer is bounded as a client's body is, by its mean rate: the 10 s that a silence may last, and a second for each 16 KiB. What a slow client takes does not count.

Seen to fail without: the sum of waits ("801 bytes in 2h0m0s, then <nil>"), the limit on bytes, the limit on time. 20 times with -race.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -216,16 +216,21 @@
 	}
 }
 
-// limited reads an answer's body with a time for each piece, and no more than an answer may be long.
+// limited reads an answer's body with a time for each piece and for all of them, and no more than an answer may be long.
+// Danger: one that trickles would else never end. What counts is the time that is waited here, not the client's.
 type limited struct {
-	from io.Reader
-	c    *conn
-	read int64
+	from   io.Reader
+	c      *conn
+	read   int64
+	waited time.Duration
 }
 
 func (l *limited) Read(p []byte) (int, error) {
-	l.c.limitRead(time.Now().Add(readStall))
+	began := time.Now()
+	most := readStall + time.Duration(float64(l.read)/bodyRate*float64(time.Second)) - l.waited
+	l.c.limitRead(began.Add(min(most, readStall)))
 	n, err := l.from.Read(p)
+	l.waited += time.Since(began)
 	if l.read += int64(n); l.read > mostBytes {
 		return n, fmt.Errorf("%w: more than %d bytes", errSpoilt, mostBytes)
 	}
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lapisspread/decision"
@@ -342,3 +344,49 @@
 		})
 	}
 }
+
+// An answer that never ends is bounded, however it goes on: by its bytes, by the time without any, and by the time that all
+// of it is waited for. Who reads it slowly has all the time.
+func TestAnAnswerWithoutEndIsBounded(t *testing.T) {
+	read := func(piece int, every, client time.Duration) (n int64, took time.Duration, err error) {
+		near, far := net.Pipe()
+		done := make(chan bool)
+		defer func() { near.Close(); <-done }()
+		go func() {
+			defer close(done)
+			for sent := make([]byte, piece); ; time.Sleep(every) {
+				if _, err := far.Write(sent); err != nil {
+					return
+				}
+			}
+		}()
+		l := &limited{from: near, c: newConn(near, 0, func() {})}
+		began := time.Now()
+		for p := make([]byte, copyBytes); err == nil && time.Since(began) < 2*time.Hour; time.Sleep(client) {
+			_, err = l.Read(p)
+		}
+		return l.read, time.Since(began), err
+	}
+	for name, c := range map[string]struct {
+		piece         int
+		every, client time.Duration
+		most          time.Duration // until it is given up
+		whole         bool          // not before all bytes that an answer may have
+	}{
+		"a flood":                {copyBytes, 0, 0, time.Second, true},
+		"a trickle":              {1, readStall - time.Second, 0, 2 * readStall, false},
+		"many a small piece":     {16, 100 * time.Millisecond, 0, 2 * readStall, false},
+		"a silence":              {16, time.Hour, 0, 2 * readStall, false},
+		"at a fair pace":         {copyBytes, time.Second, 0, time.Hour, true},
+		"to a client that rests": {copyBytes, 0, time.Second, time.Hour, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, took, err := read(c.piece, c.every, c.client)
+				if took > c.most || (n > mostBytes) != c.whole || c.whole != errors.Is(err, errSpoilt) || c.whole == timedOut(err) {
+					t.Errorf("%d bytes in %v, then %v", n, took, err)
+				}
+			})
+		})
+	}
+}
