Test what crosses an answer's last byte, a probe's end, a restart and an idle limit

These crossings were safe. The look for a reset alone is not needed for it: a write to a reset connection fails at once. - Idle times told from 0 to an hour: none is taken past a half of it, one that broke never raises the limit.

--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -262,3 +262,182 @@
 		})
 	}
 }
+
+// An attempt that is given up in the moment in which its answer's last byte has come ends one way or the other; its
+// connection, on which the time-out stands, carries nothing more.
+func TestGivenUpAtTheLastByte(t *testing.T) {
+	for name, long := range map[string]bool{"held whole": false, "passed on": true} {
+		t.Run(name, func(t *testing.T) {
+			text := served
+			if long {
+				text = "HTTP/1.1 200 OK\nContent-Length: 65537\n\n" + strings.Repeat("x", bodyBytes+1)
+			}
+			for range 20 { // a long one's two ends come out in any order
+				addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+					for readWhole(in) {
+						say(c, text)
+					}
+				})
+				ctx, giveUp := context.WithCancel(t.Context())
+				p, b := hooked(t, addr, func(_ int, c *hookedConn) {
+					c.came = func(n int) {
+						if n > 0 && !long {
+							giveUp()
+						}
+					}
+				})
+				m := testMessage("POST", []byte("x"))
+				m.begin = func(d *download) bool {
+					_, err := io.ReadAll(d)
+					giveUp()
+					d.End(err)
+					return true
+				}
+				if result, _ := p.exchange(ctx, b, m); result != decision.OK && result != decision.Cancelled {
+					t.Errorf("result %v", result)
+				}
+				if p.open != 0 || len(b.idle) != 0 {
+					t.Fatalf("%d connections are open, %d idle", p.open, len(b.idle))
+				}
+			}
+		})
+	}
+}
+
+// A probe that was given up, its answer on the way, leaves nothing behind for the request that comes next.
+func TestALateProbeAnswerIsNobodys(t *testing.T) {
+	came, late := make(chan bool, 1), make(chan bool)
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if req.URL.Path == "/ping" {
+				came <- true
+				<-late
+				say(c, "HTTP/1.1 200 OK\nContent-Length: 5\n\nwrong")
+				continue
+			}
+			io.Copy(io.Discard, req.Body)
+			say(c, served)
+		}
+	}))
+	if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+		t.Fatalf("first: result %v", result)
+	}
+	ctx, end := context.WithCancelCause(t.Context())
+	probed := make(chan decision.Result, 1)
+	go func() { probed <- p.probe(ctx, b) }()
+	within(t, came, "no probe came")
+	end(context.DeadlineExceeded)
+	if result := within(t, probed, "no end"); result != decision.Timeout {
+		t.Fatalf("the probe: result %v", result)
+	}
+	close(late)
+	if result, body := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK || string(body) != "fine" {
+		t.Errorf("result %v, body %q", result, body)
+	}
+	if p.open != 1 {
+		t.Errorf("%d connections are open", p.open)
+	}
+}
+
+// A server restarted at its address has reset its idle connections: nothing of its old life is used, and what may not be
+// repeated goes out once, to the new one. What was out in the old life ends as a reset.
+func TestARestartAtTheSameAddress(t *testing.T) {
+	came, die := make(chan bool), make(chan bool)
+	var requests atomic.Int32
+	p, b := testPool(t, rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+		defer c.(*net.TCPConn).SetLinger(0)
+		for i := 0; readWhole(in); i++ {
+			requests.Add(1)
+			if n == 1 || n == 2 {
+				came <- true
+				<-die
+				if n == 1 {
+					return // with an attempt out
+				}
+			}
+			say(c, served)
+			if n == 0 || n == 2 {
+				<-die // while it is idle
+				return
+			}
+		}
+	}))
+	send := func() decision.Result {
+		result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x")))
+		return result
+	}
+	if result := send(); result != decision.OK {
+		t.Fatalf("first: result %v", result)
+	}
+	p.mu.Lock()
+	idle := b.idle[0]
+	b.idle = nil // so that the next one needs another
+	p.mu.Unlock()
+	out := make(chan decision.Result, 1)
+	go func() { out <- send() }()
+	within(t, came, "no request came")
+	p.putIdle(b, idle)
+	close(die)
+	if result := within(t, out, "no end"); result != decision.Reset {
+		t.Errorf("what was out: result %v, want Reset", result)
+	}
+	untilNoted(t, idle.Conn)
+	before := requests.Load()
+	go func() { out <- send() }()
+	within(t, came, "no request came to the new life")
+	if result := within(t, out, "no end"); result != decision.OK {
+		t.Errorf("after the restart: result %v", result)
+	}
+	if n := requests.Load() - before; n != 1 {
+		t.Errorf("%d requests after the restart, want 1", n)
+	}
+}
+
+// However long the settings let a connection stand idle, none is taken that has stood for longer than a half of that, and
+// one that broke lowers the limit for a while, never for good.
+func TestIdleLimitsOfManySettings(t *testing.T) {
+	for _, told := range []time.Duration{0, time.Millisecond, 100 * time.Millisecond, time.Second, 10 * time.Second, time.Hour} {
+		t.Run(told.String(), func(t *testing.T) {
+			p := newPool(16, patience, told)
+			b := &backend{}
+			p.backends[1] = b
+			now := time.Now()
+			taken := func(age time.Duration) bool {
+				near, far := net.Pipe()
+				defer far.Close()
+				p.open++
+				c := newConn(near, 0, p.unreserve)
+				c.idleAt = time.Now().Add(-age)
+				b.idle = []*conn{c}
+				got, err := p.takeIdle(b)
+				if err != nil || p.open != map[bool]int{true: 1, false: 0}[got != nil] {
+					t.Errorf("age %v: %v with %d open", age, err, p.open)
+				}
+				if got != nil {
+					got.Close()
+				}
+				return got != nil
+			}
+			if taken(told / idlePart) {
+				t.Error("one was taken that the backend may be about to close")
+			}
+			if told >= 10*time.Second && !taken(told/idlePart-told/10) {
+				t.Error("one was not taken that is fresh enough")
+			}
+			for _, age := range []time.Duration{0, told / 4, told / 2, 2 * told} {
+				p.broke(age)
+				if p.limit > told/idlePart || age > leastIdle*limitCut && p.limit > max(age/limitCut, leastIdle) {
+					t.Errorf("one broke at the age of %v: the limit is %v", age, p.limit)
+				}
+			}
+			p.limitAt = now.Add(-64 * limitBack)
+			if told >= 10*time.Second && !taken(told/idlePart-told/10) {
+				t.Error("the limit has not come back")
+			}
+		})
+	}
+}
