Learn of a drain within 6 s of any trouble with discovery, at once from an agent

A change counts as told 6 s after discovery could be reached, at once by an agent. Ruled out: the move's spread (0.5 s of 4 s), the connect's bound (1 s).

Mended: decision Config.ListRest bounds the rest (a quarter of 6 s, or of the drain's grace where lists are pushed), and the hub and the plan of coming back go by it too. Discovery's Watch asks for no wait until a call has been answered; a call that asks for none is made anew beside it after a third of its time. A register that counts anew is asked for its whole list (its changes were taken for past ones for good). Answers with nothing new are paced: one that answers at once was asked as fast as the wire goes. A bad list is counted (lists_bad), and rested upon in proportion to what it cost. In the hub a whole list that was asked for before the watch told of a drain no longer undoes it. A watch's time that is up while an answer waits in its socket is no silence: it gets the slack once more.

TestSilentWatchIsBegunAnew now asks for both calls by turns, and its stand-in tells them apart.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -76,6 +76,12 @@
 	brokenPrice    = 0.4  // of one after an attempt that broke, most often early, out of that budget
 	retryBurst     = 10   // further attempts that may be saved up
 
+	// Calls for the list that failed.
+	toldWithin = 6 * time.Second // all that discovery has counts as told so long after it could be reached,
+	restPart   = 4               // and this part of it is rested at most: the next call may need time too
+	graceRest  = 4               // and this part of a drain's grace, where the list is pushed,
+	leastRest  = 10 * time.Millisecond
+
 	logEvery = 2 * time.Second // a line at most, for a tired reader
 )
 
@@ -171,7 +177,7 @@
 	b.now = now
 	if m.Kind == ListFailed {
 		b.asks++
-		backoff := min(b.interval<<min(b.asks, 4), max(b.cfg.Obligations.AskEvery/2, b.interval))
+		backoff := min(b.interval<<min(b.asks, 4), b.cfg.ListRest())
 		b.host.After(backoff/2+jitter(b.rng, backoff/2), timerDiscover<<56)
 		return
 	}
@@ -208,6 +214,21 @@
 	}
 }
 
+// ListRest is the longest rest between two calls for the list once one has failed. An agent on this machine,
+// which has pushed lists, costs nothing, and what it has counts as told at once: a drain's grace bears it.
+// Danger: however seldom a register has to be asked while all is well, what it has counts as told in a fixed
+// time from when it could be reached.
+func (c *Config) ListRest() time.Duration {
+	if !c.OnRequest {
+		return max(c.Obligations.DrainGrace/graceRest, leastRest)
+	}
+	most := toldWithin / restPart
+	if asked := c.Obligations.AskEvery; asked > 0 {
+		return min(max(asked/2, leastRest), most)
+	}
+	return most
+}
+
 // Detach takes a backend out by an operator's order: it gets nothing new, neither requests nor probes,
 // whatever the list says of it or whether the list knows it now. What is out there runs on.
 func (b *Balancer) Detach(now time.Duration, id BackendID) {
--- a/decision/balancer_test.go
+++ b/decision/balancer_test.go
@@ -523,6 +523,39 @@
 	}
 }
 
+// However seldom a register is to be asked and however slowly its servers connect, what it has counts as told 6 s after it
+// could be reached, and what an agent on this machine has counts at once.
+func TestTheRestAfterAFailedCallIsBounded(t *testing.T) {
+	for _, asked := range []time.Duration{0, 2 * second, 10 * second, 60 * second} {
+		for _, connect := range []time.Duration{30 * time.Millisecond, second, 5 * second} {
+			for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond} {
+				for _, onRequest := range []bool{true, false} {
+					cfg := testConfig()
+					cfg.OnRequest, cfg.Caps.ConnectTimeout, cfg.Obligations.AskEvery, cfg.Obligations.DrainGrace = onRequest, connect, asked, grace
+					most := 2 * second
+					if !onRequest {
+						most = grace / 3
+					}
+					h := &recorder{}
+					b, err := New(cfg, 1, h)
+					if err != nil {
+						t.Fatal(err)
+					}
+					b.Start(second)
+					h.take("after")
+					for i := range 20 {
+						b.Membership(second, Membership{Kind: ListFailed})
+						rests := h.take("after")
+						if len(rests) != 1 || rests[0].at > most || rests[0].at < 5*time.Millisecond {
+							t.Fatalf("asked every %v, connects in %v, grace %v, on request %v: after %d failed calls %+v", asked, connect, grace, onRequest, i+1, rests)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
 func TestOddInputIsPassedOver(t *testing.T) {
 	b, h := newBalancer(t, testConfig(), 2)
 	twice := append(list(2), list(2)...)
--- a/internal/comeback/calls.go
+++ b/internal/comeback/calls.go
@@ -17,7 +17,8 @@
 }
 
 const (
-	leastRest = 50 * time.Millisecond // after a call that failed
+	// LeastRest is the shortest rest after a call that failed.
+	LeastRest = 50 * time.Millisecond
 	// firstMost is the longest wait of a process's first call. Danger: until it calls it acts on a list of before its start,
 	// and a server that leaves must get nothing new 500 ms after the word.
 	firstMost = 250 * time.Millisecond
@@ -33,7 +34,7 @@
 	}
 	bad(!(s.Rate > 0 && s.Rate <= 1e6), "rate: %v is not within 0 and 1000000 a second", s.Rate)
 	bad(s.Proxies < 1, "proxies: %d must be above 0", s.Proxies)
-	bad(s.Most < leastRest || s.Most > time.Hour, "most: %v is not within %v and 1h", s.Most, leastRest)
+	bad(s.Most < LeastRest || s.Most > time.Hour, "most: %v is not within %v and 1h", s.Most, LeastRest)
 	bad(s.Hold < 0 || s.Hold > time.Minute, "hold: %v is not within 0s and 1m", s.Hold)
 	return errors.Join(errs...)
 }
@@ -72,7 +73,7 @@
 func (c *Calls) Wait(now time.Duration) time.Duration {
 	if !c.begun {
 		c.begun = true
-		c.until = now + c.between(0, min(firstMost, c.turn()))
+		c.until = now + c.between(0, min(firstMost, c.set.Most, c.turn()))
 	}
 	return max(0, c.until-now)
 }
@@ -82,10 +83,10 @@
 // Danger: many that are told the same second come back in it; each adds a random part of a turn.
 func (c *Calls) Failed(now, after time.Duration) {
 	c.failed++
-	least := max(leastRest, c.turn()/2)
+	least := max(LeastRest, c.turn()/2)
 	c.rest = min(c.between(least, max(2*least, 3*c.rest)), max(c.set.Most, least))
 	if after > 0 {
-		c.rest = max(c.rest, min(after, c.set.Most)+c.between(0, max(leastRest, c.turn())))
+		c.rest = max(c.rest, min(after, c.set.Most)+c.between(0, max(LeastRest, c.turn())))
 	}
 	c.until = now + c.rest
 }
--- a/internal/comeback/comeback_test.go
+++ b/internal/comeback/comeback_test.go
@@ -224,7 +224,7 @@
 			t.Fatalf("told to come back after 3 s, it waits %v", w)
 		}
 		c.Failed(now, 0)
-		if w := c.Wait(now); w < leastRest || w > 10*second {
+		if w := c.Wait(now); w < LeastRest || w > 10*second {
 			t.Fatalf("it waits %v", w)
 		}
 		if h := c.Hold(); h < 15*second || h > 20*second {
--- a/internal/comeback/source/source.go
+++ b/internal/comeback/source/source.go
@@ -23,6 +23,7 @@
 	seed    uint64
 	now     func() time.Duration
 	log     *slog.Logger
+	most    time.Duration // the longest rest between two calls, whatever the file says; 0 is no such bound
 
 	mu     sync.Mutex
 	guards map[string]*guarded
@@ -85,6 +86,13 @@
 		held: map[string]Held{}}
 }
 
+// Within has no call rest longer, whatever the file and the register say. Danger: what a register has counts as told soon after it
+// could be reached, however many it has turned away.
+func (p *Plan) Within(most time.Duration) *Plan {
+	p.most = most
+	return p
+}
+
 // Later is an error by which a register says when to come back.
 type Later interface{ RetryAfter() time.Duration }
 
@@ -109,6 +117,9 @@
 	}
 	if set, on := p.file.calls(p.proxies, p.seed); on {
 		if p.calls[name] == nil {
+			if p.most > 0 {
+				set.Most = max(min(set.Most, p.most/2), comeback.LeastRest) // a turn may be added to it
+			}
 			c, err := comeback.NewCalls(set)
 			if err != nil { // the file was checked
 				panic(err)
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -31,6 +31,7 @@
 	BackendsExcluded atomic.Int64 // of these, the ones that are avoided
 	ReloadsOK        atomic.Int64
 	ReloadsFailed    atomic.Int64
+	ListsBad         atomic.Int64 // answers of discovery that were no list
 }
 
 // New makes figures for requests of these classes.
@@ -68,8 +69,9 @@
 		BackendsExcluded int64            `json:"backends_excluded"`
 		ReloadsOK        int64            `json:"reloads_ok"`
 		ReloadsFailed    int64            `json:"reloads_failed"`
+		ListsBad         int64            `json:"lists_bad"`
 	}{byClass(Served), byClass(Refused), byClass(Failed), f.Attempts.Load(), f.InFlight.Load(), f.BackendsKnown.Load(),
-		f.BackendsExcluded.Load(), f.ReloadsOK.Load(), f.ReloadsFailed.Load()})
+		f.BackendsExcluded.Load(), f.ReloadsOK.Load(), f.ReloadsFailed.Load(), f.ListsBad.Load()})
 	if err != nil {
 		return nil, fmt.Errorf("figures: %w", err)
 	}
@@ -77,9 +79,9 @@
 }
 
 // Sum gives the figures of several services: their sums in the form of one, and beside them each service's own and
-// how they share the process's limits. Reloads are the process's.
+// how they share the process's limits. Reloads and bad lists are the process's.
 func Sum(own *Figures, services map[string]*Figures, limits map[string]any) ([]byte, error) {
-	sums := map[string]any{"reloads_ok": own.ReloadsOK.Load(), "reloads_failed": own.ReloadsFailed.Load(), "services": services, "limits": limits,
+	sums := map[string]any{"reloads_ok": own.ReloadsOK.Load(), "reloads_failed": own.ReloadsFailed.Load(), "lists_bad": own.ListsBad.Load(), "services": services, "limits": limits,
 		"goroutines": runtime.NumGoroutine()}
 	for o, name := range map[Outcome]string{Served: "served", Refused: "refused", Failed: "failed"} {
 		by := map[string]int64{}
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -9,8 +9,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"lapisspread/decision"
@@ -25,17 +27,21 @@
 type pace struct {
 	hold  time.Duration // for which it may hold a watch
 	slack time.Duration // how much longer that answer may take, and how long a connection may take to come up
-	fetch time.Duration // how long the answer to a call that asks for no wait may take
+	fetch time.Duration // how long the answer to a call that asks for no wait may take; a third of it later it is made anew beside
+	rest  time.Duration // the longest rest after a call that failed
 }
 
 // paceFor takes it from the settings. A pushed list comes from an agent on this machine, which answers at once and at no
 // cost. A register that must be asked is paid for by the whole fleet: it is asked twice in the time in which an answer
 // grows too old. Danger: what a silent watch misses counts as told 2 s after its wait is over; the slack stays well under.
+// And whatever call has failed, all counts as told 6 s after discovery could be reached, or at once by its agent: a call
+// that may have gone into the void has a next one after fetch/3 or the rest, with half of that time to spare.
 func paceFor(m *decision.Config) pace {
+	rest := m.ListRest()
 	if !m.OnRequest {
-		return pace{hold: time.Second, slack: 500 * time.Millisecond, fetch: 1500 * time.Millisecond}
+		return pace{hold: time.Second, slack: 500 * time.Millisecond, fetch: 1500 * time.Millisecond, rest: rest}
 	}
-	return pace{hold: min(max(m.Obligations.AskEvery/2, 2*time.Second), 20*time.Second), slack: time.Second, fetch: 6 * time.Second}
+	return pace{hold: min(max(m.Obligations.AskEvery/2, 2*time.Second), 20*time.Second), slack: time.Second, fetch: 6 * time.Second, rest: rest}
 }
 
 // List and Member are the servers as the engine knows them.
@@ -96,16 +102,39 @@
 	ctx    context.Context // of all calls
 	end    context.CancelFunc
 	hold   func() time.Duration // how long discovery may hold the next watch
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	bad    func()      // counts a list that could not be used
+	heard  atomic.Bool // the last call was answered
 }
 
 func newDiscovery(addr string, p pace, log *slog.Logger) *discovery {
 	ctx, end := context.WithCancel(context.Background())
 	// Danger: without a bound a connect over a way that was cut waits for the kernel's next try, long after it is whole again.
 	dialer := &net.Dialer{Timeout: p.slack}
-	return &discovery{addr: addr, pace: p, log: log, ctx: ctx, end: end, hold: func() time.Duration { return p.hold }, client: &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4},
+	d := &discovery{addr: addr, pace: p, log: log, ctx: ctx, end: end, hold: func() time.Duration { return p.hold }, dial: dialer.DialContext, bad: func() {}}
+	d.client = &http.Client{
+		Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := d.dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &heardConn{Conn: nc}, nil
+		}, DisableCompression: true, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return d
+}
+
+// heardConn counts what was read from it.
+type heardConn struct {
+	net.Conn
+	read atomic.Int64
+}
+
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 // Addr is the address that is asked.
@@ -113,7 +142,7 @@
 
 // Fetch asks once for the whole list.
 func (d *discovery) Fetch(ctx context.Context) (List, error) {
-	list, err := d.call(ctx, "", d.pace.fetch)
+	list, err := d.ask(ctx, "")
 	if err == nil && !list.Full {
 		err = errors.New("discovery: changes in place of the whole list")
 	}
@@ -123,33 +152,138 @@
 // errSilent says that an answer has not come in its time, though nothing was closed.
 var errSilent = errors.New("discovery: silent")
 
+const (
+	lookHold    = time.Millisecond       // of a watch that only has to show whether discovery answers
+	firstIdle   = 10 * time.Millisecond  // the rest after an answer that was none,
+	mostIdle    = 160 * time.Millisecond // and the longest: a watch goes on if its next call comes within 200 ms
+	badCost     = 10                     // times what it took to read a list that could not be used is rested, up to
+	mostBadRest = time.Second
+)
+
 // Watch tells of each answer, one call right after the other, until one fails or ctx ends. One that has fallen silent is
 // broken and begun anew, on a connection of its own: the time that it took is rest enough.
+//
+// Danger: a call made while discovery could not be reached may get no answer however long it has been back. So until
+// one has been answered none asks for a wait.
 func (d *discovery) Watch(ctx context.Context, from uint32, tell func(List)) error {
+	idle := time.Duration(0)
 	for {
-		hold := d.hold()
-		list, err := d.call(ctx, fmt.Sprintf("?from=%d&hold_ms=%d", from, hold.Milliseconds()), hold+d.pace.slack)
+		hold, look, began := d.hold(), !d.heard.Load(), time.Now()
+		var list List
+		var err error
+		if look {
+			list, err = d.ask(ctx, watchQuery(from, lookHold))
+		} else {
+			list, err = d.call(ctx, watchQuery(from, hold), hold+d.pace.slack)
+			d.heard.Store(err == nil)
+		}
 		if errors.Is(err, errSilent) {
 			d.log.Warn("a watch has fallen silent and is begun anew", "addr", d.addr, "version", from, "held", hold)
 			continue
 		}
+		again := err == nil && !list.Full && list.Past(from)
+		if again {
+			// Danger: it has begun anew and counts from the start. Its changes would be taken for past ones until it has
+			// counted as far as the one before it.
+			d.log.Warn("discovery counts anew and is asked for the whole list", "addr", d.addr, "version", from, "now", list.Version)
+			list, err = d.Fetch(ctx)
+		}
 		if err != nil {
 			return err
 		}
+		nothing := again || list.Version == from || !list.Full && len(list.Members) == 0
 		from = list.Version
 		tell(list)
+		if look || !nothing || time.Since(began) >= hold/2 {
+			idle = 0
+			continue
+		}
+		// Danger: one that answers at once with nothing new would be asked again as fast as the wire goes.
+		idle = min(max(2*idle, firstIdle), mostIdle)
+		if err := pause(ctx, idle); err != nil {
+			return err
+		}
 	}
 }
 
-func (d *discovery) call(ctx context.Context, query string, wait time.Duration) (_ List, err error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, wait, errSilent)
+func watchQuery(from uint32, hold time.Duration) string {
+	return fmt.Sprintf("?from=%d&hold_ms=%d", from, hold.Milliseconds())
+}
+
+// pause waits, unless ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// ask makes a call that asks for no wait. One that is not answered soon may have gone into the void while discovery could not
+// be reached, or discovery is slow: a second and a third are made beside it, and the first answer counts.
+func (d *discovery) ask(ctx context.Context, query string) (List, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { // its cause is told in place of "deadline exceeded"
+	type answer struct {
+		list List
+		err  error
+	}
+	const most = 3
+	answers, began := make(chan answer, most), time.Now()
+	next := time.NewTicker(d.pace.fetch / most)
+	defer next.Stop()
+	for made, open := 0, 0; ; {
+		if left := d.pace.fetch - time.Since(began); made < most && left > 0 {
+			made, open = made+1, open+1
+			go func() {
+				list, err := d.call(ctx, query, left)
+				answers <- answer{list, err}
+			}()
+		}
+		select {
+		case a := <-answers:
+			open--
+			if open == 0 || !errors.Is(a.err, errSilent) {
+				d.heard.Store(a.err == nil)
+				return a.list, a.err
+			}
+			made = most // its time is over
+		case <-next.C:
+		}
+	}
+}
+
+func (d *discovery) call(ctx context.Context, query string, wait time.Duration) (_ List, err error) {
+	outer := ctx
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(d.ctx, func() { cancel(context.Canceled) })()
+	var conn atomic.Pointer[heardConn]
+	var read atomic.Int64 // before the call
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*heardConn); ok {
+			read.Store(c.read.Load())
+			conn.Store(c)
+		}
+	}})
+	giveUp := time.AfterFunc(wait, func() {
+		// Danger: the process may have been stopped past the wait, with the answer in its socket: it is no silence that
+		// nobody has listened. What has come gets the slack once more to be read.
+		if c := conn.Load(); c != nil && (c.read.Load() != read.Load() || !silent(c.Conn)) {
+			time.AfterFunc(d.pace.slack, func() { cancel(errSilent) })
+			return
+		}
+		cancel(errSilent)
+	})
+	defer giveUp.Stop()
+	defer func() { // its cause is told in place of "context canceled"
 		if err != nil && context.Cause(ctx) == errSilent {
 			err = fmt.Errorf("%w: %w", errSilent, err)
 		}
 	}()
-	defer context.AfterFunc(d.ctx, cancel)()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/catalog/members"+query, nil)
 	if err != nil {
 		return List{}, fmt.Errorf("discovery: %w", err)
@@ -159,6 +293,7 @@
 		return List{}, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
+	began := time.Now()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, listBytes))
 	if err != nil {
 		return List{}, fmt.Errorf("discovery: reading the list: %w", err)
@@ -172,6 +307,10 @@
 	}
 	list, err := parseList(text)
 	if err != nil {
+		giveUp.Stop()
+		d.bad()
+		// Danger: one that goes on and on is work each time; asked at the pace of one that is down it would take all.
+		pause(outer, min(badCost*time.Since(began), mostBadRest))
 		return List{}, fmt.Errorf("discovery: bad list: %w", err)
 	}
 	return list, nil
--- a/internal/proxy/operator_test.go
+++ b/internal/proxy/operator_test.go
@@ -69,7 +69,7 @@
 	c.(*net.TCPConn).CloseWrite()
 	mustAnswer(t, 400)(readAnswer(bufio.NewReader(c)))
 	want := `{"served":{"fetch-work":0,"hand-in":3},"refused":{"fetch-work":0,"hand-in":0},"failed":{"fetch-work":0,"hand-in":1},` +
-		`"attempts":3,"in_flight":0,"backends_known":1,"backends_excluded":0,"reloads_ok":0,"reloads_failed":1}`
+		`"attempts":3,"in_flight":0,"backends_known":1,"backends_excluded":0,"reloads_ok":0,"reloads_failed":1,"lists_bad":0}`
 	p.proxy.ReloadFailed(errors.New("no such file"))
 	text := ""
 	for start := time.Now(); text != want; time.Sleep(time.Millisecond) { // they may lag a little
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -265,7 +265,7 @@
 			return fmt.Errorf("settings: %w", err)
 		}
 		seed := p.cfg.Seed ^ uint64(backendID(p.cfg.Name)) // two proxies of one seed must not ask in step
-		p.comeback = source.NewPlan(f, max(1, p.cfg.Module.Instances), seed, engine.NewClock().Now, p.log)
+		p.comeback = source.NewPlan(f, max(1, p.cfg.Module.Instances), seed, engine.NewClock().Now, p.log).Within(p.cfg.pace.rest)
 		if path := p.store.Path("memory"); f.Memory != nil && path != "" {
 			p.memory = openMemory(path, f.Every(), f.Oldest())
 			p.cfg.Known = p.memory.known(p.cfg.Discovery, p.cfg.Known)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -413,29 +413,47 @@
 	}
 }
 
-// A watch that has fallen silent is begun anew, and so is one whose connection never comes up.
+// A watch that has fallen silent is begun anew: first by a call that is not to be held, to learn whether discovery answers.
 func TestSilentWatchIsBegunAnew(t *testing.T) {
 	got := make(chan *http.Request, 8)
-	c := newCatalog(t)
+	list := listText(43, true, memberText("a", countingBackend(t, got), "active"))
+	queries, news := make(chan string), make(chan struct{})
+	c := &catalog{Server: httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case queries <- r.URL.RawQuery:
+		case <-r.Context().Done():
+			return
+		}
+		select {
+		case <-news:
+			if strings.HasPrefix(r.URL.RawQuery, "from=41&") {
+				io.WriteString(w, list)
+				return
+			}
+		default:
+		}
+		if strings.HasSuffix(r.URL.RawQuery, "&hold_ms=1") {
+			io.WriteString(w, listText(41, false))
+			return
+		}
+		<-r.Context().Done() // nothing is closed
+	}))}
+	t.Cleanup(func() { c.CloseClientConnections(); c.Close() })
 	p := startProxy(t, listText(41, true), c, func(cfg *Config) {
-		cfg.pace = pace{hold: 10 * time.Millisecond, slack: 10 * time.Millisecond, fetch: 10 * time.Millisecond}
+		cfg.pace = pace{hold: 10 * time.Millisecond, slack: 10 * time.Millisecond, fetch: time.Minute}
 	})
-	for range 3 { // none of them is answered, and nothing is closed
-		if q := within(t, c.queries, "a silent watch is not begun anew"); !strings.HasPrefix(q, "from=41&hold_ms=10") {
-			t.Errorf("the watch asks for %q", q)
+	for i := range 6 {
+		want := "from=41&hold_ms=1"
+		if i%2 == 1 {
+			want = "from=41&hold_ms=10"
 		}
-	}
-	// Each list may go to a call that is just being given up: the agent would tell it again, so it is put in until it has come.
-	list, served := listText(43, true, memberText("a", countingBackend(t, got), "active")), false
-	for !served {
-		select {
-		case c.lists <- list:
-		case q := <-c.queries:
-			served = strings.HasPrefix(q, "from=43&")
-		case <-time.After(patience):
-			t.Fatal("the watch has ended")
+		if q := within(t, queries, "a silent watch is not begun anew"); q != want {
+			t.Errorf("call %d asks for %q, want %q", i, q, want)
 		}
 	}
+	close(news)
+	for !strings.HasPrefix(within(t, queries, "the watch has ended"), "from=43&") {
+	}
 	mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
 }
 
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -119,7 +119,7 @@
 
 func newServices(p *Proxy) *services {
 	s := &services{p: p, limits: quota.New(engine.NewClock().Now)}
-	s.registers = register.NewHubs(func(addr string) engine.Source { return s.ask(addr, addr) })
+	s.registers = register.NewHubs(p.cfg.pace.rest, func(addr string) engine.Source { return s.ask(addr, addr) })
 	return s
 }
 
@@ -127,6 +127,7 @@
 // also where it moves.
 func (s *services) ask(name, addr string) engine.Source {
 	d := newDiscovery(addr, s.p.cfg.pace, s.p.log)
+	d.bad = func() { s.p.own.ListsBad.Add(1) }
 	var asked engine.Source = d
 	if view := s.p.view.Load(); view != nil { // before the rules of coming back: it weighs what the register said, not what of it is believed
 		asked = view.Wrap(viewOf(name), d.pace.hold, d, s.knownAt(addr), s.p.memory.age(addr))
--- a/internal/register/hub.go
+++ b/internal/register/hub.go
@@ -18,10 +18,7 @@
 	"lapisspread/internal/engine"
 )
 
-const (
-	firstRest = 50 * time.Millisecond // after a failed call,
-	mostRest  = 2 * time.Second       // and at most: engines ask again by their own pace above this
-)
+const firstRest = 50 * time.Millisecond // after a failed call, if no shorter one is the most
 
 // ErrLeft says that a follower has left its register.
 var ErrLeft = errors.New("register: the follower has left")
@@ -29,14 +26,16 @@
 // Hubs are the registers that somebody follows, by address. They are for any goroutine.
 type Hubs struct {
 	open func(addr string) engine.Source
+	rest time.Duration // after a failed call, at most
 
 	mu     sync.Mutex
 	byAddr map[string]*hub
 }
 
-// NewHubs makes an empty set, which opens a register when the first follower comes and closes it when the last leaves.
-func NewHubs(open func(addr string) engine.Source) *Hubs {
-	return &Hubs{open: open, byAddr: map[string]*hub{}}
+// NewHubs makes an empty set, which opens a register when the first follower comes and closes it when the last leaves. After
+// failed calls it rests for so long at most.
+func NewHubs(rest time.Duration, open func(addr string) engine.Source) *Hubs {
+	return &Hubs{open: open, rest: rest, byAddr: map[string]*hub{}}
 }
 
 // Join adds a follower of the register at an address: a source of its own, which it leaves by Close. Known is the
@@ -46,7 +45,7 @@
 	defer s.mu.Unlock()
 	h := s.byAddr[addr]
 	if h == nil {
-		h = &hub{source: s.open(addr), watchers: map[*watcher]bool{}}
+		h = &hub{source: s.open(addr), mostRest: s.rest, watchers: map[*watcher]bool{}}
 		if known.Full {
 			h.list.take(known)
 			h.seq++
@@ -81,6 +80,7 @@
 	alive     bool               // the watch has told something, and has not failed since
 	fetching  *fetch
 	rest      time.Duration // before the next call
+	mostRest  time.Duration
 	restUntil time.Time
 }
 
@@ -173,12 +173,21 @@
 	if wait > 0 {
 		time.Sleep(wait)
 	}
+	h.mu.Lock()
+	before := h.seq
+	h.mu.Unlock()
 	c.list, c.err = h.source.Fetch(context.Background())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.fetching = nil
 	h.note(c.err)
-	if c.err == nil {
+	switch {
+	case c.err != nil:
+	case h.seq != before && c.list.Past(h.list.version):
+		// Danger: the watch has told something newer meanwhile, and goes on from there. What drains by it would be ready
+		// again, and nobody would ever say otherwise.
+		c.list = h.list.whole()
+	default:
 		h.tell(c.list)
 	}
 	close(c.done)
@@ -190,7 +199,7 @@
 		h.rest = 0
 		return
 	}
-	h.rest = min(max(2*h.rest, firstRest), mostRest)
+	h.rest = min(max(2*h.rest, firstRest), h.mostRest)
 	h.restUntil = time.Now().Add(h.rest)
 }
 
--- a/internal/register/hub_test.go
+++ b/internal/register/hub_test.go
@@ -80,7 +80,7 @@
 }
 
 func newTestHub(src *fake, known engine.List) testHub {
-	return testHub{NewHubs(func(string) engine.Source { return src }), known}
+	return testHub{NewHubs(2*time.Second, func(string) engine.Source { return src }), known}
 }
 
 func (h testHub) Join() *Follower { return h.Hubs.Join("127.0.0.1:1", h.known) }
@@ -331,3 +331,54 @@
 		}
 	}
 }
+
+// heldFetch answers a call for the whole list with what it was as the call came, once it is let go.
+type heldFetch struct {
+	*fake
+	came, letGo chan struct{}
+}
+
+func (f *heldFetch) Fetch(context.Context) (engine.List, error) {
+	f.mu.Lock()
+	list := f.list
+	f.mu.Unlock()
+	close(f.came)
+	<-f.letGo
+	return list, nil
+}
+
+// A whole list that was asked for before the watch told of a drain comes after it: the drain stands.
+func TestAWholeListThatCrossesNewsDoesNotUndoIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &heldFetch{newFake(full(5, "a", "b")), make(chan struct{}), make(chan struct{})}
+		hubs := NewHubs(time.Second, func(string) engine.Source { return src })
+		asks, follows := hubs.Join("r", full(5, "a", "b")), hubs.Join("r", engine.List{})
+		ctx, cancel := context.WithCancel(t.Context())
+		fetched := make(chan engine.List, 1)
+		go func() {
+			list, err := asks.Fetch(ctx)
+			if err != nil {
+				t.Error(err)
+			}
+			fetched <- list
+		}()
+		<-src.came
+		f := &follower{}
+		go f.follow(ctx, follows)
+		src.lists <- engine.List{Version: 6, Members: []engine.Member{{ID: "a", Addr: "a:1", State: decision.Draining}}}
+		synctest.Wait()
+		close(src.letGo)
+		list := <-fetched
+		synctest.Wait()
+		held, _ := follows.List()
+		for what, l := range map[string]engine.List{"the call's answer": list, "the hub": held, "the follower": f.list.whole()} {
+			if l.Version != 6 || len(l.Members) != 2 || l.Members[0].State != decision.Draining {
+				t.Errorf("%s has %+v", what, l)
+			}
+		}
+		cancel()
+		synctest.Wait()
+		asks.Close()
+		follows.Close()
+	})
+}
