Prove that an answer which waits in its socket past its call's time is no silence

A proxy that woke from SIGSTOP past its watch's time gave the watch up before it read the answer that waited there. The test stops all reads, lets the answer stand in the socket, the call's time go by, and the reads go on. Seen to fail without the look: discovery: silent, no list.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -103,15 +103,16 @@
 	end    context.CancelFunc
 	hold   func() time.Duration // how long discovery may hold the next watch
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
-	bad    func()      // counts a list that could not be used
-	heard  atomic.Bool // the last call was answered
+	late   time.Duration // how long what has come within a call's time may take to be read after it
+	bad    func()        // counts a list that could not be used
+	heard  atomic.Bool   // the last call was answered
 }
 
 func newDiscovery(addr string, p pace, log *slog.Logger) *discovery {
 	ctx, end := context.WithCancel(context.Background())
 	// Danger: without a bound a connect over a way that was cut waits for the kernel's next try, long after it is whole again.
 	dialer := &net.Dialer{Timeout: p.slack}
-	d := &discovery{addr: addr, pace: p, log: log, ctx: ctx, end: end, hold: func() time.Duration { return p.hold }, dial: dialer.DialContext, bad: func() {}}
+	d := &discovery{addr: addr, pace: p, log: log, ctx: ctx, end: end, hold: func() time.Duration { return p.hold }, dial: dialer.DialContext, late: p.slack, bad: func() {}}
 	d.client = &http.Client{
 		Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			nc, err := d.dial(ctx, network, addr)
@@ -273,7 +274,7 @@
 		// Danger: the process may have been stopped past the wait, with the answer in its socket: it is no silence that
 		// nobody has listened. What has come gets the slack once more to be read.
 		if c := conn.Load(); c != nil && (c.read.Load() != read.Load() || !silent(c.Conn)) {
-			time.AfterFunc(d.pace.slack, func() { cancel(errSilent) })
+			time.AfterFunc(d.late, func() { cancel(errSilent) })
 			return
 		}
 		cancel(errSilent)
--- a/internal/proxy/watch_test.go
+++ b/internal/proxy/watch_test.go
@@ -365,3 +365,71 @@
 		})
 	}
 }
+
+// stoppedReader is a socket whose reader stands still before each read, as all of a stopped process does, until it is let go.
+type stoppedReader struct {
+	*net.TCPConn
+	stands, goOn chan struct{}
+}
+
+func (c *stoppedReader) Read(p []byte) (int, error) {
+	c.stands <- struct{}{}
+	<-c.goOn
+	return c.TCPConn.Read(p)
+}
+
+// A process that was stopped (SIGSTOP) past its call's time finds the time up and the answer in its socket. It is no silence: the
+// answer counts, and the call is not made again.
+func TestAnAnswerThatWaitsIsNoSilence(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	second, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		in := bufio.NewReader(c)
+		answer := func(text string) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text) }
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		answer(listText(7, true))
+		<-second
+		answer(listText(8, false)) // it stands there before the call is made
+		close(written)
+		io.Copy(io.Discard, in)
+	}()
+	d := newDiscovery(l.Addr().String(), pace{slack: patience}, slog.New(slog.DiscardHandler))
+	defer d.Close()
+	d.late = patience
+	stands, goOn, dials := make(chan struct{}, 100), make(chan struct{}, 1), 0
+	d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials++
+		nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &stoppedReader{nc.(*net.TCPConn), stands, goOn}, nil
+	}
+	goOn <- struct{}{}
+	if _, err := d.call(t.Context(), "", patience); err != nil {
+		t.Fatal(err)
+	}
+	within(t, stands, "nothing is read")
+	within(t, stands, "the next answer is not waited for")
+	close(second)
+	within(t, written, "nothing is written")
+	go func() {
+		time.Sleep(600 * time.Millisecond) // the call's time is up
+		close(goOn)
+	}()
+	list, err := d.call(t.Context(), watchQuery(7, lookHold), 300*time.Millisecond)
+	if err != nil || list.Version != 8 || dials != 1 {
+		t.Errorf("%+v, %v; %d connections", list, err, dials)
+	}
+}
