Have the news go before what has waited while the process stood still

What an agent on this machine has counts as told all the while. The engine's loop comes round every 100 ms (the census); when it finds that it stood still for half a drain's grace or more, and lists are pushed, it asks for the list before all else and waits for it no longer than a rest between calls (a quarter of the grace). Without an answer, with an error, or with a past list all goes on as before; a register that must be asked is not.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -76,8 +76,9 @@
 	deferred  []func()       // follow the event being handled
 	requests  map[decision.RequestID]*Exchange
 	lastID    decision.RequestID
-	version   uint32 // of the list
-	listKnown bool   // it is from the source that is asked now, or from the start
+	version   uint32        // of the list
+	listKnown bool          // it is from the source that is asked now, or from the start
+	turned    time.Duration // when the loop last came round
 	stopWatch context.CancelFunc
 	watches   int // begun so far
 	zones     map[string]int
@@ -133,7 +134,7 @@
 // Run handles events until ctx ends, and then waits for all that it has started.
 func (l *Engine) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	l.ctx = ctx
+	l.ctx, l.turned = ctx, l.clock.Now()
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
 	l.handle(func() {
@@ -149,6 +150,7 @@
 		l.watchCensus()
 	})
 	for ctx.Err() == nil {
+		l.catchUp()
 		l.fire()
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].at - l.clock.Now())
@@ -160,8 +162,10 @@
 		}
 		select {
 		case <-l.opts.Wake:
+			l.catchUp()
 			l.handle(l.obey)
 		case event := <-l.events:
+			l.catchUp()
 			l.handle(event)
 		case <-wake.C:
 		case <-ctx.Done():
@@ -176,6 +180,43 @@
 	}
 }
 
+// catchUp asks for the list before all else once the loop has stood still for long: the process was stopped, or had no
+// processor. Danger: what its agent has counts as told all the while, and a request that has waited would go out before the news
+// that waits beside it. It is asked for only where lists are pushed, which costs nothing, and waited for no longer than a call's
+// rest; after that all goes on by the list that there is. The census has the loop come round in time.
+func (l *Engine) catchUp() {
+	now, m := l.clock.Now(), &l.opts.Module
+	stood := now - l.turned
+	l.turned = now
+	if m.OnRequest || stood < max(m.Obligations.DrainGrace/2, 2*censusEvery) {
+		return
+	}
+	type answer struct {
+		list List
+		err  error
+	}
+	asked, came := l.source, make(chan answer, 1)
+	ctx, cancel := context.WithTimeout(l.ctx, m.ListRest())
+	defer cancel()
+	l.start(func() {
+		list, err := asked.Fetch(ctx)
+		came <- answer{list, err}
+	})
+	var a answer
+	select {
+	case a = <-came:
+	case <-ctx.Done():
+		a.err = context.Cause(ctx)
+	}
+	switch {
+	case a.err != nil:
+		l.log.Warn("it stood still, and no list has come since", "for", stood, "err", a.err)
+	case !l.listKnown || !a.list.Past(l.version):
+		l.handle(func() { l.listed(a.list) })
+	}
+	l.turned = l.clock.Now()
+}
+
 // Post hands an event to the loop; after its end they are dropped.
 func (l *Engine) Post(event func()) {
 	select {
