--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -304,7 +304,7 @@
 		req.ended(figures.Failed)
 		f.log.Warn("a long answer broke off", "err", err)
 		if req.old && stream.length < 0 {
-			reset(w)
+			resetClient(w)
 		}
 		panic(http.ErrAbortHandler) // the client must be able to tell
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -353,9 +353,9 @@
 	}
 }
 
-// reset ends a client's connection by a reset. Danger: where an answer ends with the connection, a close would make what
+// resetClient ends a client's connection by a reset. Danger: where an answer ends with the connection, a close would make what
 // has come of it seem whole.
-func reset(w http.ResponseWriter) {
+func resetClient(w http.ResponseWriter) {
 	nc, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
