Count the runs of requests whose connection breaks, for each effect and way to break

Through the whole proxy, with two stand-ins that count: closed and reset after the last byte, in the head, in the body, long after, spoilt, and turned away but spoilt. Unsafe runs once and is answered 502; safe twice with one id and 200; keyed twice within its window, past it once, and refused only where its group is all, as the settings' rules have it.

--- /dev/null
+++ b/internal/proxy/effects_test.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// A connection that breaks after a request's last byte, soon or late, before or in its answer: what may run twice is sent
+// once more, what has a window for that only within it, and what may not is answered as failed. Each run is counted.
+func TestWhatBreaksIsRepeatedWhereItMay(t *testing.T) {
+	const window = 300 * time.Millisecond
+	reset := func(nc net.Conn) { nc.(*net.TCPConn).SetLinger(0) }
+	for way, end := range map[string]func(net.Conn){
+		"reset":                   reset,
+		"closed":                  func(net.Conn) {},
+		"reset in the head":       func(nc net.Conn) { say(nc, "HTTP/1.1 200 OK\nContent-Le"); reset(nc) },
+		"closed in the body":      func(nc net.Conn) { say(nc, "HTTP/1.1 200 OK\nContent-Length: 9\n\nfine") },
+		"reset long after":        func(nc net.Conn) { time.Sleep(2 * window); reset(nc) }, // the window is over for sure
+		"spoilt":                  func(nc net.Conn) { say(nc, "HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\n4\nfine\n0\n\n") },
+		"turned away, but spoilt": func(nc net.Conn) { say(nc, "HTTP/1.1 503 Full\nX-Not-Processed: 1\nContent-Length: 65537\n\nfine") },
+	} {
+		for _, c := range []struct {
+			name   string
+			effect decision.Effect
+			group  decision.Group
+			window time.Duration
+			status int
+		}{
+			{"unsafe", decision.Unsafe, decision.GroupAll, time.Minute, 502},
+			{"safe", decision.Safe, decision.GroupAll, 0, 200},
+			{"keyed, within its window", decision.Keyed, decision.GroupZone, time.Minute, 200},
+			{"keyed, past its window", decision.Keyed, decision.GroupAll, window, 503}, // a client's repeat is harmless
+			{"keyed in a zone, past its window", decision.Keyed, decision.GroupZone, window, 502},
+		} {
+			if c.window == window && way != "reset long after" {
+				continue
+			}
+			t.Run(c.name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				var ids []string
+				serve := func(_ int, nc net.Conn, in *bufio.Reader) {
+					for {
+						req, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						io.Copy(io.Discard, req.Body)
+						mu.Lock()
+						ids = append(ids, req.Header.Get("X-Request-ID"))
+						first := len(ids) == 1
+						mu.Unlock()
+						if first {
+							end(nc)
+							return
+						}
+						say(nc, served)
+					}
+				}
+				p := startProxy(t, listText(1, true, memberText("a", rawBackend(t, serve), "active"), memberText("b", rawBackend(t, serve), "active")),
+					newCatalog(t), func(cfg *Config) {
+						class := &cfg.Module.Classes[0]
+						class.Effect, class.Group, class.Window = c.effect, c.group, c.window
+					})
+				runs := 1
+				if _, body := mustAnswer(t, c.status)(p.ask(t, "fetch-work", 9000, "")); c.status == http.StatusOK {
+					if runs = 2; body != "fine" {
+						t.Errorf("body %q", body)
+					}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if len(ids) != runs || ids[len(ids)-1] != ids[0] {
+					t.Errorf("it ran as %v, want %d times with one id", fmt.Sprint(ids), runs)
+				}
+			})
+		}
+	}
+}
