Find free ports in the laboratory without opening them, so that no forked child holds one

The laboratory opens a port to find one that is free, closes it and has the proxy listen there. A child that another scenario forks meanwhile has the port open too until its exec has closed it.

Ruled out: two users of one address (they differ by a byte of the process and a counter, ports are drawn), and connections' own ends (nothing connects from there).

--- a/internal/lab/live/child.go
+++ b/internal/lab/live/child.go
@@ -67,18 +67,17 @@
 		if err := os.Mkdir(c.state, 0o700); err != nil {
 			return fmt.Errorf("proxy %d: %w", no, err)
 		}
-		l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: quiet.IP()})
-		if err != nil {
-			return fmt.Errorf("proxy %d: an address: %w", no, err)
-		}
-		c.listen = l.Addr().String()
+		var err error
 		if upgrades {
-			c.socket = l
+			if c.socket, err = net.ListenTCP("tcp4", &net.TCPAddr{IP: quiet.IP()}); err != nil {
+				return fmt.Errorf("proxy %d: an address: %w", no, err)
+			}
+			c.listen = c.socket.Addr().String()
 			if c.file, err = c.socket.File(); err != nil {
 				return fmt.Errorf("proxy %d: its socket: %w", no, err)
 			}
-		} else {
-			l.Close() // the proxy takes it; if another process is faster, the proxy says so and the start fails
+		} else if c.listen, err = quiet.Addr(); err != nil { // if another process is faster, the proxy says so and the start fails
+			return fmt.Errorf("proxy %d: an address: %w", no, err)
 		}
 		r.proxies = append(r.proxies, c)
 		if len(r.opts.Services) > 0 {
