Judge in the view's scenario what clients sent after the doubt, and send enough to convict

A request that a proxy had looked at before its doubt can come to its node after the script has seen the doubt, if the machine holds the proxy up.

Changed: Fleet.Unproved counts by when the client sent the try; the script counts from when all proxies were seen in doubt. Until then a fiftieth of the requests comes, from then on all: many come to servers that have not answered, and answers end the doubt for sure. What must never happen is as before.

Also a test of Generator.Pace.

--- a/internal/lab/kit/view_test.go
+++ b/internal/lab/kit/view_test.go
@@ -34,9 +34,6 @@
 in = "5000s"
 `
 
-// few is how many requests each proxy serves in doubt before more come.
-const few = 5
-
 // all tells whether all routes of all proxies are at a level.
 func all(f *live.Fleet, level string) (bool, error) {
 	for _, no := range f.All() {
@@ -49,15 +46,15 @@
 }
 
 // Watches fall silent, and a server is replaced by another process at its address meanwhile: while there is doubt, what must never run
-// twice goes to no server that has not answered since. With news all is trusted again. Requests are few at first, so that doubt comes before
-// all servers have answered; with act = false this convicts.
+// twice goes to no server that has not answered since. With news all is trusted again. Requests are few until there is doubt, so that it
+// comes before all servers have answered; with act = false this convicts.
 func TestASilentWatchIsDoubt(t *testing.T) {
 	t.Parallel()
 	Run(t, []Scenario{{Name: "watches fall silent while a server is replaced", Fabric: true, FleetFile: doubts, Play: func(f *live.Fleet) error {
 		if err := errors.Join(f.Service(enough, f.All()...), f.Levels("fresh", "confirmed")); err != nil {
 			return err
 		}
-		f.Pace(.1)
+		f.Pace(.02)
 		if err := f.Silence(f.All()...); err != nil {
 			return err
 		}
@@ -67,10 +64,11 @@
 			if err := f.Levels("doubtful"); err != nil {
 				return err
 			}
-			before, sent, served := f.Unproved(), 0, f.Served()
+			doubted, sent := f.Now(), 0 // what proxies had in hand by then breaks nothing
 			f.Nodes(world.OpStart, 4)
+			f.Pace(1)
 			if err := f.Await("answers that end the doubt about some", func() bool {
-				now := f.Unproved() - before
+				now := f.Unproved(doubted)
 				doubtful, err := all(f, "doubtful")
 				if err != nil { // a console that gave no answer: nothing is known
 					return false
@@ -78,9 +76,6 @@
 				if doubtful {
 					sent = now
 				}
-				if !slices.ContainsFunc(f.All(), func(no int) bool { return f.Served()[no] < served[no]+few }) {
-					f.Pace(1) // few answers need not end a doubt
-				}
 				return !doubtful || sent > 0
 			}); err != nil {
 				return err
@@ -88,7 +83,6 @@
 			if sent > 0 {
 				return fmt.Errorf("%d that must never run twice were sent to servers that had not answered since", sent)
 			}
-			f.Pace(1)
 			return f.Service(enough, f.All()...) // doubt does not stop all
 		})
 		return errors.Join(err, f.Levels("fresh", "confirmed"), f.Service(enough, f.All()...))
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -300,7 +300,7 @@
 		r.ledger.Sent(q.first, id, c.proxy, n.no, attempt)
 		r.sentTo[c.proxy][n.no]++
 		if at, any := r.proved[c.proxy][n.no]; !r.spec.Classes[work.Class].Safe && (!any || at != n.w.StartedAt) {
-			r.unproved++
+			r.unproved = append(r.unproved, work.At)
 		}
 		if n.w.Zone != r.spec.ProxyZone(c.proxy) {
 			r.ledger.Crossed()
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -153,7 +153,7 @@
 	tries    map[uint64]int          // attempts that came to nodes, by account
 	sentTo   [][]int                 // attempts, by proxy and node
 	proved   []map[int]time.Duration // by proxy, of nodes that answered it: when the process that did so began
-	unproved int                     // requests that must never run twice, at nodes whose process had not answered that proxy yet
+	unproved []time.Duration         // when clients sent what must never run twice, of that at nodes whose process had not answered that proxy yet
 	problems []string
 	// straggler is a request that came to a node after it had been settled; empty is none.
 	straggler string
--- a/internal/lab/live/script.go
+++ b/internal/lab/live/script.go
@@ -62,15 +62,6 @@
 	return f.rises("requests served", n, proxies, func(no int) (int64, error) { return f.front.served[no].Load(), nil })
 }
 
-// Served is how many requests each proxy has served.
-func (f *Fleet) Served() []int64 {
-	all := make([]int64, len(f.front.served))
-	for i := range all {
-		all[i] = f.front.served[i].Load()
-	}
-	return all
-}
-
 // rises waits until what is counted of each of these proxies has risen by so many. A count that fails under way is taken again.
 func (f *Fleet) rises(what string, by int64, proxies []int, count func(no int) (int64, error)) error {
 	until := map[int]int64{}
@@ -344,14 +335,23 @@
 	return errors.Join(err, failed)
 }
 
-// Unproved is how many requests that must never run twice have come from proxies to nodes whose process had not answered them since
-// Doubt, neither a probe nor a request.
-func (f *Fleet) Unproved() int {
+// Unproved is how many requests that must never run twice, and that clients have sent after a time of the run, have come from proxies to
+// nodes whose process had not answered them since Doubt, neither a probe nor a request.
+func (f *Fleet) Unproved(after time.Duration) int {
 	f.r.mu.Lock()
 	defer f.r.mu.Unlock()
-	return f.r.unproved
+	n := 0
+	for _, sent := range f.r.unproved {
+		if sent > after {
+			n++
+		}
+	}
+	return n
 }
 
+// Now is the run's clock.
+func (f *Fleet) Now() time.Duration { return f.r.now() }
+
 // Doubt has no node count as one that has answered.
 func (f *Fleet) Doubt() {
 	f.r.mu.Lock()
--- a/internal/lab/world/spec_test.go
+++ b/internal/lab/world/spec_test.go
@@ -65,6 +65,24 @@
 	}
 }
 
+// A share of the first tries comes from the next one on, until all come again.
+func TestPace(t *testing.T) {
+	s := Default()
+	s.Duration, s.Load.Rate = 30*time.Second, 1000
+	g := NewGenerator(&s)
+	thirds := [3]int{}
+	for a, ok := g.Next(); ok; a, ok = g.Next() {
+		third := min(int(a.At/(10*time.Second)), 2)
+		thirds[third]++
+		g.Pace([3]float64{1, .1, 1}[third])
+	}
+	for i, want := range [3]float64{10000, 1000, 10000} {
+		if got := float64(thirds[i]); math.Abs(got-want) > want/7 {
+			t.Errorf("%v, want %v", thirds, want)
+		}
+	}
+}
+
 func TestRetry(t *testing.T) {
 	s := Default()
 	rng := s.Stream(9)
