--- a/internal/engine/sends.go
+++ b/internal/engine/sends.go
@@ -11,7 +11,6 @@
 // sends is what of a request's attempts has gone out, for the goroutines that carry them out.
 type sends struct {
 	mu    sync.Mutex
-	over  bool            // the request has ended: nothing more goes out
 	began []time.Duration // by attempt, when its first byte went out; 0 is not, or it is proved that it did not run
 }
 
@@ -31,9 +30,6 @@
 func (s *sends) begin(n int, now, window time.Duration) (by time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.over {
-		return 0, false
-	}
 	if window < math.MaxInt64 {
 		for i, at := range s.began {
 			if i != n && at != 0 && (by == 0 || at+window < by) {
@@ -59,10 +55,3 @@
 		s.began[n] = 0
 	}
 }
-
-// end has nothing more go out.
-func (s *sends) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.over = true
-}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -340,25 +340,32 @@
 	return newConn(nc, epoch, p.unreserve), nil
 }
 
-// clear tells why a request's first byte may not be written to a connection, asked right before it would be.
+// clear tells why a request's first byte may not be written to a connection, asked right before it would be, and until
+// when its last may; zero is at any time.
 //
 // Danger: since the connection was chosen it may have taken its time to come up, or its goroutine may have had to wait
 // for a processor. By then the backend may drain or have moved; who asked may have left, which a goroutine of its own
 // would tell the connection, maybe after the write; and what has come on the connection would be taken for the answer.
-func (p *pool) clear(ctx context.Context, b *backend, c *conn) error {
+func (p *pool) clear(ctx context.Context, b *backend, c *conn, m *message) (by time.Time, err error) {
 	if ctx.Err() != nil {
-		return context.Cause(ctx)
+		return by, context.Cause(ctx)
 	}
 	p.mu.Lock()
 	closed := b.draining || b.epoch != c.epoch
 	p.mu.Unlock()
 	switch {
 	case closed:
-		return errClosed
+		return by, errClosed
 	case !c.quiet():
-		return errStale
+		return by, errStale
+	case m.may == nil:
+		return by, nil
+	}
+	by, ok := m.may() // last: from here on the attempt counts as begun
+	if !ok {
+		return by, errTooLate
 	}
-	return nil
+	return by, nil
 }
 
 // message is a request as a client has sent it: what goes to a backend, as often as the module says.
@@ -375,18 +382,6 @@
 	may    func() (by time.Time, ok bool) // see engine.Attempt; nil is at any time
 }
 
-// mayGo tells until when the message's last byte may go out, zero is at any time, or that its first may not any more.
-func (m *message) mayGo() (by time.Time, err error) {
-	if m.may == nil {
-		return time.Time{}, nil
-	}
-	by, ok := m.may()
-	if !ok {
-		err = errTooLate
-	}
-	return by, err
-}
-
 // Spent tells whether there can be no further attempt.
 func (m *message) Spent() bool { return m.upload.isSpent() }
 
@@ -436,11 +431,7 @@
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
-	err := p.clear(ctx, b, c)
-	var by time.Time
-	if err == nil {
-		by, err = m.mayGo()
-	}
+	by, err := p.clear(ctx, b, c, m)
 	switch {
 	case err != nil:
 	case m.upload != nil: // there is no further attempt at it once bytes of it have gone out
