Have the conformance kit and the drawn runs of the engine look for attempts that go out too late

The drawn runs of the engine under the model now have connections that take up to 300 ms to come up, and keyed classes whose windows (60 and 150 ms) are shorter. The kit for upstreams asks that an attempt that may not be made any more is not sent, on a new connection and on one that is there, and that the next one is served.

--- a/decision/engine_test.go
+++ b/decision/engine_test.go
@@ -145,7 +145,17 @@
 func (s scripted) Exchange(ctx context.Context, a engine.Attempt) (decision.Result, any) {
 	id := decision.RequestID(a.Message.(drawnMessage))
 	unlock := s.lock()
-	if ctx.Err() != nil { // called off before it began
+	rng := s.draw(3, int(id), int(s.id), int(s.model.now))
+	unlock()
+	if rng.IntN(4) == 0 { // a new connection is made
+		select {
+		case <-time.After(time.Duration(rng.IntN(300)) * milli):
+		case <-ctx.Done():
+		}
+	}
+	unlock = s.lock()
+	_, may := a.Go()
+	if !may || ctx.Err() != nil { // called off before it began, or too late
 		unlock()
 		return decision.Moot, nil
 	}
@@ -210,13 +220,16 @@
 func playEngine(t *testing.T, seed uint64) (broken, trace []string) {
 	synctest.Test(t, func(t *testing.T) {
 		cfg := enginetest.Config()
+		cfg.Classes = append(slices.Clone(cfg.Classes), // with windows shorter than a connection may take
+			decision.Class{Name: "all", Aim: time.Second, GiveUp: 3 * time.Second, Effect: decision.Keyed, Group: decision.GroupAll, Window: 60 * milli, Value: 1},
+			decision.Class{Name: "cell", Aim: time.Second, GiveUp: 3 * time.Second, Effect: decision.Keyed, Group: decision.GroupCell, Window: 150 * milli, Value: 1})
 		rng := rand.New(rand.NewPCG(seed, 9))
 		cfg.Caps.SecondCopies, cfg.Caps.Probes = rng.IntN(2) == 0, rng.IntN(2) == 0
 		g := &rig{seed: seed, rng: rng, version: math.MaxUint32 - 3, changed: make(chan struct{})} // wraps
 		g.model = newModel(cfg, &books{speed: map[decision.BackendID]float64{}, sent: map[decision.BackendID][]work{}, slack: time.Hour})
 		g.model.graceOnly = true
 		for i := range 1 + rng.IntN(6) {
-			g.members = append(g.members, engine.Member{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", State: decision.Ready, Weight: 1})
+			g.members = append(g.members, engine.Member{ID: fmt.Sprint("s", i), Addr: "127.0.0.1:1", State: decision.Ready, Cell: i % 2, Weight: 1})
 		}
 		g.update = g.whole()
 		g.Next = func(_ int, a engine.Attempt) enginetest.Reply {
@@ -245,7 +258,7 @@
 		all.Go(func() { e.Run(ctx) })
 		for id := range decision.RequestID(600) {
 			unlock := g.lock()
-			class, give, leave := g.rng.IntN(2), time.Duration(50+g.rng.IntN(1500))*milli, time.Duration(0)
+			class, give, leave := g.rng.IntN(len(cfg.Classes)), time.Duration(50+g.rng.IntN(1500))*milli, time.Duration(0)
 			if g.rng.IntN(20) == 0 {
 				leave = min(give, time.Duration(1+g.rng.IntN(100))*milli)
 			}
--- a/internal/engine/enginetest/upstream.go
+++ b/internal/engine/enginetest/upstream.go
@@ -131,6 +131,22 @@
 			t.Errorf("a server that is gone: %v", got)
 		}
 	})
+	t.Run("an attempt that may not be made any more is not sent", func(t *testing.T) {
+		up, list := u.Start(t, Serves)
+		up.Update(list)
+		for _, conn := range []string{"a new connection", "one that is there"} {
+			looks := 0
+			may := func() (time.Time, bool) { looks++; return time.Time{}, false }
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			got, _ := up.Find(engine.BackendID("a")).Exchange(ctx, engine.Attempt{Message: u.Message(), Timeout: patience, May: may})
+			if cancel(); !got.NeverRan() || looks == 0 {
+				t.Errorf("%s: %v after %d looks", conn, got, looks)
+			}
+			if got, _ := u.once(t, context.Background(), up); got != decision.OK {
+				t.Errorf("%s: the next one ends as %v", conn, got)
+			}
+		}
+	})
 	t.Run("release", func(t *testing.T) {
 		up, list := u.Start(t, Serves)
 		up.Update(list)
