--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -364,7 +364,7 @@
 		return
 	}
 	r.ended = true
-	r.over.Store(true)
+	r.sends.end()
 	a.MayHaveRun = r.mayHaveRun()
 	r.result <- a
 	l.drop(r.expiry)
@@ -503,7 +503,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b := h.opts.Upstream.Find(to)
-	if r.over.Load() || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
+	if r.sends.isOver() || b == nil || now >= until || n >= h.opts.Module.Caps.MaxAttempts ||
 		r.out > 1 && !h.opts.Module.Caps.SecondCopies || n > 0 && !h.opts.Repeat() {
 		h.deferred = append(h.deferred, func() { h.outcome(r, n, decision.Moot, nil) })
 		return
@@ -527,9 +527,6 @@
 	}
 	window := repeats(h.opts.Module.Classes[min(max(r.Class, 0), len(h.opts.Module.Classes)-1)])
 	may := func() (time.Time, bool) {
-		if r.over.Load() {
-			return time.Time{}, false
-		}
 		by, ok := r.sends.begin(n, h.clock.Now(), window)
 		if by == 0 {
 			return time.Time{}, ok
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -11,7 +11,6 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"lapisspread/decision"
@@ -161,8 +160,7 @@
 	attempts []*attempt
 	out      int
 	ended    bool
-	over     atomic.Bool // it has ended, or its client has left: read by attempts that are yet to be sent
-	timedOut bool        // the last attempt
+	timedOut bool // the last attempt
 	expiry   *timer
 	stream   Stream // its answer, if that is a long one
 	sends    sends
@@ -173,7 +171,7 @@
 
 // Leave notes that the client has left, for attempts that are about to be sent: these ask by it before the engine has come
 // to handle Gone. It may be called by any goroutine.
-func (x *Exchange) Leave() { x.over.Store(true) }
+func (x *Exchange) Leave() { x.sends.end() }
 
 // Result gives the one result.
 func (x *Exchange) Result() <-chan Result { return x.result }
--- a/internal/engine/sends.go
+++ b/internal/engine/sends.go
@@ -11,6 +11,7 @@
 // sends is what of a request's attempts has gone out, for the goroutines that carry them out.
 type sends struct {
 	mu    sync.Mutex
+	over  bool            // the request has ended, or its client has left: nothing more goes out
 	began []time.Duration // by attempt, when its first byte went out; 0 is not, or it is proved that it did not run
 }
 
@@ -30,6 +31,9 @@
 func (s *sends) begin(n int, now, window time.Duration) (by time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.over {
+		return 0, false
+	}
 	if window < math.MaxInt64 {
 		for i, at := range s.began {
 			if i != n && at != 0 && (by == 0 || at+window < by) {
@@ -55,3 +59,16 @@
 		s.began[n] = 0
 	}
 }
+
+// end has nothing more go out.
+func (s *sends) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+}
+
+func (s *sends) isOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -340,32 +340,25 @@
 	return newConn(nc, epoch, p.unreserve), nil
 }
 
-// clear tells why a request's first byte may not be written to a connection, asked right before it would be, and until
-// when its last may; zero is at any time.
+// clear tells why a request's first byte may not be written to a connection, asked right before it would be.
 //
 // Danger: since the connection was chosen it may have taken its time to come up, or its goroutine may have had to wait
 // for a processor. By then the backend may drain or have moved; who asked may have left, which a goroutine of its own
 // would tell the connection, maybe after the write; and what has come on the connection would be taken for the answer.
-func (p *pool) clear(ctx context.Context, b *backend, c *conn, m *message) (by time.Time, err error) {
+func (p *pool) clear(ctx context.Context, b *backend, c *conn) error {
 	if ctx.Err() != nil {
-		return by, context.Cause(ctx)
+		return context.Cause(ctx)
 	}
 	p.mu.Lock()
 	closed := b.draining || b.epoch != c.epoch
 	p.mu.Unlock()
 	switch {
 	case closed:
-		return by, errClosed
+		return errClosed
 	case !c.quiet():
-		return by, errStale
-	case m.may == nil:
-		return by, nil
-	}
-	by, ok := m.may() // last: from here on the attempt counts as begun
-	if !ok {
-		return by, errTooLate
+		return errStale
 	}
-	return by, nil
+	return nil
 }
 
 // message is a request as a client has sent it: what goes to a backend, as often as the module says.
@@ -382,6 +375,18 @@
 	may    func() (by time.Time, ok bool) // see engine.Attempt; nil is at any time
 }
 
+// mayGo tells until when the message's last byte may go out, zero is at any time, or that its first may not any more.
+func (m *message) mayGo() (by time.Time, err error) {
+	if m.may == nil {
+		return time.Time{}, nil
+	}
+	by, ok := m.may()
+	if !ok {
+		err = errTooLate
+	}
+	return by, err
+}
+
 // Spent tells whether there can be no further attempt.
 func (m *message) Spent() bool { return m.upload.isSpent() }
 
@@ -431,7 +436,11 @@
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
-	by, err := p.clear(ctx, b, c, m)
+	err := p.clear(ctx, b, c)
+	var by time.Time
+	if err == nil {
+		by, err = m.mayGo()
+	}
 	switch {
 	case err != nil:
 	case m.upload != nil: // there is no further attempt at it once bytes of it have gone out
@@ -458,13 +467,18 @@
 			failed = p.handOver(ctx, resp, long, m)
 		}
 		if failed == nil && (whole || resp.StatusCode != http.StatusOK) {
-			if !stop() || resp.Close || !whole || long != nil && resp.StatusCode != http.StatusOK {
+			result, cut := answered(resp), long != nil && resp.StatusCode != http.StatusOK
+			if !stop() || resp.Close || !whole || cut {
 				c.Close()
 			} else {
 				c.limitRead(time.Time{})
 				p.putIdle(b, c)
 			}
-			return answered(resp), body, false
+			// Danger: what was not read to its end may be spoilt, and a spoilt answer does not prove that nothing ran.
+			if cut && result == decision.Full {
+				result = decision.Error
+			}
+			return result, body, false
 		}
 		if err == nil {
 			err = failed
