--- a/internal/engine/sends_test.go
+++ b/internal/engine/sends_test.go
@@ -200,3 +200,27 @@
 		t.Errorf("a safe class may be repeated for %v", got)
 	}
 }
+
+// A request comes whose time is over, or ends in that moment: it is not sent, and gets its one answer at once.
+func TestARequestWhoseTimeIsOver(t *testing.T) {
+	for _, left := range []time.Duration{-time.Hour, -time.Second, 0} {
+		l := testEngine(t)
+		l.handle(func() {
+			l.list(List{Full: true, Members: []Member{{ID: "a", Addr: "a:1", State: decision.Ready}}}, decision.ListFull)
+		})
+		x := &Exchange{Message: message{}, Deadline: l.clock.Now() + left}
+		x.Open()
+		l.handle(func() { l.Take(x) })
+		select {
+		case r := <-x.Result():
+			if r.End != Failed || !r.TimedOut || r.MayHaveRun {
+				t.Errorf("%v left: %+v", left, r)
+			}
+		default:
+			t.Errorf("%v left: no answer", left)
+		}
+		if len(x.attempts) != 0 || len(l.requests) != 0 {
+			t.Errorf("%v left: %d attempts, %d requests held", left, len(x.attempts), len(l.requests))
+		}
+	}
+}
