Test that what is chosen is not closed, and that a late connection of who left is let go

Safe since a request's first byte is looked at by clear; forced by barriers: - Between the choice of an idle connection and the write, retire, Release, an eviction for want of a socket and a list come: it carries its request, and is closed by them once it is idle. TestWhatIsChosenIsNotClosed fails without the removal in takeIdle ("2 connections, 1 open"). - Through the whole proxy, a client leaves while its attempt's connection is being made, which comes up all the same: nothing is written, nothing stays counted.

--- a/internal/proxy/crossings_test.go
+++ b/internal/proxy/crossings_test.go
@@ -441,3 +441,105 @@
 		})
 	}
 }
+
+// What closes idle connections, for their age, for want of a socket or by the module's word, does not reach one that was
+// just chosen; and one on which bytes come as it is closed is nobody's.
+func TestWhatIsChosenIsNotClosed(t *testing.T) {
+	for name, act := range map[string]func(*pool){
+		"retire":  func(p *pool) { p.retire(time.Now().Add(2 * p.idleFor)) },
+		"release": func(p *pool) { p.Release(backendID("a")) },
+		"evict": func(p *pool) {
+			p.limitOpen(1)
+			if p.reserve() {
+				p.unreserve()
+			}
+		},
+		"the same list": func(p *pool) {
+			p.Update(List{Full: true, Members: []Member{{ID: "a", State: decision.Ready}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var conns atomic.Int32
+			var p *pool
+			reuse := false
+			p, b := hooked(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				conns.Add(1)
+				for readWhole(in) {
+					say(c, served)
+				}
+			}), func(_ int, c *hookedConn) {
+				c.chosen = func() {
+					if reuse {
+						act(p)
+					}
+				}
+			})
+			for range 2 {
+				if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+					t.Errorf("result %v", result)
+				}
+				reuse = true
+			}
+			if n := conns.Load(); n != 1 || p.open != 1 {
+				t.Errorf("%d connections, %d open", n, p.open)
+			}
+			c := b.idle[0]
+			act(p) // now it is idle
+			if left := len(b.idle); p.open != left || left == 0 && silent(c.Conn) {
+				t.Errorf("%d idle, %d open", left, p.open)
+			}
+		})
+	}
+}
+
+// A client leaves while its first attempt's connection is being made. It comes up all the same, late: nothing is written to
+// it, and nothing of it remains.
+func TestAClientThatLeavesDuringTheDial(t *testing.T) {
+	got := make(chan int, 1)
+	addr := rawBackend(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	})
+	p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), func(c *Config) {
+		c.Module.Caps.ConnectTimeout = patience
+	})
+	resp, err := http.Get("http://" + p.addr + "/_health") // it serves
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	pool := p.proxy.services.now.Load().byName[""].pool
+	dialing, given := make(chan bool, 1), make(chan bool, 1)
+	pool.mu.Lock()
+	pool.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dialing <- true
+		<-ctx.Done()
+		given <- context.Cause(ctx) == context.Canceled
+		return net.Dial(network, addr)
+	}
+	pool.mu.Unlock()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: leaves\r\nX-Priority-Class: hand-in\r\nX-Timeout-Ms: 60000\r\nContent-Length: 0\r\n\r\n")
+	within(t, dialing, "nothing was dialled")
+	c.Close()
+	if !within(t, given, "the attempt was not given up") {
+		t.Error("it was given up for its time alone")
+	}
+	if n := within(t, got, "the connection stayed open"); n != 0 {
+		t.Error("it was written to")
+	}
+	for start := time.Now(); ; time.Sleep(time.Millisecond) {
+		pool.mu.Lock()
+		open := pool.open
+		pool.mu.Unlock()
+		if open == 0 {
+			break
+		}
+		if time.Since(start) > patience {
+			t.Fatalf("%d connections are still counted", open)
+		}
+	}
+}
