Keep the last answer on its way when a connection is closed over unread bytes

Seen: a client with requests behind one another gets an answer with Connection: close while the next one stands unread; net/http closes the socket at once, the kernel resets it, and what of the answer was in the send buffer is lost ("128000 bytes of 262144 came, connection reset by peer"). net/http's own end over a body that was not read waited half a second, but never ended the sending, since clientConn hid the socket's CloseWrite. Ruled out: one request at a time is safe without this: whoever sends the next one has the whole answer.

Lines: proxy/clients.go Close.

The bytes stay unread, so that their client sends them again elsewhere. Meanwhile the connection keeps its place, and is the first to give it up.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	all      map[*clientConn]bool
 	most     int
+	linger   time.Duration // for the last answer on a connection, where bytes stand unread
 	draining bool          // the process ends
 	lastIn   time.Duration // by the front end's clock: who comes after it has no time for a long answer,
 	ends     time.Duration // and a short one must be out by then
@@ -43,7 +44,7 @@
 }
 
 func newClientConns(most int) *clientConns {
-	return &clientConns{all: map[*clientConn]bool{}, most: most}
+	return &clientConns{all: map[*clientConn]bool{}, most: most, linger: rejectDrain}
 }
 
 // clientConn is a client's connection. It knows whether it stands between two requests.
@@ -65,6 +66,7 @@
 	inHand  bool   // the last byte of a request was handed to the server, and it has not done with it
 	wrote   bool   // something of an answer to it
 	overrun bool   // more came behind a request than is held
+	lingers bool   // its last answer is on its way out; it serves no more
 }
 
 // Read gives what has come, up to the end of a message. While a request is in hand it gives nothing but the client's end.
@@ -234,7 +236,7 @@
 func (c *clientConn) Evict() bool {
 	c.mu.Lock()
 	whole := c.serving || len(c.framer.ended) > 0 || c.framer.state != inHead && c.framer.state != lost
-	evicted := !c.closed && !whole && (c.quiet() || len(c.pending) == 0 && over(c.Conn))
+	evicted := !c.closed && (c.lingers || !whole) && (c.lingers || c.quiet() || len(c.pending) == 0 && over(c.Conn))
 	c.closed = c.closed || evicted
 	c.mu.Unlock()
 	if evicted {
@@ -246,7 +248,30 @@
 // quiet tells whether nothing stands to be read. The lock must be held.
 func (c *clientConn) quiet() bool { return len(c.pending) == 0 && silent(c.Conn) }
 
+// Close closes the connection. Danger: a close over unread bytes resets it, and what of an answer has not reached the client
+// is lost with that. So where there are some, the sending is ended first and the rest comes a little later. They are not
+// read: the client sends such a request again elsewhere.
 func (c *clientConn) Close() error {
+	c.mu.Lock()
+	linger := c.wrote && !c.closed && !c.lingers && (len(c.pending) > 0 || !silent(c.Conn) && !over(c.Conn))
+	c.lingers = c.lingers || linger
+	c.mu.Unlock()
+	if linger && c.CloseWrite() == nil {
+		time.AfterFunc(c.conns.linger, func() { c.finish() })
+		return nil
+	}
+	return c.finish()
+}
+
+// CloseWrite ends the sending: the server does so before it closes what it has not read to its end.
+func (c *clientConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+func (c *clientConn) finish() error {
 	err := c.Conn.Close()
 	c.once.Do(func() {
 		c.conns.mu.Lock()
@@ -275,7 +300,7 @@
 // evict closes the connection for one that comes, unless something stands to be read on it.
 func (c *clientConn) evict() bool {
 	c.mu.Lock()
-	evicted := (c.waiting || c.fresh) && c.quiet()
+	evicted := c.lingers || (c.waiting || c.fresh) && c.quiet()
 	c.closed = c.closed || evicted
 	c.since = time.Now()
 	c.mu.Unlock()
@@ -430,9 +455,10 @@
 	fresh, since := false, time.Time{}
 	for c := range s.all {
 		c.mu.Lock()
-		if (c.waiting || c.fresh) && !c.closed &&
-			(found == nil || c.fresh && !fresh || c.fresh == fresh && c.since.Before(since)) {
-			found, fresh, since = c, c.fresh, c.since
+		first := c.fresh || c.lingers
+		if (c.waiting || first) && !c.closed &&
+			(found == nil || first && !fresh || first == fresh && c.since.Before(since)) {
+			found, fresh, since = c, first, c.since
 		}
 		c.mu.Unlock()
 	}
--- /dev/null
+++ b/internal/proxy/linger_test.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// unreadBehind is a connection whose answer does not fit into the sockets' buffers and has bytes unread behind its request.
+func unreadBehind(t *testing.T, conns *clientConns, answer string) (client net.Conn, c *clientConn) {
+	t.Helper()
+	client, c = clientPair(t, conns)
+	client.(*net.TCPConn).SetReadBuffer(64 << 10)
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	io.WriteString(client, request+hidden)
+	if _, err := io.ReadFull(c, make([]byte, len(request))); err != nil {
+		t.Fatal(err)
+	}
+	c.Conn.(*net.TCPConn).SetWriteBuffer(1 << 20)
+	if _, err := io.WriteString(c, answer); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(client, hidden) // so that something stands unread in the socket itself
+	eventually(t, "nothing comes", func() bool { return !silent(c.Conn) })
+	return client, c
+}
+
+// A connection is closed while bytes stand unread on it: its last answer comes whole all the same, and then its end. A client
+// that comes takes its place at once.
+func TestACloseOverUnreadBytesLosesNoAnswer(t *testing.T) {
+	answer := strings.Repeat("0123456789abcdef", 16<<10)
+	conns := newClientConns(4)
+	conns.linger = patience
+	client, c := unreadBehind(t, conns, answer)
+	c.Close()
+	client.SetReadDeadline(time.Now().Add(patience))
+	if got, err := io.ReadAll(client); err != nil || string(got) != answer {
+		t.Errorf("%d bytes of %d came, %v", len(got), len(answer), err)
+	}
+	if !conns.all[c] {
+		t.Error("its place is given away though its descriptor is not")
+	}
+	if !conns.evictIdle() || conns.all[c] {
+		t.Error("it makes no place")
+	}
+	client, c = unreadBehind(t, conns, "short")
+	c.Close()
+	if !c.Evict() || conns.all[c] {
+		t.Error("it makes no place at the door")
+	}
+	client.Close()
+	conns.linger = time.Millisecond
+	_, c = unreadBehind(t, conns, "short")
+	c.Close()
+	eventually(t, "it is never closed", func() bool { return len(conns.list()) == 0 })
+}
+
+// A client sends requests one behind the other while the proxy ends: the one in hand is answered whole, and then the
+// connection ends without one byte of an answer that is not whole. The next request is not sent on.
+func TestTheEndCrossesRequestsBehindOneAnother(t *testing.T) {
+	came, release := make(chan bool, 8), make(chan bool)
+	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for readWhole(in) {
+			came <- true
+			<-release
+			say(c, served)
+		}
+	})
+	p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), nil)
+	c := leaver(t, p, "fetch-work", fmt.Sprintf("%s%s", hidden, strings.Replace(hidden, "hidden", "third", 1)))
+	within(t, came, "the backend got nothing")
+	p.ending(t)
+	close(release)
+	c.SetReadDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(c)
+	if resp, _ := mustAnswer(t, http.StatusOK)(readAnswer(in)); !resp.Close {
+		t.Error("the answer leaves its connection open")
+	}
+	if rest, err := io.ReadAll(in); len(rest) > 0 || timedOut(err) {
+		t.Errorf("after the last answer: %q, %v", rest, err)
+	}
+	p.ended(t)
+	if len(came) != 0 {
+		t.Error("what stood behind the last answer was sent on")
+	}
+}
