Judge a proxy that was stopped by the word it was told meanwhile, as before

The check stands as it was, and TestRules convicts a proxy that wakes and sends before it reads: seen to fail by the looser check (no breach).

--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -102,9 +102,8 @@
 	base     uint64 // number of entries[0]
 	entries  []entry
 	now      time.Duration
-	told     [][]telling     // by proxy, by node
-	stopped  []bool          // by proxy
-	woken    []time.Duration // first send after it had a processor again; below 0 before that send
+	told     [][]telling // by proxy, by node
+	stopped  []bool      // by proxy
 	breaches []Breach
 	counts   map[Rule]int
 	unjudged int
@@ -195,7 +194,7 @@
 	for range set.Classes {
 		l.latency = append(l.latency, hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3))
 	}
-	l.stopped, l.woken = make([]bool, set.Proxies), make([]time.Duration, set.Proxies)
+	l.stopped = make([]bool, set.Proxies)
 	for range set.Proxies {
 		l.told = append(l.told, make([]telling, set.Nodes))
 	}
@@ -291,10 +290,7 @@
 	}
 	l.nodes[node].PerSecond[s]++
 	l.second(at).attempts++
-	if l.woken[proxy] < 0 {
-		l.woken[proxy] = at
-	}
-	if t := &l.told[proxy][node]; t.known && t.listing != world.Active && at > max(t.since, l.woken[proxy])+l.set.DrainGrace {
+	if t := &l.told[proxy][node]; t.known && t.listing != world.Active && at > t.since+l.set.DrainGrace {
 		l.breach(Breach{Rule: Drain, What: "a send to a node that drains or is gone", Proxy: proxy, Node: node,
 			Evidence: []string{fmt.Sprintf("told at %v that it is %s", t.since, t.listing),
 				fmt.Sprintf("sent at %v, %v after that; the grace is %v", at, at-t.since, l.set.DrainGrace)}}, at, id, nil)
@@ -498,11 +494,8 @@
 }
 
 // ProxyStopped notes that a proxy has no processor, or has one again: what it holds and what comes to it meanwhile is lost
-// through no fault of its own. It could not hear what it was told meanwhile: its grace counts from its first send after that.
+// through no fault of its own. What it does after that is judged as ever.
 func (l *Ledger) ProxyStopped(proxy int, stopped bool) {
-	if !stopped && l.stopped[proxy] {
-		l.woken[proxy] = -1
-	}
 	l.stopped[proxy] = stopped
 	l.ProxyDied(proxy)
 }
--- a/internal/lab/judge/ledger_test.go
+++ b/internal/lab/judge/ledger_test.go
@@ -71,6 +71,16 @@
 			l.Proved(id, 0)
 			serveOn(l, id, 1, 1)
 		}, nil},
+		{"woken, it sends before it reads what it was told while it was stopped", func(l *Ledger) {
+			l.Told(0, 1, 2, world.Leaving, 0)
+			l.ProxyStopped(1, true)
+			l.ProxyStopped(1, false)
+			id := ask(l, safe, 2*time.Second)
+			l.Sent(2*time.Second, id, 1, 2, 0)
+			l.Began(2*time.Second, id, 2, 0)
+			l.Made(id, 2, 0)
+			l.Answered(2*time.Second+20*ms, id, world.Served, true)
+		}, []Rule{Drain}},
 		{"a safe one repeated", func(l *Ledger) {
 			id := ask(l, safe, 0)
 			l.Sent(ms, id, 1, 0, 0)
