Prove that a missed drain is kept and that reloads may cross

Over loopback sockets: a server begins to drain while the watch is silent, refused, reset, turned away, half, garbled, past or endless; the last good list holds meanwhile, bad ones are counted (half a list too now), calls are bounded, and once discovery is well nothing new goes to that server. SIGHUP there and back, the same again, to a register that refuses, hangs or garbles at first, and away from one that is cut: the last one's list holds though it counts lower, and what the old one says then counts no more. Two moves of one moment: the later holds.

Seen to fail without: TestReloadsCross without the engine's look at which watch speaks and its end of the old source (up to 10 requests to the draining server); TestTheLaterOfTwoMovesHolds without the timer taken back (the one between is asked in its place) and without the end of the one between; TestADrainThatWasMissed without the count of half a list.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -297,6 +297,9 @@
 	began := time.Now()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, listBytes))
 	if err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) { // half a list
+			d.bad()
+		}
 		return List{}, fmt.Errorf("discovery: reading the list: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/internal/proxy/watch_test.go
+++ b/internal/proxy/watch_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -36,6 +37,7 @@
 	garbled   trouble = "garbled"
 	unordered trouble = "past changes"
 	slow      trouble = "slow" // 3 s to each answer
+	endless   trouble = "endless"
 )
 
 // troubled stands in for discovery within the process, so that time may be the bubble's.
@@ -47,10 +49,13 @@
 	changed chan struct{}
 	conns   map[net.Conn]bool
 	calls   int
+
+	addr string   // of its server
+	more []string // further ones, of which it never tells anything else
 }
 
 func newTroubled() *troubled {
-	return &troubled{now: well, version: 7, state: "active", changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	return &troubled{addr: "127.0.0.1:1", now: well, version: 7, state: "active", changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 }
 
 // turn has other trouble begin. What is open then ends, or is never heard of again.
@@ -103,6 +108,35 @@
 	}
 }
 
+// listen serves on a socket, and tells its address.
+func (d *troubled) listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); d.turn(reset) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			if d.now == refused {
+				d.calls++
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			} else {
+				d.conns[c] = true
+				go d.serve(c)
+			}
+			d.mu.Unlock()
+		}
+	}()
+	return l.Addr().String()
+}
+
 func (d *troubled) serve(c net.Conn) {
 	defer func() {
 		d.mu.Lock()
@@ -121,7 +155,7 @@
 		now, version, state, changed := d.now, d.version, d.state, d.changed
 		d.mu.Unlock()
 		query := req.URL.Query()
-		member := func() string { return memberText("a", "127.0.0.1:1", state) }
+		member := func() string { return strings.Join(append([]string{memberText("a", d.addr, state)}, d.more...), ",") }
 		ok := func(text string) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text) }
 		switch now {
 		case hung, void:
@@ -141,6 +175,12 @@
 		case unordered:
 			ok(listText(3, false))
 			continue
+		case endless:
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for err == nil {
+				_, err = fmt.Fprintf(c, "1000\r\n%4096s\r\n", "")
+			}
+			return
 		case slow:
 			time.Sleep(3 * time.Second)
 		}
@@ -433,3 +473,179 @@
 		t.Errorf("%+v, %v; %d connections", list, err, dials)
 	}
 }
+
+// pushed has a proxy watch an agent on its machine at the pace of its settings.
+func pushed(cfg *Config) {
+	cfg.Module.OnRequest = false
+	cfg.pace = paceFor(&cfg.Module)
+}
+
+// drains are two servers, and a register that names both, the first of them a draining one after drain.
+func drains(t *testing.T) (reg *troubled, known string, onA, onB chan *http.Request) {
+	onA, onB = make(chan *http.Request, 1024), make(chan *http.Request, 1024)
+	reg = newTroubled()
+	reg.addr = countingBackend(t, onA)
+	reg.more = []string{memberText("b", countingBackend(t, onB), "active")}
+	return reg, listText(7, true, memberText("a", reg.addr, "active"), reg.more[0]), onA, onB
+}
+
+// avoids waits until a proxy has learnt that a server drains, and sends it nothing from then on.
+func (p *running) avoids(t *testing.T, on chan *http.Request) {
+	t.Helper()
+	for start := time.Now(); !strings.Contains(p.logs.String(), "state=draining"); time.Sleep(time.Millisecond) {
+		if time.Since(start) > patience {
+			t.Fatal("the drain is not learnt")
+		}
+	}
+	mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, "")) // the list was logged just before it was handed on
+	before := len(on)
+	for range 20 {
+		mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+	}
+	if n := len(on) - before; n != 0 {
+		t.Errorf("%d requests to the draining server", n)
+	}
+}
+
+// A server begins to drain while the watch is silent, cut or turned away, or what comes is no list. The last good list holds
+// meanwhile and all are served; the drain is learnt once discovery is well, and then nothing new goes there.
+func TestADrainThatWasMissed(t *testing.T) {
+	for _, what := range []trouble{hung, refused, reset, turned, half, garbled, unordered, endless} {
+		t.Run(string(what), func(t *testing.T) {
+			t.Parallel()
+			reg, known, onA, _ := drains(t)
+			addr := reg.listen(t)
+			p := startProxy(t, known, newCatalog(t), func(cfg *Config) { pushed(cfg); cfg.Discovery = addr })
+			until := func(made int) {
+				t.Helper()
+				for start := time.Now(); reg.made() < made; time.Sleep(time.Millisecond) {
+					if time.Since(start) > patience {
+						t.Fatalf("%d calls", reg.made())
+					}
+				}
+			}
+			until(2) // the one that shows that it answers, and a watch
+			reg.turn(what)
+			began, before := time.Now(), reg.made()
+			reg.drain(9)
+			until(before + 2)
+			mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+			if strings.Contains(p.logs.String(), "state=draining") {
+				t.Error("the drain is learnt from what is no list")
+			}
+			if made, most := reg.made()-before, 20+int(time.Since(began)/(20*time.Millisecond)); made > most {
+				t.Errorf("%d calls in %v", made, time.Since(began))
+			}
+			reg.turn(well)
+			p.avoids(t, onA)
+			if bad := p.proxy.own.ListsBad.Load() > 0; bad != (what == half || what == garbled || what == endless) {
+				t.Errorf("%d bad lists are counted", p.proxy.own.ListsBad.Load())
+			}
+		})
+	}
+}
+
+// SIGHUP once and again, back to where it was, and to a register that can't be used yet: what holds at last is the list of the last
+// one named, whatever its number, and what others still say counts no more.
+func TestReloadsCross(t *testing.T) {
+	for name, play := range map[string]func(p *running, to func(*troubled), last, other *troubled){
+		"twice in a row": func(p *running, to func(*troubled), last, other *troubled) { to(other); to(last) },
+		"there and back": func(p *running, to func(*troubled), last, other *troubled) { to(last); to(other); to(last) },
+		"the same again": func(p *running, to func(*troubled), last, other *troubled) { to(last); to(last) },
+		"refused at first": func(p *running, to func(*troubled), last, other *troubled) {
+			last.turn(refused)
+			to(last)
+			awaits(p, last)
+			last.turn(well)
+		},
+		"hung at first": func(p *running, to func(*troubled), last, other *troubled) {
+			last.turn(hung)
+			to(last)
+			awaits(p, last)
+			last.turn(well)
+		},
+		"garbled at first": func(p *running, to func(*troubled), last, other *troubled) {
+			last.turn(garbled)
+			to(last)
+			awaits(p, last)
+			last.turn(well)
+		},
+		"the old one is cut": func(p *running, to func(*troubled), last, other *troubled) { other.turn(reset); to(last) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			other, known, onA, _ := drains(t) // which says nothing but that all are well, under higher numbers
+			other.version = 900
+			last := newTroubled()
+			last.addr, last.more, last.version, last.state = other.addr, other.more, 3, "leaving"
+			addrs := map[*troubled]string{other: other.listen(t), last: last.listen(t)}
+			p := startProxy(t, strings.Replace(known, `"generation":7`, `"generation":900`, 1), newCatalog(t), func(cfg *Config) { pushed(cfg); cfg.Discovery = addrs[other] })
+			mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+			play(p, func(r *troubled) {
+				cfg := p.proxy.cfg
+				cfg.Discovery = addrs[r]
+				p.proxy.Reload(cfg)
+			}, last, other)
+			p.avoids(t, onA)
+			// The old one speaks up, under a higher number.
+			other.mu.Lock()
+			other.version = 950
+			close(other.changed)
+			other.changed = make(chan struct{})
+			other.mu.Unlock()
+			before, asked := len(onA), last.made()
+			for start := time.Now(); last.made() < asked+2; time.Sleep(20 * time.Millisecond) { // it goes on to be watched
+				if time.Since(start) > patience {
+					t.Fatal("the new register is watched no more")
+				}
+				mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+			}
+			if n := len(onA) - before; n != 0 {
+				t.Errorf("%d requests to the draining server, which only the old register calls ready", n)
+			}
+		})
+	}
+}
+
+// Two moves of one moment, by each of some chances: the later one holds, however the times that they draw lie.
+func TestTheLaterOfTwoMovesHolds(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			first, second, third := newTroubled(), newTroubled(), newTroubled()
+			a, b, c := first.listen(t), second.listen(t), third.listen(t)
+			known, _ := parseList([]byte(listText(7, true, memberText("a", "127.0.0.1:1", "active"))))
+			m := decision.Config{Instances: 1, Tick: time.Millisecond, Classes: []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
+				Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}}
+			at := func(addr string) *discovery { return newDiscovery(addr, paceFor(&m), slog.New(slog.DiscardHandler)) }
+			e, err := engine.New(engine.Options{Module: m, Seed: seed, Known: known, Upstream: &learner{}, Source: at(a)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() { e.Run(ctx); close(ended) }()
+			skipped := at(b)
+			e.Post(func() { e.MoveTo(skipped); e.MoveTo(at(c)) })
+			for start := time.Now(); third.made() == 0; time.Sleep(time.Millisecond) {
+				if time.Since(start) > patience {
+					t.Fatal("the last one is not asked")
+				}
+			}
+			time.Sleep(600 * time.Millisecond) // a move that was not taken back would be made in this time
+			addr := make(chan string)
+			e.Post(func() { addr <- e.Source().Addr() })
+			if now, n := <-addr, second.made(); now != c || n != 0 || skipped.ctx.Err() == nil {
+				t.Errorf("%s is asked, want %s; the one between was asked %d times, and is closed: %v", now, c, n, skipped.ctx.Err() != nil)
+			}
+			cancel()
+			<-ended
+		})
+	}
+}
+
+// awaits waits until a register was called twice.
+func awaits(p *running, r *troubled) {
+	for start := time.Now(); r.made() < 2 && time.Since(start) < patience; time.Sleep(time.Millisecond) {
+	}
+}
