--- a/internal/lab/live/steward.go
+++ b/internal/lab/live/steward.go
@@ -364,6 +364,28 @@
 	return out, nil
 }
 
+// stand is how stewards and proxies say that they stand, to be put behind an error; empty without stewards.
+func (f *Fleet) stand() string {
+	if len(f.r.stewards) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	all, err := f.statuses()
+	for no, s := range all {
+		text, _ := json.Marshal(s) // it can always be
+		fmt.Fprintf(&b, "\nsteward %d: %s", no, text)
+	}
+	if err != nil {
+		fmt.Fprintf(&b, "\nstewards: %v", err)
+	}
+	for _, no := range f.All() {
+		text, err := call(f.r.proxies[no].newest().console, "FLEET")
+		head, _, _ := strings.Cut(text, "\n")
+		fmt.Fprintf(&b, "\nproxy %d: %s %v", no, head, err)
+	}
+	return b.String()
+}
+
 // leading is the leader with the highest term of those who answer; nil is none.
 func (f *Fleet) leading() (at int, led *fleet.Status, err error) {
 	all, err := f.statuses()
