Test a hand-over with a request in the old process, and readiness without discovery

Both crossings were safe already; these tests hold them so. A request stands in the old process while the next one serves from the same passed socket and clients keep coming: it is answered by the old one past the time for new connections, and everybody who comes is served. A proxy says that it is ready whatever discovery does (silent, refused, closing), with any list from the start or none.

--- /dev/null
+++ b/internal/proxy/handover_test.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sharing starts a process of a proxy on a socket that is passed from one to the next.
+func sharing(t *testing.T, held *net.TCPListener, dir, known string) *running {
+	t.Helper()
+	cfg, err := parseConfig(configText(known))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir, cfg.PassedSocket, cfg.pace = dir, "3", untilTold
+	file, err := held.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	listener, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logs := &lockedBuffer{}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &running{addr: listener.Addr().String(), stop: stop, done: make(chan error, 1), logs: logs}
+	p.proxy = New(cfg, slog.New(slog.NewTextHandler(logs, nil)))
+	go func() { p.done <- p.proxy.serve(ctx, listener) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-p.done; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+		p.done <- nil
+	})
+	eventually(t, "it does not serve", p.proxy.ready.Load)
+	return p
+}
+
+// A process hands over with a request in hand, while clients keep coming at the socket that both read from: the request is
+// answered by the old one, and whoever comes is served by one of them.
+func TestAHandOverWithARequestInTheOldProcess(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	came, release := make(chan bool, 1), make(chan bool)
+	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			if req.Method == "POST" {
+				came <- true
+				<-release
+			}
+			say(c, served)
+		}
+	})
+	known, dir := listText(1, true, memberText("a", addr, "active")), t.TempDir()
+	before := sharing(t, held.(*net.TCPListener), dir, known)
+	idle := silentConns(t, before.addr, 1)[0]
+	answered := make(chan error, 1)
+	go func() {
+		resp, body, err := before.ask(t, "hand-in", 19000, "homework")
+		if err == nil && (resp.StatusCode != 200 || body != "fine" || !resp.Close) {
+			err = fmt.Errorf("status %d, %q, closes %v", resp.StatusCode, body, resp.Close)
+		}
+		answered <- err
+	}()
+	within(t, came, "the backend got nothing")
+	comes := func(n int) {
+		t.Helper()
+		for range n {
+			mustAnswer(t, 200)(before.ask(t, "fetch-work", 19000, ""))
+		}
+	}
+	after := sharing(t, held.(*net.TCPListener), dir, known)
+	eventually(t, "the old process is not told of the new one", before.proxy.store.Succeeded)
+	if after.proxy.store.Succeeded() {
+		t.Error("the new process takes the old one for its successor")
+	}
+	comes(20)
+	before.ending(t)
+	comes(20)
+	idle.SetReadDeadline(time.Now().Add(patience))
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF { // the old process is past taking connections
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	select { // it must never end with that request in hand
+	case err := <-before.done:
+		before.done <- err
+		t.Errorf("the old process has ended before its request has, with %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+	if err := within(t, answered, "no answer"); err != nil {
+		t.Errorf("the request in the old process: %v", err)
+	}
+	before.ended(t)
+	comes(20)
+}
+
+// A process is ready whatever discovery does: it need not have heard a list, nor know a server.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	silent := rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) { io.Copy(io.Discard, in) })
+	closing := rawBackend(t, func(int, net.Conn, *bufio.Reader) {})
+	for name, discovery := range map[string]string{"silent": silent, "refused": "127.0.0.1:1", "closing": closing} {
+		for _, known := range []string{listText(1, true), listText(1, true, memberText("a", silent, "active")), "null"} {
+			t.Run(name+" "+known, func(t *testing.T) {
+				t.Parallel()
+				p := startProxy(t, known, newCatalog(t), func(c *Config) { c.Discovery = discovery })
+				conn := silentConns(t, p.addr, 1)[0]
+				io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: s\r\n\r\n")
+				conn.SetReadDeadline(time.Now().Add(patience))
+				resp, body := mustAnswer(t, 200)(readAnswer(bufio.NewReader(conn)))
+				if strings.TrimSpace(body) != "ok" || resp.Close {
+					t.Errorf("%q, closes %v", body, resp.Close)
+				}
+			})
+		}
+	}
+}
