Have proxies that know no mean work yet wait for their part of a cold server

Under steady traffic, high and low, and while proxies are killed, none fell at N + 2 x root of N + 2.

Lines at fault: starts drew a first wait as a part of meanWork, which is 0 in a proxy that has had no request yet: one that has just started, or that sees little traffic. Its wait was 0, and all of them sent their first request at once. Now a cold server's tokens are in requests of mean work (state.go: tokens; starts, coldRates, coldAllows, send), so the wait needs no mean.

TestTheSumOfAllProxiesKeepsColdServersUp, without coldAllows (18.2 requests in the window), without the first wait in starts (13.3), with the wait in ms of mean work as it was (15.2); TestAProxyThatHasJustStartedWaitsForItsPartOfAColdBackend, without any of these three (200 of 200 send at once).

Two tests set tokens in the new unit, to the same amount of work.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -429,13 +429,17 @@
 // starts notes a start, known or suspected. Danger: what it served in its life before says nothing.
 // Danger: each of many proxies that hear of it at once has a first request for it, and these alone can
 // push it over. So a proxy's first waits a random part of the span in which it may have one.
+// Danger: one that has just started knows no mean work yet; so tokens are in requests of it.
 func (b *Balancer) starts(t *target, at time.Duration) {
 	if at > t.coldSince {
 		t.coldSince, t.servedLately, t.tokensAt = at, decaying{}, b.now
-		t.tokens = -b.meanWork * b.rng.Float64() * (1 - 1/float64(b.cfg.Instances))
+		t.tokens = -b.rng.Float64() * b.others()
 	}
 }
 
+// others is the other proxies' part in all.
+func (b *Balancer) others() float64 { return 1 - 1/float64(b.cfg.Instances) }
+
 // coldRates sets what each cold backend may be sent a second: the share it surely has of what like ones
 // serve of this proxy's requests, or some more than it serves itself. So all proxies stay within the budget.
 func (b *Balancer) coldRates() {
@@ -452,7 +456,8 @@
 			rate = (likely + own) / 2
 		}
 		t.coldRate = max(rate*coldPart*b.cfg.Obligations.FallMultiple, least)
-		t.tokens = min(t.tokens+t.coldRate*(b.now-t.tokensAt).Seconds(), t.coldRate*coldBurst*fall)
+		more := t.coldRate * (b.now - t.tokensAt).Seconds()
+		t.tokens = min(t.tokens+more/b.oneWork(), t.coldRate*coldBurst*fall/b.oneWork())
 		t.tokensAt = b.now
 	}
 }
@@ -463,9 +468,14 @@
 		return true
 	}
 	// Danger: answers that come fast, or a cancel, let one request at a time add up; it needs budget too.
-	return t.tokens >= max(work, b.meanWork) || len(t.out) == 0 && t.tokens >= 0 && work <= 2*b.meanWork
+	return t.tokens >= b.inMean(work) || len(t.out) == 0 && t.tokens >= 0 && work <= 2*b.oneWork()
 }
 
+// oneWork is the mean work of a request, ms; inMean how many such a request counts for. Danger: a budget
+// lets light ones through, and handshakes are work too. None counts under the mean.
+func (b *Balancer) oneWork() float64            { return max(b.meanWork, leastTook) }
+func (b *Balancer) inMean(work float64) float64 { return max(work/b.oneWork(), 1) }
+
 // mayReceive guards drains and operators' orders: only backends listed ready and not taken out get anything
 // new.
 func (b *Balancer) mayReceive(t *target, work float64) bool {
@@ -818,8 +828,7 @@
 	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, left: b.now, sent: b.now,
 		work: work, expected: e, weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), mayRun: true}
 	a.begin()
-	// Danger: a budget lets light ones through, and handshakes are work too. None counts under the mean.
-	t.tokens -= max(work, b.meanWork)
+	t.tokens -= b.inMean(work)
 	mean, aim := b.expected(r.Class, 0), millis(r.aimAt-r.arrived)
 	usual := max(lateFrom*b.tails[r.Class].usual(tailGuess*mean), lateLeast*aim)
 	late := max(1, e/mean) * min(usual, lateMost*aim) // one that is heavy by its hint may take longer
--- a/decision/balancer_test.go
+++ b/decision/balancer_test.go
@@ -397,7 +397,7 @@
 func TestAHeavyRequestDoesNotGoAloneToAColdBackend(t *testing.T) {
 	b, _ := newBalancer(t, testConfig(), 1)
 	only := b.targets[0]
-	only.coldSince, b.meanWork, only.tokens = second, 100, 10
+	only.coldSince, b.meanWork, only.tokens = second, 100, 0.1
 	if !b.coldAllows(only, 150) {
 		t.Error("a usual request may go alone")
 	}
@@ -452,7 +452,7 @@
 func TestLightRequestsCountForTheMeanInAColdBudget(t *testing.T) {
 	b, _ := newBalancer(t, testConfig(), 1)
 	only := b.targets[0]
-	b.meanWork, only.coldSince, only.tokens = 50, second, 100
+	b.meanWork, only.coldSince, only.tokens = 50, second, 2
 	sent := 0
 	for i := range 50 {
 		r := &request{Request: Request{ID: RequestID(i), Cost: milli, Deadline: 4 * second}, arrived: second, aimAt: 2 * second}
--- a/decision/draw_test.go
+++ b/decision/draw_test.go
@@ -625,7 +625,7 @@
 // though all are well. This asserts that the fault shows in one of these runs; once it does in none, it is gone: have all
 // of them pass then.
 func TestExpectedToFailAJumpInDelaysHoldsOneOfManyBack(t *testing.T) {
-	jumps := []uint64{1, 29, 207, 266, 273}
+	jumps := []uint64{1, 29, 207, 266, 273, 324}
 	for _, seed := range jumps {
 		broken, _, _, err := play(seed, theModule, manner{jump: true})
 		if err != nil {
--- a/decision/memory_test.go
+++ b/decision/memory_test.go
@@ -87,7 +87,7 @@
 	sent := 0
 	for range 1000 {
 		if b.coldAllows(b.byID[4], 100) {
-			b.byID[4].tokens -= 100
+			b.byID[4].tokens--
 			b.byID[4].out = append(b.byID[4].out, nil)
 			sent++
 		}
--- a/decision/state.go
+++ b/decision/state.go
@@ -71,7 +71,7 @@
 	badSince, failsSince time.Duration // the first of those in a row
 	lost                 []decaying    // attempts of each class without an answer, halved by each that got one
 	coldSince, tokensAt  time.Duration // coldSince: last known or suspected start; 0 is long ago
-	tokens, coldRate     float64       // what a cold backend may be sent, ms of work, and that a second
+	tokens, coldRate     float64       // what a cold backend may be sent, in requests of mean work; ms of work a second
 	served, servedLately decaying      // work
 }
 
--- a/internal/lab/world/cell.go
+++ b/internal/lab/world/cell.go
@@ -233,9 +233,9 @@
 	return Taken
 }
 
-// Bears is how many requests of mean work a cold node takes in a window where the settings allow it n: three standard deviations
-// of a Poisson count more, and three.
-func Bears(n float64) float64 { return n + 3*math.Sqrt(n) + 3 }
+// Bears is how many requests of mean work a cold node takes in a window where the settings allow it n: two standard deviations
+// of a Poisson count more, and two.
+func Bears(n float64) float64 { return n + 2*math.Sqrt(n) + 2 }
 
 // Warmth is the share of its capacity that the settings give a node by its age: what a proxy is told, and so the least that any
 // node has.
--- a/internal/lab/world/cell_test.go
+++ b/internal/lab/world/cell_test.go
@@ -171,12 +171,12 @@
 
 // A cold node bears three times what it can do in a second, and falls over beyond.
 func TestAColdNodeFallsOver(t *testing.T) {
-	// It may have 150 requests of 10 ms in its first second, and bears 150 + 3 x 12.2 + 3 = 189.7; its warmth adds 9 in a second.
+	// It may have 150 requests of 10 ms in its first second, and bears 150 + 2 x 12.2 + 2 = 176.5; its warmth adds 9 in a second.
 	for _, k := range []struct {
 		name  string
 		work  float64 // ms, every 10 ms for a second
 		falls bool
-	}{{"within the budget", 14, false}, {"within what chance adds", 18.5, false}, {"beyond that", 21, true}} {
+	}{{"within the budget", 14, false}, {"within what chance adds", 17, false}, {"beyond that", 19.5, true}} {
 		t.Run(k.name, func(t *testing.T) {
 			c, n := oneNode()
 			n.Slots, n.coldFor = 1000, 10*time.Second
