Bound the wait of a new process's first call for the list as the rests after it

Seen: where lists are asked for, the first call waited up to one connect time-out (interval/2), however long that is in the settings: with 20 s no call came for over 3 s after a start, while a change counts as told 6 s after discovery could be reached. At fault: Balancer.Start (balancer.go), the one wait for a call that ListRest did not bound. Now it does; the draw is the same where the bound is above it. Seen to fail without: TestTheRestAfterAFailedCallIsBounded ('the first call comes after' more than 2 s), which now also asks for connect time-outs of 20 s.

--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -113,7 +113,7 @@
 	b.now, b.since = now, now
 	b.host.After(b.interval/sweeps, timerSweep<<56)
 	if b.cfg.OnRequest {
-		b.host.After(jitter(b.rng, b.interval/2), timerDiscover<<56)
+		b.host.After(jitter(b.rng, min(b.interval/2, b.cfg.ListRest())), timerDiscover<<56)
 	}
 }
 
--- a/decision/balancer_test.go
+++ b/decision/balancer_test.go
@@ -506,7 +506,7 @@
 // could be reached, and what an agent on this machine has counts at once.
 func TestTheRestAfterAFailedCallIsBounded(t *testing.T) {
 	for _, asked := range []time.Duration{0, 2 * second, 10 * second, 60 * second} {
-		for _, connect := range []time.Duration{30 * time.Millisecond, second, 5 * second} {
+		for _, connect := range []time.Duration{30 * time.Millisecond, second, 5 * second, 20 * second} {
 			for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond} {
 				for _, onRequest := range []bool{true, false} {
 					cfg := testConfig()
@@ -521,7 +521,11 @@
 						t.Fatal(err)
 					}
 					b.Start(second)
-					h.take("after")
+					for _, a := range h.take("after") {
+						if a.token>>56 == timerDiscover && a.at > most {
+							t.Fatalf("asked every %v, connects in %v: the first call comes after %v", asked, connect, a.at)
+						}
+					}
 					for i := range 20 {
 						b.Membership(second, Membership{Kind: ListFailed})
 						rests := h.take("after")
