Keep idle clients to half of the places while two processes share the descriptors

Need: idle clients may fill the descriptors, and the limit is for all processes of a proxy together. Only backends' places and a door's were halved (proxy.go watchShare, clients.go add). Now a process beside another one gives no more than half of its places as long as one of these is idle, and lets idle ones beyond that go as the other comes; those in use keep all places, as before.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	all      map[*clientConn]bool
 	most     int
+	shared   bool          // with another process of this proxy
 	linger   time.Duration // for the last answer on a connection, where bytes stand unread
 	draining bool          // the process ends
 	lastIn   time.Duration // by the front end's clock: who comes after it has no time for a long answer,
@@ -399,22 +400,60 @@
 		return c
 	}
 	for range evictTries {
-		s.mu.Lock()
-		if len(s.all) < s.most {
-			s.all[c] = true
-			s.mu.Unlock()
+		if s.enter(c, s.places()) {
 			return c
 		}
+		s.mu.Lock()
 		victim := s.longestWaiting()
 		s.mu.Unlock()
 		if victim == nil {
-			return nil
+			break
 		}
 		victim.evict()
 	}
+	if s.enter(c, s.most) {
+		return c
+	}
 	return nil
 }
 
+// enter takes a connection in if there are fewer than so many.
+func (s *clientConns) enter(c *clientConn, places int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.all) >= places {
+		return false
+	}
+	s.all[c] = true
+	return true
+}
+
+// places is how many connections there may be as long as one of them is idle. Danger: in an upgrade two processes share the
+// descriptors, and idle clients could fill the places of both.
+func (s *clientConns) places() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shared {
+		return s.most / 2
+	}
+	return s.most
+}
+
+// setShared tells whether another process of this proxy has clients too. What is idle beyond the half makes place.
+func (s *clientConns) setShared(shared bool) {
+	s.mu.Lock()
+	s.shared = shared
+	s.mu.Unlock()
+	for places := s.places(); s.number() > places && s.evictIdle(); {
+	}
+}
+
+func (s *clientConns) number() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
 // evictIdle closes the connection that has been silent or idle for longest, if there is one.
 func (s *clientConns) evictIdle() bool {
 	for range evictTries {
--- a/internal/proxy/descriptors_test.go
+++ b/internal/proxy/descriptors_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -62,3 +63,35 @@
 		t.Errorf("%d that came were closed", n)
 	}
 }
+
+// In an upgrade two processes share the descriptors: idle clients fill half of the places in each, those in use all of them.
+func TestIdleClientsKeepToHalfOfThePlacesInAnUpgrade(t *testing.T) {
+	conns := newClientConns(8)
+	begin := func(client net.Conn, c *clientConn) {
+		t.Helper()
+		io.WriteString(client, "G")
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 8 {
+		clientPair(t, conns)
+	}
+	if n := conns.number(); n != 8 {
+		t.Fatalf("%d connections alone, want 8", n)
+	}
+	conns.setShared(true)
+	if n := conns.number(); n != 4 {
+		t.Errorf("%d idle connections beside another process, want 4", n)
+	}
+	for i := range 8 { // each takes the place of an idle one, as long as there are some
+		begin(clientPair(t, conns))
+		if n := conns.number(); n != max(4, i+1) {
+			t.Errorf("%d connections, %d of them in use, want %d", n, i+1, max(4, i+1))
+		}
+	}
+	conns.setShared(false)
+	if n := conns.number(); n != 8 {
+		t.Errorf("%d connections in use once alone, want 8", n)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -113,6 +113,7 @@
 		}
 		shared = now
 		p.services.halve(shared)
+		p.conns.setShared(shared)
 		if p.conns.door != nil {
 			if err := p.conns.door.Halve(shared); err != nil {
 				p.log.Error("the old admission stays", "err", err)
