Give the watches' tests settings that can be served

Two merged changes met: settings without an attempt are refused now (Caps.MaxAttempts), and three tests of the watches had none. Absent in a configuration it is 1, which they say now.

--- a/internal/proxy/watch_test.go
+++ b/internal/proxy/watch_test.go
@@ -243,7 +243,7 @@
 			{2 * time.Second, 30 * time.Millisecond, 500 * time.Millisecond}, {60 * time.Second, time.Second, 250 * time.Millisecond}} {
 			m := decision.Config{Instances: 24, Tick: 2 * time.Millisecond, OnRequest: onRequest,
 				Classes:     []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
-				Obligations: decision.Obligations{AskEvery: other.asked, DrainGrace: other.grace}, Caps: decision.Caps{ConnectTimeout: other.connect}}
+				Obligations: decision.Obligations{AskEvery: other.asked, DrainGrace: other.grace}, Caps: decision.Caps{ConnectTimeout: other.connect, MaxAttempts: 1}}
 			for _, what := range []trouble{refused, void, hung, turned, reset, half, garbled, unordered, slow} {
 				for _, by := range []string{"alone", "hub", "comeback"} {
 					t.Run(fmt.Sprintf("on request %v/asked every %v/%s/%s", onRequest, other.asked, what, by), func(t *testing.T) {
@@ -329,7 +329,7 @@
 func TestARegisterThatCountsAnewIsBelieved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := decision.Config{Instances: 1, Tick: time.Millisecond, Classes: []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
-			Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}}
+			Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}, Caps: decision.Caps{MaxAttempts: 1}}
 		reg, up := newTroubled(), &learner{}
 		d := newDiscovery("register.test:1", paceFor(&m), slog.New(slog.DiscardHandler))
 		d.dial = reg.dial(time.Second)
@@ -616,7 +616,7 @@
 			a, b, c := first.listen(t), second.listen(t), third.listen(t)
 			known, _ := parseList([]byte(listText(7, true, memberText("a", "127.0.0.1:1", "active"))))
 			m := decision.Config{Instances: 1, Tick: time.Millisecond, Classes: []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
-				Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}}
+				Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}, Caps: decision.Caps{MaxAttempts: 1}}
 			at := func(addr string) *discovery { return newDiscovery(addr, paceFor(&m), slog.New(slog.DiscardHandler)) }
 			e, err := engine.New(engine.Options{Module: m, Seed: seed, Known: known, Upstream: &learner{}, Source: at(a)})
 			if err != nil {
