--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -30,18 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	logs := &lockedBuffer{}
-	ctx, stop := context.WithCancel(context.Background())
-	p := &running{addr: listener.Addr().String(), stop: stop, done: make(chan error, 1), logs: logs}
-	p.proxy = New(cfg, slog.New(slog.NewTextHandler(logs, nil)))
-	go func() { p.done <- p.proxy.serve(ctx, listener) }()
-	t.Cleanup(func() {
-		stop()
-		if err := <-p.done; err != nil {
-			t.Errorf("serve: %v", err)
-		}
-		p.done <- nil
-	})
+	p := serveOn(t, cfg, listener)
 	eventually(t, "it does not serve", p.proxy.ready.Load)
 	return p
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -110,6 +110,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveOn(t, cfg, listener)
+}
+
+// serveOn runs a proxy on a listener until the test ends.
+func serveOn(t *testing.T, cfg Config, listener net.Listener) *running {
+	t.Helper()
 	logs := &lockedBuffer{}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &running{addr: listener.Addr().String(), stop: stop, done: make(chan error, 1), logs: logs}
