--- a/decision/balancer.go
+++ b/decision/balancer.go
@@ -28,7 +28,8 @@
 	memory     = 4     // probe intervals over which what was measured fades
 	kept       = 4     // or such a span that so many answers of each backend are remembered
 	lostWeight = 1     // expected delays that a class's unanswered attempt counts for,
-	lostMemory = 4     // fading over so many times the span that other measures fade over
+	lostMemory = 4     // fading over so many times the span that other measures fade over,
+	lostLeast  = 0.1   // and no more once it has faded to this
 	prior      = 0.5   // answers that the others' median counts for in an estimate
 	leastTook  = 0.1   // ms that an answer takes at least
 	classKeep  = 0.998 // weight of a class's earlier delays as each new one comes: some 500 count
@@ -76,14 +77,21 @@
 	brokenPrice    = 0.4  // of one after an attempt that broke, most often early, out of that budget
 	retryBurst     = 10   // further attempts that may be saved up
 
+	// Calls for the list that failed.
+	toldWithin = 6 * time.Second // all that discovery has counts as told so long after it could be reached,
+	restPart   = 4               // and this part of it is rested at most: the next call may need time too
+	graceRest  = 4               // and this part of a drain's grace, where the list is pushed,
+	leastRest  = 10 * time.Millisecond
+
 	logEvery = 2 * time.Second // a line at most, for a tired reader
 )
 
-// New makes a Balancer. Settings that make no sense give an error that names them.
+// New makes a Balancer. Settings that can't be served give a *SettingError.
 func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := cfg.check(); err != nil {
+	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
+	cfg = cfg.Bounded()
 	if cfg.RetryShare == 0 {
 		cfg.RetryShare = retryShare
 	}
@@ -93,6 +101,9 @@
 		detached: map[BackendID]time.Duration{}, requests: map[RequestID]*request{},
 		classes: make([]line, classes), tails: make([]tail, classes), all: make([]tally, 1),
 		byClass: make([]tally, classes), byTenant: make([]tally, tenants), traffic: make([]decaying, tenants)}
+	for _, c := range cfg.Classes { // until answers tell
+		b.longest = max(b.longest, millis(c.Aim))
+	}
 	b.interval = max(suspectProbe*cfg.Caps.ConnectTimeout, 20*cfg.Tick, 100*time.Millisecond)
 	return b, nil
 }
@@ -102,7 +113,7 @@
 	b.now, b.since = now, now
 	b.host.After(b.interval/sweeps, timerSweep<<56)
 	if b.cfg.OnRequest {
-		b.host.After(jitter(b.rng, b.interval/2), timerDiscover<<56)
+		b.host.After(jitter(b.rng, min(b.interval/2, b.cfg.ListRest())), timerDiscover<<56)
 	}
 }
 
@@ -171,7 +182,7 @@
 	b.now = now
 	if m.Kind == ListFailed {
 		b.asks++
-		backoff := min(b.interval<<min(b.asks, 4), max(b.cfg.Obligations.AskEvery/2, b.interval))
+		backoff := min(b.interval<<min(b.asks, 4), b.cfg.ListRest())
 		b.host.After(backoff/2+jitter(b.rng, backoff/2), timerDiscover<<56)
 		return
 	}
@@ -208,6 +219,21 @@
 	}
 }
 
+// ListRest is the longest rest between two calls for the list once one has failed. An agent on this machine,
+// which has pushed lists, costs nothing, and what it has counts as told at once: a drain's grace bears it.
+// Danger: however seldom a register has to be asked while all is well, what it has counts as told in a fixed
+// time from when it could be reached.
+func (c *Config) ListRest() time.Duration {
+	if !c.OnRequest {
+		return max(c.Obligations.DrainGrace/graceRest, leastRest)
+	}
+	most := toldWithin / restPart
+	if asked := c.Obligations.AskEvery; asked > 0 {
+		return min(max(asked/2, leastRest), most)
+	}
+	return most
+}
+
 // Detach takes a backend out by an operator's order: it gets nothing new, neither requests nor probes,
 // whatever the list says of it or whether the list knows it now. What is out there runs on.
 func (b *Balancer) Detach(now time.Duration, id BackendID) {
@@ -429,13 +455,17 @@
 // starts notes a start, known or suspected. Danger: what it served in its life before says nothing.
 // Danger: each of many proxies that hear of it at once has a first request for it, and these alone can
 // push it over. So a proxy's first waits a random part of the span in which it may have one.
+// Danger: one that has just started knows no mean work yet; so tokens are in requests of it.
 func (b *Balancer) starts(t *target, at time.Duration) {
 	if at > t.coldSince {
 		t.coldSince, t.servedLately, t.tokensAt = at, decaying{}, b.now
-		t.tokens = -b.meanWork * b.rng.Float64() * (1 - 1/float64(b.cfg.Instances))
+		t.tokens = -b.rng.Float64() * b.others()
 	}
 }
 
+// others is the other proxies' part in all.
+func (b *Balancer) others() float64 { return 1 - 1/float64(b.cfg.Instances) }
+
 // coldRates sets what each cold backend may be sent a second: the share it surely has of what like ones
 // serve of this proxy's requests, or some more than it serves itself. So all proxies stay within the budget.
 func (b *Balancer) coldRates() {
@@ -452,7 +482,8 @@
 			rate = (likely + own) / 2
 		}
 		t.coldRate = max(rate*coldPart*b.cfg.Obligations.FallMultiple, least)
-		t.tokens = min(t.tokens+t.coldRate*(b.now-t.tokensAt).Seconds(), t.coldRate*coldBurst*fall)
+		more := t.coldRate * (b.now - t.tokensAt).Seconds()
+		t.tokens = min(t.tokens+more/b.oneWork(), t.coldRate*coldBurst*fall/b.oneWork())
 		t.tokensAt = b.now
 	}
 }
@@ -463,9 +494,14 @@
 		return true
 	}
 	// Danger: answers that come fast, or a cancel, let one request at a time add up; it needs budget too.
-	return t.tokens >= max(work, b.meanWork) || len(t.out) == 0 && t.tokens >= 0 && work <= 2*b.meanWork
+	return t.tokens >= b.inMean(work) || len(t.out) == 0 && t.tokens >= 0 && work <= 2*b.oneWork()
 }
 
+// oneWork is the mean work of a request, ms; inMean how many such a request counts for. Danger: a budget
+// lets light ones through, and handshakes are work too. None counts under the mean.
+func (b *Balancer) oneWork() float64            { return max(b.meanWork, leastTook) }
+func (b *Balancer) inMean(work float64) float64 { return max(work/b.oneWork(), 1) }
+
 // mayReceive guards drains and operators' orders: only backends listed ready and not taken out get anything
 // new.
 func (b *Balancer) mayReceive(t *target, work float64) bool {
@@ -477,11 +513,16 @@
 	c := &t.own
 	limit := c.limit * part
 	if limit < 1 {
-		return c.out == 0 && b.now >= c.lastSent+span(b.mean*b.median/limit)
+		return c.out == 0 && b.now >= c.lastSent+span(b.usual()/limit)
 	}
 	return c.out == 0 || c.load+1 <= limit
 }
 
+// usual is the delay of a request by mean and median, in ms, at most the longest of late. Danger: right after
+// all delays jump, the mean is learned anew already while the median counts in means of before; their product
+// would be hundreds of times what anything takes, and one proxy of many would send next to nothing.
+func (b *Balancer) usual() float64 { return min(b.mean*b.median, b.longest) }
+
 // partFor scales limits for a request by its gain over the mean. Danger: a proxy with little traffic seldom
 // has two waiting to choose from, and all classes would be refused alike, those worth most with the rest.
 // It covers any cause of an overload. It may harm where worth is told wrongly.
@@ -540,7 +581,12 @@
 
 // score is the expected delay. Danger: a backend may lose one class's requests and serve the others as usual.
 func (b *Balancer) score(r *request, t *target) float64 {
+	// Danger: one that is unmeasured is taken to be as its only neighbour. If a trace of old losses, which
+	// never fades to nothing, broke the tie, it would get nothing and stay so, however slow the neighbour.
 	lost := t.lost[r.Class].fade(b.now, lostMemory*b.span)
+	if lost < lostLeast {
+		lost = 0
+	}
 	return (t.own.load + 1) * b.estimate(t) * (1 + lostWeight*lost)
 }
 
@@ -608,7 +654,7 @@
 		l.learn(millis(c.Aim)/2, millis(c.Aim)/2, 1)
 	}
 	r := &request{Request: q, arrived: now}
-	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(q.Cost)), q.Deadline)
+	r.aimAt = min(now+c.Aim+span(c.AimStretch*millis(q.Cost)), q.Deadline)
 	b.requests[q.ID] = r
 	b.retries = min(b.retries+b.cfg.RetryShare, retryBurst)
 	b.probes += probeShare
@@ -654,18 +700,23 @@
 // its class's and tenant's if worst served, times the chance that the answer comes in time.
 func (b *Balancer) gain(r *request) float64 {
 	g, c := &b.cfg.Goal, &b.cfg.Classes[r.Class]
-	v := (g.Whole + g.WorstWindow) / max(b.all[0].asked, 1e-9)
+	// Danger: a client's repeat counts in no tally. One that comes to a tally that has faded, unasked,
+	// would be worth a thousand others, and the mean that all are held against would stay up for hours.
+	part := func(t *tally, goal float64) float64 {
+		return goal * r.worth / max(t.asked, r.worth, 1e-9)
+	}
+	v := part(&b.all[0], g.Whole+g.WorstWindow)
 	if t := &b.byClass[r.Class]; worst(t, b.byClass, worstNear) {
-		v += g.WorstClass / t.asked
+		v += part(t, g.WorstClass)
 	}
 	if i := r.Tenant; i >= 0 && i < len(b.byTenant) && worst(&b.byTenant[i], b.byTenant, worstNear) {
-		v += g.WorstTenant / b.byTenant[i].asked * (1 - r.over)
+		v += part(&b.byTenant[i], g.WorstTenant) * (1 - r.over)
 	}
 	mean := b.expected(r.Class, millis(r.Cost)) * b.median
 	inTime := func(until time.Duration) float64 { return 1 - math.Exp(-max(0, millis(until-b.now))/mean) }
 	chance := inTime(r.aimAt)
 	chance += c.LateShare * (inTime(r.Deadline) - chance)
-	return v * r.worth * chance / b.workOf(r)
+	return v * chance / b.workOf(r)
 }
 
 // crowded keeps the last of the requests that may be open for those that bring more than the mean for each
@@ -818,8 +869,7 @@
 	a := &attempt{req: r, n: len(r.attempts), to: t, zone: t.Zone, cell: t.Cell, left: b.now, sent: b.now,
 		work: work, expected: e, weight: min(max(e/b.mean, 1.0/maxWeight), maxWeight), mayRun: true}
 	a.begin()
-	// Danger: a budget lets light ones through, and handshakes are work too. None counts under the mean.
-	t.tokens -= max(work, b.meanWork)
+	t.tokens -= b.inMean(work)
 	mean, aim := b.expected(r.Class, 0), millis(r.aimAt-r.arrived)
 	usual := max(lateFrom*b.tails[r.Class].usual(tailGuess*mean), lateLeast*aim)
 	late := max(1, e/mean) * min(usual, lateMost*aim) // one that is heavy by its hint may take longer
@@ -899,6 +949,7 @@
 		b.tails[r.Class].learn(took/max(1, a.expected/b.expected(r.Class, 0)), tailPart, tailStep)
 		b.classes[r.Class].learn(millis(r.Cost), took, classKeep)
 		t.note(b.now, b.span, took/a.expected, 1)
+		b.longest = max(b.longest*(1-1.0/meanOver), took)
 		t.served.add(a.work, b.now, servedOver*b.interval)
 		t.servedLately.add(a.work, b.now, b.cfg.Obligations.Fall)
 	case Cancelled, Moot:
@@ -909,8 +960,9 @@
 	default:
 		// Danger: a failure comes fast. It counts as slow as the aim, or a broken backend draws all traffic;
 		// but as no multiple of the median, which would feed itself while all fail.
-		lost := max(took, millis(b.cfg.Classes[r.Class].Aim)) / a.expected
-		t.note(b.now, b.span, max(lost, b.median), 1)
+		lost := max(took, millis(b.cfg.Classes[r.Class].Aim))
+		t.note(b.now, b.span, max(lost/a.expected, b.median), 1)
+		b.longest = max(b.longest*(1-1.0/meanOver), lost)
 	}
 }
 
@@ -976,7 +1028,7 @@
 	}
 	c := &b.cfg.Classes[r.Class]
 	r.whole, r.arrived, r.Deadline = true, now, deadline
-	r.aimAt = min(now+c.Aim+time.Duration(c.AimStretch*float64(r.Cost)), deadline)
+	r.aimAt = min(now+c.Aim+span(c.AimStretch*millis(r.Cost)), deadline)
 	for _, a := range r.attempts {
 		if !a.done {
 			a.waitFrom(now)
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -34,6 +34,8 @@
 var (
 	errNoSockets = errors.New("no socket is left for another backend connection")
 	errClosed    = errors.New("the backend takes nothing new")
+	errStale     = errors.New("something has come on the connection, or its end")
+	errTooLate   = errors.New("the attempt may not be made any more")
 )
 
 // pool holds the connections to all backends, within a limit on their number.
@@ -147,6 +149,7 @@
 func (p peer) Exchange(ctx context.Context, a engine.Attempt) (decision.Result, any) {
 	m := *a.Message.(*message)
 	m.begin = func(d *download) bool { return a.Begin(d) }
+	m.may = a.Go
 	m.header = m.header.Clone()
 	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, a.Timeout.Milliseconds()), 10))
 	if p.pool.fleet {
@@ -211,7 +214,8 @@
 // takeIdle gives the idle connection used last of those that have rested, else the one that has rested for
 // longest, or nil. An error says that nothing may be sent there.
 //
-// Danger: a backend's close, or bytes that belong to nobody, may follow an answer a moment later.
+// Danger: a backend's close, or bytes that belong to nobody, may follow an answer a moment later. Whether any have come
+// is looked at by clear, no sooner.
 func (p *pool) takeIdle(b *backend) (*conn, error) {
 	var stale []*conn
 	defer func() { closeAll(stale) }() // after the lock is given back: a close takes it
@@ -228,8 +232,7 @@
 		}
 		c := b.idle[i]
 		b.idle = slices.Delete(b.idle, i, i+1)
-		// Danger: what stands unread on a connection would be taken for the next request's answer.
-		if now.Sub(c.idleAt) < p.idleLimit(now) && c.quiet() {
+		if now.Sub(c.idleAt) < p.idleLimit(now) {
 			return c, nil
 		}
 		stale = append(stale, c)
@@ -334,16 +337,28 @@
 		p.unreserve()
 		return nil, err
 	}
-	c := newConn(nc, epoch, p.unreserve)
-	// Danger: the backend may have begun to drain, or have moved, while the connection was being made.
+	return newConn(nc, epoch, p.unreserve), nil
+}
+
+// clear tells why a request's first byte may not be written to a connection, asked right before it would be.
+//
+// Danger: since the connection was chosen it may have taken its time to come up, or its goroutine may have had to wait
+// for a processor. By then the backend may drain or have moved; who asked may have left, which a goroutine of its own
+// would tell the connection, maybe after the write; and what has come on the connection would be taken for the answer.
+func (p *pool) clear(ctx context.Context, b *backend, c *conn) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	p.mu.Lock()
-	closed := b.draining || b.epoch != epoch
+	closed := b.draining || b.epoch != c.epoch
 	p.mu.Unlock()
-	if closed {
-		c.Close()
-		return nil, errClosed
+	switch {
+	case closed:
+		return errClosed
+	case !c.quiet():
+		return errStale
 	}
-	return c, nil
+	return nil
 }
 
 // message is a request as a client has sent it: what goes to a backend, as often as the module says.
@@ -355,8 +370,21 @@
 	body         []byte
 	probe        bool
 
-	upload *upload              // in place of body, for a long one
-	begin  func(*download) bool // takes a long answer, or tells that it comes too late; nil takes none
+	upload *upload                        // in place of body, for a long one
+	begin  func(*download) bool           // takes a long answer, or tells that it comes too late; nil takes none
+	may    func() (by time.Time, ok bool) // see engine.Attempt; nil is at any time
+}
+
+// mayGo tells until when the message's last byte may go out, zero is at any time, or that its first may not any more.
+func (m *message) mayGo() (by time.Time, err error) {
+	if m.may == nil {
+		return time.Time{}, nil
+	}
+	by, ok := m.may()
+	if !ok {
+		err = errTooLate
+	}
+	return by, err
 }
 
 // Spent tells whether there can be no further attempt.
@@ -392,8 +420,8 @@
 			return decision.ConnectFailed, nil
 		}
 		result, body, untouched := p.roundTrip(ctx, b, c, m)
-		// Danger: a backend may close an idle connection just as it is taken. As long as not one byte was
-		// written to it nothing has been sent, and another connection will do.
+		// Danger: a backend may close an idle connection just as it is taken, or send more than its answer. As long as
+		// not one byte was written to it nothing has been sent, and another connection will do.
 		if !untouched || !reused || ctx.Err() != nil || m.upload.isSpent() {
 			return result, body
 		}
@@ -408,11 +436,21 @@
 	req := m.request(c.RemoteAddr().String())
 	var written int
 	var whole bool
-	var err error
-	if m.upload != nil {
+	err := p.clear(ctx, b, c)
+	var by time.Time
+	if err == nil {
+		by, err = m.mayGo()
+	}
+	switch {
+	case err != nil:
+	case m.upload != nil: // there is no further attempt at it once bytes of it have gone out
 		written, whole, err = c.writeStreamed(req, m.upload)
-	} else {
+	case by.IsZero():
 		written, whole, err = c.write(req)
+	default:
+		c.limitWrite(by)
+		written, whole, err = c.write(req)
+		c.limitWrite(time.Time{})
 	}
 	if whole && !m.probe {
 		p.attempts.Add(1)
@@ -429,13 +467,18 @@
 			failed = p.handOver(ctx, resp, long, m)
 		}
 		if failed == nil && (whole || resp.StatusCode != http.StatusOK) {
-			if !stop() || resp.Close || !whole || long != nil && resp.StatusCode != http.StatusOK {
+			result, cut := answered(resp), long != nil && resp.StatusCode != http.StatusOK
+			if !stop() || resp.Close || !whole || cut {
 				c.Close()
 			} else {
 				c.limitRead(time.Time{})
 				p.putIdle(b, c)
 			}
-			return answered(resp), body, false
+			// Danger: what was not read to its end may be spoilt, and a spoilt answer does not prove that nothing ran.
+			if cut && result == decision.Full {
+				result = decision.Error
+			}
+			return result, body, false
 		}
 		if err == nil {
 			err = failed
@@ -444,14 +487,15 @@
 	stop()
 	c.Close()
 	cause := context.Cause(ctx)
-	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) {
+	if ctx.Err() == nil && !idle.IsZero() && time.Since(began) < p.soon && !errors.Is(err, errSpoilt) &&
+		!errors.Is(err, errStale) && !errors.Is(err, errClosed) && !errors.Is(err, errTooLate) {
 		p.broke(began.Sub(idle))
 	}
 	untouched = written == 0
 	switch {
 	case errors.Is(cause, context.Canceled), errors.Is(err, errClient), errors.Is(err, errGone):
 		return decision.Cancelled, nil, untouched
-	case errors.Is(err, errSpent):
+	case errors.Is(err, errSpent), errors.Is(err, errTooLate):
 		return decision.Moot, nil, false
 	case !whole: // its last byte never went out
 		return decision.ConnectFailed, nil, untouched
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,8 @@
 	closeRest  = 5 * time.Millisecond  // a connection that is to be closed was silent for so long,
 	freshRest  = time.Second           // or for so long if nothing ever came on it
 	duckLook   = 20 * time.Millisecond // how often a lame duck looks for idle connections
+	heldBytes  = headerBytes           // behind a request in hand; whoever sends more ahead of its answer is served no further
+	heldPiece  = 1 << 10
 )
 
 // clientConns keeps track of the clients' connections, within a limit on their number.
@@ -28,8 +31,11 @@
 	mu       sync.Mutex
 	all      map[*clientConn]bool
 	most     int
+	shared   bool          // with another process of this proxy
+	linger   time.Duration // for the last answer on a connection, where bytes stand unread
 	draining bool          // the process ends
-	lastIn   time.Duration // by the loop's clock: who comes after it has no time for a long answer
+	lastIn   time.Duration // by the front end's clock: who comes after it has no time for a long answer,
+	ends     time.Duration // and a short one must be out by then
 	duckFrom time.Time     // lame duck since then; zero if it is none
 
 	door     *door.Door // who gets a place; nil is whoever comes, for whom nothing was heard of for longest
@@ -39,7 +45,7 @@
 }
 
 func newClientConns(most int) *clientConns {
-	return &clientConns{all: map[*clientConn]bool{}, most: most}
+	return &clientConns{all: map[*clientConn]bool{}, most: most, linger: rejectDrain}
 }
 
 // clientConn is a client's connection. It knows whether it stands between two requests.
@@ -58,11 +64,23 @@
 	served  bool // and was served
 	framer  framer
 	pending []byte // read, but of a next message: net/http gets one at a time, each after its framing is known
+	inHand  bool   // the last byte of a request was handed to the server, and it has not done with it
+	wrote   bool   // something of an answer to it
+	overrun bool   // more came behind a request than is held
+	lingers bool   // its last answer is on its way out; it serves no more
 }
 
-// Read gives what has come, up to the end of a message.
+// Read gives what has come, up to the end of a message. While a request is in hand it gives nothing but the client's end.
 func (c *clientConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.inHand {
+		c.mu.Unlock()
+		return 0, c.watch()
+	}
+	if c.overrun { // what would come next was thrown away
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
 	if n := copy(p, c.pending); n > 0 {
 		defer c.mu.Unlock()
 		c.pending = c.pending[n:]
@@ -86,6 +104,60 @@
 	return c.receive(p)
 }
 
+// watch reads on behind the request in hand until the client's end, or until the server has done with the request.
+//
+// Danger: the server looks for a client's end by a read of one byte, and by none any more once it has that byte. A
+// client that has sent something behind its request and left would be taken for one that waits. So these bytes are held
+// back here and the look goes on.
+func (c *clientConn) watch() error {
+	raw, err := rawOf(c.Conn)
+	if err != nil {
+		return err
+	}
+	var piece []byte
+	for full := false; err == nil && !full; {
+		failed := raw.Read(func(fd uintptr) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			// A client that has its answer may send its next request before the server has done with this one.
+			if full = c.wrote && len(c.pending)+heldPiece > heldBytes; full {
+				return true
+			}
+			if piece == nil {
+				piece = make([]byte, heldPiece)
+			}
+			var n int
+			n, err = read(fd, piece)
+			if errors.Is(err, syscall.EAGAIN) {
+				err = nil
+				return false
+			}
+			switch {
+			case err != nil:
+				err = readError(os.NewSyscallError("read", err), c)
+			case n == 0:
+				err = io.EOF
+			case c.overrun || len(c.pending)+n > heldBytes:
+				c.overrun, c.pending = true, nil
+			default:
+				c.pending = append(c.pending, piece[:n]...)
+			}
+			return true
+		})
+		if failed != nil { // the server has done with the request, or the connection is closed
+			return readError(failed, c)
+		}
+	}
+	return err
+}
+
+// read is one read from a socket.
+func read(fd uintptr, p []byte) (n int, err error) {
+	for n, err = syscall.Read(int(fd), p); errors.Is(err, syscall.EINTR); n, err = syscall.Read(int(fd), p) {
+	}
+	return n, err
+}
+
 // receive reads from the socket. Danger: what is read has to be noted under the lock of those who look whether the
 // connection is quiet. Between the two it stands nowhere, and a request that has come in time would be closed as silence.
 func (c *clientConn) receive(p []byte) (n int, err error) {
@@ -96,10 +168,7 @@
 	failed := raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		n, err = syscall.Read(int(fd), p)
-		for errors.Is(err, syscall.EINTR) {
-			n, err = syscall.Read(int(fd), p)
-		}
+		n, err = read(fd, p)
 		if errors.Is(err, syscall.EAGAIN) {
 			return false
 		}
@@ -140,12 +209,21 @@
 		c.waiting, c.fresh = false, false
 	}
 	whole := c.framer.scan(b)
+	c.inHand = c.inHand || len(b) > 0 && c.framer.between()
 	if whole < len(b) {
 		c.pending = append(slices.Clone(b[whole:]), c.pending...)
 	}
 	return whole, err
 }
 
+// Write sends what belongs to an answer.
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.wrote = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // framing is that of the request being handled. Each may be asked for once.
 func (c *clientConn) framing() (framing, bool) {
 	c.mu.Lock()
@@ -159,7 +237,7 @@
 func (c *clientConn) Evict() bool {
 	c.mu.Lock()
 	whole := c.serving || len(c.framer.ended) > 0 || c.framer.state != inHead && c.framer.state != lost
-	evicted := !c.closed && !whole && (c.quiet() || len(c.pending) == 0 && over(c.Conn))
+	evicted := !c.closed && (c.lingers || !whole) && (c.lingers || c.quiet() || len(c.pending) == 0 && over(c.Conn))
 	c.closed = c.closed || evicted
 	c.mu.Unlock()
 	if evicted {
@@ -171,7 +249,30 @@
 // quiet tells whether nothing stands to be read. The lock must be held.
 func (c *clientConn) quiet() bool { return len(c.pending) == 0 && silent(c.Conn) }
 
+// Close closes the connection. Danger: a close over unread bytes resets it, and what of an answer has not reached the client
+// is lost with that. So where there are some, the sending is ended first and the rest comes a little later. They are not
+// read: the client sends such a request again elsewhere.
 func (c *clientConn) Close() error {
+	c.mu.Lock()
+	linger := c.wrote && !c.closed && !c.lingers && (len(c.pending) > 0 || !silent(c.Conn) && !over(c.Conn))
+	c.lingers = c.lingers || linger
+	c.mu.Unlock()
+	if linger && c.CloseWrite() == nil {
+		time.AfterFunc(c.conns.linger, func() { c.finish() })
+		return nil
+	}
+	return c.finish()
+}
+
+// CloseWrite ends the sending: the server does so before it closes what it has not read to its end.
+func (c *clientConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+func (c *clientConn) finish() error {
 	err := c.Conn.Close()
 	c.once.Do(func() {
 		c.conns.mu.Lock()
@@ -198,15 +299,16 @@
 }
 
 // evict closes the connection for one that comes, unless something stands to be read on it.
-func (c *clientConn) evict() {
+func (c *clientConn) evict() bool {
 	c.mu.Lock()
-	evicted := (c.waiting || c.fresh) && c.quiet()
+	evicted := c.lingers || (c.waiting || c.fresh) && c.quiet()
 	c.closed = c.closed || evicted
 	c.since = time.Now()
 	c.mu.Unlock()
 	if evicted {
 		c.Close()
 	}
+	return evicted
 }
 
 // begun is the time at which a request's own time began.
@@ -235,6 +337,8 @@
 		c.waiting, c.since = waits, time.Now()
 	}
 	c.serving = c.serving && state != http.StateIdle
+	c.inHand = c.inHand && state != http.StateIdle
+	c.wrote = c.wrote && state != http.StateIdle
 	c.mu.Unlock()
 }
 
@@ -296,22 +400,76 @@
 		return c
 	}
 	for range evictTries {
-		s.mu.Lock()
-		if len(s.all) < s.most {
-			s.all[c] = true
-			s.mu.Unlock()
+		if s.enter(c, s.places()) {
 			return c
 		}
+		s.mu.Lock()
 		victim := s.longestWaiting()
 		s.mu.Unlock()
 		if victim == nil {
-			return nil
+			break
 		}
 		victim.evict()
 	}
+	if s.enter(c, s.most) {
+		return c
+	}
 	return nil
 }
 
+// enter takes a connection in if there are fewer than so many.
+func (s *clientConns) enter(c *clientConn, places int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.all) >= places {
+		return false
+	}
+	s.all[c] = true
+	return true
+}
+
+// places is how many connections there may be as long as one of them is idle. Danger: in an upgrade two processes share the
+// descriptors, and idle clients could fill the places of both.
+func (s *clientConns) places() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shared {
+		return s.most / 2
+	}
+	return s.most
+}
+
+// setShared tells whether another process of this proxy has clients too. What is idle beyond the half makes place.
+func (s *clientConns) setShared(shared bool) {
+	s.mu.Lock()
+	s.shared = shared
+	s.mu.Unlock()
+	for places := s.places(); s.number() > places && s.evictIdle(); {
+	}
+}
+
+func (s *clientConns) number() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
+// evictIdle closes the connection that has been silent or idle for longest, if there is one.
+func (s *clientConns) evictIdle() bool {
+	for range evictTries {
+		s.mu.Lock()
+		victim := s.longestWaiting()
+		s.mu.Unlock()
+		if victim == nil {
+			return false
+		}
+		if victim.evict() {
+			return true
+		}
+	}
+	return false
+}
+
 // mostTold is how many of those that are turned away in a second are told so: a flood need not be answered.
 const mostTold = 1000
 
@@ -336,24 +494,26 @@
 	fresh, since := false, time.Time{}
 	for c := range s.all {
 		c.mu.Lock()
-		if (c.waiting || c.fresh) && !c.closed &&
-			(found == nil || c.fresh && !fresh || c.fresh == fresh && c.since.Before(since)) {
-			found, fresh, since = c, c.fresh, c.since
+		first := c.fresh || c.lingers
+		if (c.waiting || first) && !c.closed &&
+			(found == nil || first && !fresh || first == fresh && c.since.Before(since)) {
+			found, fresh, since = c, first, c.since
 		}
 		c.mu.Unlock()
 	}
 	return found
 }
 
+// list gives all connections.
+func (s *clientConns) list() []*clientConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.all))
+}
+
 // closeIdle closes the connections that wait for a request, and tells how many remain.
 func (s *clientConns) closeIdle(now time.Time) int {
-	s.mu.Lock()
-	all := make([]*clientConn, 0, len(s.all))
-	for c := range s.all {
-		all = append(all, c)
-	}
-	s.mu.Unlock()
-	for _, c := range all {
+	for _, c := range s.list() {
 		c.closeWaiting(now)
 	}
 	s.mu.Lock()
@@ -361,20 +521,34 @@
 	return len(s.all)
 }
 
-// setDraining has the connections end, and tells from when on there is no time left for long answers.
-func (s *clientConns) setDraining(lastIn time.Duration) {
+// setDraining has the connections end from now on, and the answers to what comes late within most.
+func (s *clientConns) setDraining(now, most time.Duration) {
 	s.mu.Lock()
-	s.draining, s.lastIn = true, lastIn
+	s.draining, s.lastIn, s.ends = true, now+acceptOn, now+most
 	s.mu.Unlock()
 }
 
-// endsSoon tells whether a request that came then is too late for a long answer.
-func (s *clientConns) endsSoon(came time.Duration) bool {
+// isLate tells whether a request that came then comes late in a drain.
+func (s *clientConns) isLate(came time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.draining && came > s.lastIn
 }
 
+// left is how much time a request that comes now has at most, if it comes late in a drain.
+func (s *clientConns) left(now time.Duration) (left time.Duration, late bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ends - now, s.draining && now > s.lastIn
+}
+
+// closeUnread closes all connections but those with a whole request in hand or with something that stands to be read.
+func (s *clientConns) closeUnread() {
+	for _, c := range s.list() {
+		c.Evict()
+	}
+}
+
 // isDraining tells whether clients are sent away, for good or for a time.
 func (s *clientConns) isDraining() bool {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/proxy/crossings_test.go
@@ -0,0 +1,545 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// hookedConn is a connection to a backend that has a test act at a point in an attempt's way.
+type hookedConn struct {
+	*net.TCPConn
+	chosen func()    // for an attempt, of which nothing is written yet
+	came   func(int) // so many bytes were read, and are not yet handed over
+}
+
+// RemoteAddr is asked once for each attempt, between the choice of the connection and the first byte.
+func (c *hookedConn) RemoteAddr() net.Addr {
+	if c.chosen != nil {
+		c.chosen()
+	}
+	return c.TCPConn.RemoteAddr()
+}
+
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.came != nil {
+		c.came(n)
+	}
+	return n, err
+}
+
+// hooked is a pool whose connections pass through with, in the order in which they come up.
+func hooked(t *testing.T, addr string, with func(n int, c *hookedConn)) (*pool, *backend) {
+	t.Helper()
+	p, b := testPool(t, addr)
+	dial, n := p.dialer, 0
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		h := &hookedConn{TCPConn: c.(*net.TCPConn)}
+		with(n, h)
+		n++
+		return h, nil
+	}
+	return p, b
+}
+
+// untilNoted waits until something stands to be read on a connection, or its end.
+func untilNoted(t *testing.T, c net.Conn) {
+	for start := time.Now(); silent(c); time.Sleep(time.Millisecond) {
+		if time.Since(start) > patience {
+			t.Error("what came was not noticed")
+			return
+		}
+	}
+}
+
+// testUpload is a long body that has come whole.
+func testUpload() *upload {
+	return &upload{ahead: make([]byte, bodyBytes), length: bodyBytes + 4, began: time.Now(), rest: strings.NewReader("rest"),
+		limit: func(time.Time) error { return nil }, whole: func() {}, failed: make(chan error, 1)}
+}
+
+// What comes on an idle connection after it was chosen for a request, and before the request's first byte, is no answer
+// to it; nor is the connection's end a break. Nothing was written, so also what may not be repeated goes out on another one.
+func TestWhatComesAsAConnectionIsTakenIsNoAnswer(t *testing.T) {
+	for name, act := range map[string]func(net.Conn){
+		"a second answer":   func(c net.Conn) { say(c, "HTTP/1.1 200 OK\nContent-Length: 5\n\nwrong") },
+		"an error":          func(c net.Conn) { say(c, "HTTP/1.1 500 Oh\nContent-Length: 0\n\n") },
+		"half a line":       func(c net.Conn) { io.WriteString(c, "HTTP/1.1 2") },
+		"the close":         func(c net.Conn) { c.Close() },
+		"a reset":           func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"noise and a close": func(c net.Conn) { io.WriteString(c, "\x00\x01"); c.Close() },
+	} {
+		for _, long := range []bool{false, true} {
+			kind := map[bool]string{false: "short body", true: "long body"}[long]
+			t.Run(name+", "+kind, func(t *testing.T) {
+				cross, reuse := make(chan bool, 1), false
+				var requests [2]atomic.Int32
+				addr := rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+					for i := 0; readWhole(in); i++ {
+						requests[min(n, 1)].Add(1)
+						say(c, served)
+						if n == 0 && i == 0 {
+							<-cross
+							act(c)
+						}
+					}
+				})
+				p, b := hooked(t, addr, func(n int, c *hookedConn) {
+					c.chosen = func() {
+						if n == 0 && reuse {
+							cross <- true
+							untilNoted(t, c)
+						}
+					}
+				})
+				if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+					t.Fatalf("first: result %v", result)
+				}
+				reuse = true
+				m := testMessage("POST", []byte("x"))
+				if long {
+					m.body, m.upload = nil, testUpload()
+				}
+				if result, body := p.exchange(t.Context(), b, m); result != decision.OK || string(body) != "fine" {
+					t.Errorf("result %v, body %q", result, body)
+				}
+				if a, z := requests[0].Load(), requests[1].Load(); a != 1 || z != 1 {
+					t.Errorf("%d requests on the first connection, %d on others", a, z)
+				}
+				if p.open != 1 {
+					t.Errorf("%d connections are open", p.open)
+				}
+			})
+		}
+	}
+}
+
+// Who has left gets nothing sent: not on a connection that comes up late, and not on an idle one chosen just then.
+func TestNothingIsWrittenForWhoHasLeft(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		name := map[bool]string{false: "late connection", true: "idle connection"}[idle]
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // without the look the request goes out in most
+				got := make(chan string, 2)
+				addr := rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+					for {
+						req, err := http.ReadRequest(in)
+						if err != nil {
+							got <- "end"
+							return
+						}
+						got <- req.URL.Path
+						say(c, served)
+					}
+				})
+				ctx, leave := context.WithCancel(t.Context())
+				now := !idle
+				p, b := hooked(t, addr, func(_ int, c *hookedConn) {
+					if now {
+						leave() // after it has come up
+					}
+					c.chosen = func() {
+						if idle && now {
+							leave()
+						}
+					}
+				})
+				if idle {
+					if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != decision.OK {
+						t.Fatalf("first: result %v", result)
+					}
+					within(t, got, "no request came")
+					now = true
+				}
+				if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != decision.Cancelled {
+					t.Errorf("result %v, want Cancelled", result)
+				}
+				if path := within(t, got, "the connection stayed open"); path != "end" {
+					t.Fatalf("%s was sent for a client that had left", path)
+				}
+				if p.open != 0 {
+					t.Errorf("%d connections are still counted", p.open)
+				}
+			}
+		})
+	}
+}
+
+// A connection that comes up long after its client left is closed with no byte written and no longer counted.
+func TestALateConnectionIsLetGo(t *testing.T) {
+	got := make(chan int, 1)
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	}))
+	dialing, up := make(chan bool), make(chan bool)
+	p.dialer = func(_ context.Context, network, addr string) (net.Conn, error) {
+		close(dialing)
+		<-up // the network's pace: it does not know who has left
+		return net.Dial(network, addr)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan decision.Result, 1)
+	go func() {
+		result, _ := p.exchange(ctx, b, testMessage("POST", []byte("x")))
+		done <- result
+	}()
+	within(t, dialing, "nothing was dialled")
+	leave()
+	close(up)
+	if result := within(t, done, "no end"); result != decision.Cancelled {
+		t.Errorf("result %v, want Cancelled", result)
+	}
+	if n := within(t, got, "the connection stayed open"); n != 0 {
+		t.Error("it was written to")
+	}
+	if p.open != 0 {
+		t.Errorf("%d connections are still counted", p.open)
+	}
+}
+
+// A change of the list that comes between the choice of an idle connection and the request's first byte takes effect.
+func TestAChangeBetweenChoiceAndSend(t *testing.T) {
+	for name, c := range map[string]struct {
+		state decision.State
+		moved bool
+		want  decision.Result
+	}{
+		"drains": {decision.Draining, false, decision.ConnectFailed},
+		"left":   {decision.Gone, false, decision.ConnectFailed},
+		"moved":  {decision.Ready, true, decision.OK}, // there
+	} {
+		t.Run(name, func(t *testing.T) {
+			var old, other atomic.Int32
+			count := func(requests *atomic.Int32) string {
+				return rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+					for readWhole(in) {
+						requests.Add(1)
+						say(c, served)
+					}
+				})
+			}
+			member := Member{ID: "a", Addr: count(&old), State: c.state}
+			elsewhere := count(&other)
+			var p *pool
+			reuse := false
+			p, b := hooked(t, member.Addr, func(n int, h *hookedConn) {
+				h.chosen = func() {
+					if n == 0 && reuse {
+						p.Update(List{Members: []Member{member}})
+					}
+				}
+			})
+			if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+				t.Fatalf("first: result %v", result)
+			}
+			reuse = true
+			if c.moved {
+				member.Addr = elsewhere
+			}
+			if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != c.want {
+				t.Errorf("result %v, want %v", result, c.want)
+			}
+			if old.Load() != 1 {
+				t.Error("a request went out after the change was told")
+			}
+			if moved := c.want == decision.OK; (other.Load() == 1) != moved {
+				t.Errorf("%d requests at the new address", other.Load())
+			}
+		})
+	}
+}
+
+// An attempt that is given up in the moment in which its answer's last byte has come ends one way or the other; its
+// connection, on which the time-out stands, carries nothing more.
+func TestGivenUpAtTheLastByte(t *testing.T) {
+	for name, long := range map[string]bool{"held whole": false, "passed on": true} {
+		t.Run(name, func(t *testing.T) {
+			text := served
+			if long {
+				text = "HTTP/1.1 200 OK\nContent-Length: 65537\n\n" + strings.Repeat("x", bodyBytes+1)
+			}
+			for range 20 { // a long one's two ends come out in any order
+				addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+					for readWhole(in) {
+						say(c, text)
+					}
+				})
+				ctx, giveUp := context.WithCancel(t.Context())
+				p, b := hooked(t, addr, func(_ int, c *hookedConn) {
+					c.came = func(n int) {
+						if n > 0 && !long {
+							giveUp()
+						}
+					}
+				})
+				m := testMessage("POST", []byte("x"))
+				m.begin = func(d *download) bool {
+					_, err := io.ReadAll(d)
+					giveUp()
+					d.End(err)
+					return true
+				}
+				if result, _ := p.exchange(ctx, b, m); result != decision.OK && result != decision.Cancelled {
+					t.Errorf("result %v", result)
+				}
+				if p.open != 0 || len(b.idle) != 0 {
+					t.Fatalf("%d connections are open, %d idle", p.open, len(b.idle))
+				}
+			}
+		})
+	}
+}
+
+// A probe that was given up, its answer on the way, leaves nothing behind for the request that comes next.
+func TestALateProbeAnswerIsNobodys(t *testing.T) {
+	came, late := make(chan bool, 1), make(chan bool)
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if req.URL.Path == "/ping" {
+				came <- true
+				<-late
+				say(c, "HTTP/1.1 200 OK\nContent-Length: 5\n\nwrong")
+				continue
+			}
+			io.Copy(io.Discard, req.Body)
+			say(c, served)
+		}
+	}))
+	if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+		t.Fatalf("first: result %v", result)
+	}
+	ctx, end := context.WithCancelCause(t.Context())
+	probed := make(chan decision.Result, 1)
+	go func() { probed <- p.probe(ctx, b) }()
+	within(t, came, "no probe came")
+	end(context.DeadlineExceeded)
+	if result := within(t, probed, "no end"); result != decision.Timeout {
+		t.Fatalf("the probe: result %v", result)
+	}
+	close(late)
+	if result, body := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK || string(body) != "fine" {
+		t.Errorf("result %v, body %q", result, body)
+	}
+	if p.open != 1 {
+		t.Errorf("%d connections are open", p.open)
+	}
+}
+
+// A server restarted at its address has reset its idle connections: nothing of its old life is used, and what may not be
+// repeated goes out once, to the new one. What was out in the old life ends as a reset.
+func TestARestartAtTheSameAddress(t *testing.T) {
+	came, die := make(chan bool), make(chan bool)
+	var requests atomic.Int32
+	p, b := testPool(t, rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+		defer c.(*net.TCPConn).SetLinger(0)
+		for i := 0; readWhole(in); i++ {
+			requests.Add(1)
+			if n == 1 || n == 2 {
+				came <- true
+				<-die
+				if n == 1 {
+					return // with an attempt out
+				}
+			}
+			say(c, served)
+			if n == 0 || n == 2 {
+				<-die // while it is idle
+				return
+			}
+		}
+	}))
+	send := func() decision.Result {
+		result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x")))
+		return result
+	}
+	if result := send(); result != decision.OK {
+		t.Fatalf("first: result %v", result)
+	}
+	p.mu.Lock()
+	idle := b.idle[0]
+	b.idle = nil // so that the next one needs another
+	p.mu.Unlock()
+	out := make(chan decision.Result, 1)
+	go func() { out <- send() }()
+	within(t, came, "no request came")
+	p.putIdle(b, idle)
+	close(die)
+	if result := within(t, out, "no end"); result != decision.Reset {
+		t.Errorf("what was out: result %v, want Reset", result)
+	}
+	untilNoted(t, idle.Conn)
+	before := requests.Load()
+	go func() { out <- send() }()
+	within(t, came, "no request came to the new life")
+	if result := within(t, out, "no end"); result != decision.OK {
+		t.Errorf("after the restart: result %v", result)
+	}
+	if n := requests.Load() - before; n != 1 {
+		t.Errorf("%d requests after the restart, want 1", n)
+	}
+}
+
+// However long the settings let a connection stand idle, none is taken that has stood for longer than a half of that, and
+// one that broke lowers the limit for a while, never for good.
+func TestIdleLimitsOfManySettings(t *testing.T) {
+	for _, told := range []time.Duration{0, time.Millisecond, 100 * time.Millisecond, time.Second, 10 * time.Second, time.Hour} {
+		t.Run(told.String(), func(t *testing.T) {
+			p := newPool(16, patience, told)
+			b := &backend{}
+			p.backends[1] = b
+			now := time.Now()
+			taken := func(age time.Duration) bool {
+				near, far := net.Pipe()
+				defer far.Close()
+				p.open++
+				c := newConn(near, 0, p.unreserve)
+				c.idleAt = time.Now().Add(-age)
+				b.idle = []*conn{c}
+				got, err := p.takeIdle(b)
+				if err != nil || p.open != map[bool]int{true: 1, false: 0}[got != nil] {
+					t.Errorf("age %v: %v with %d open", age, err, p.open)
+				}
+				if got != nil {
+					got.Close()
+				}
+				return got != nil
+			}
+			if taken(told / idlePart) {
+				t.Error("one was taken that the backend may be about to close")
+			}
+			if told >= 10*time.Second && !taken(told/idlePart-told/10) {
+				t.Error("one was not taken that is fresh enough")
+			}
+			for _, age := range []time.Duration{0, told / 4, told / 2, 2 * told} {
+				p.broke(age)
+				if p.limit > told/idlePart || age > leastIdle*limitCut && p.limit > max(age/limitCut, leastIdle) {
+					t.Errorf("one broke at the age of %v: the limit is %v", age, p.limit)
+				}
+			}
+			p.limitAt = now.Add(-64 * limitBack)
+			if told >= 10*time.Second && !taken(told/idlePart-told/10) {
+				t.Error("the limit has not come back")
+			}
+		})
+	}
+}
+
+// What closes idle connections, for their age, for want of a socket or by the module's word, does not reach one that was
+// just chosen; and one on which bytes come as it is closed is nobody's.
+func TestWhatIsChosenIsNotClosed(t *testing.T) {
+	for name, act := range map[string]func(*pool){
+		"retire":  func(p *pool) { p.retire(time.Now().Add(2 * p.idleFor)) },
+		"release": func(p *pool) { p.Release(backendID("a")) },
+		"evict": func(p *pool) {
+			p.limitOpen(1)
+			if p.reserve() {
+				p.unreserve()
+			}
+		},
+		"the same list": func(p *pool) {
+			p.Update(List{Full: true, Members: []Member{{ID: "a", State: decision.Ready}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var conns atomic.Int32
+			var p *pool
+			reuse := false
+			p, b := hooked(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				conns.Add(1)
+				for readWhole(in) {
+					say(c, served)
+				}
+			}), func(_ int, c *hookedConn) {
+				c.chosen = func() {
+					if reuse {
+						act(p)
+					}
+				}
+			})
+			for range 2 {
+				if result, _ := p.exchange(t.Context(), b, testMessage("POST", []byte("x"))); result != decision.OK {
+					t.Errorf("result %v", result)
+				}
+				reuse = true
+			}
+			if n := conns.Load(); n != 1 || p.open != 1 {
+				t.Errorf("%d connections, %d open", n, p.open)
+			}
+			c := b.idle[0]
+			act(p) // now it is idle
+			if left := len(b.idle); p.open != left || left == 0 && silent(c.Conn) {
+				t.Errorf("%d idle, %d open", left, p.open)
+			}
+		})
+	}
+}
+
+// A client leaves while its first attempt's connection is being made. It comes up all the same, late: nothing is written to
+// it, and nothing of it remains.
+func TestAClientThatLeavesDuringTheDial(t *testing.T) {
+	got := make(chan int, 1)
+	addr := rawBackend(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	})
+	p := startProxy(t, listText(1, true, memberText("a", addr, "active")), newCatalog(t), func(c *Config) {
+		c.Module.Caps.ConnectTimeout = patience
+	})
+	resp, err := http.Get("http://" + p.addr + "/_health") // it serves
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	pool := p.proxy.services.now.Load().byName[""].pool
+	dialing, given := make(chan bool, 1), make(chan bool, 1)
+	pool.mu.Lock()
+	pool.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dialing <- true
+		<-ctx.Done()
+		given <- context.Cause(ctx) == context.Canceled
+		return net.Dial(network, addr)
+	}
+	pool.mu.Unlock()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: leaves\r\nX-Priority-Class: hand-in\r\nX-Timeout-Ms: 60000\r\nContent-Length: 0\r\n\r\n")
+	within(t, dialing, "nothing was dialled")
+	c.Close()
+	if !within(t, given, "the attempt was not given up") {
+		t.Error("it was given up for its time alone")
+	}
+	if n := within(t, got, "the connection stayed open"); n != 0 {
+		t.Error("it was written to")
+	}
+	for start := time.Now(); ; time.Sleep(time.Millisecond) {
+		pool.mu.Lock()
+		open := pool.open
+		pool.mu.Unlock()
+		if open == 0 {
+			break
+		}
+		if time.Since(start) > patience {
+			t.Fatalf("%d connections are still counted", open)
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -113,6 +113,7 @@
 		}
 		shared = now
 		p.services.halve(shared)
+		p.conns.setShared(shared)
 		if p.conns.door != nil {
 			if err := p.conns.door.Halve(shared); err != nil {
 				p.log.Error("the old admission stays", "err", err)
@@ -242,6 +243,9 @@
 	if _, err := p.store.Refresh(); err != nil {
 		p.log.Error("what the process before left can't be read", "err", err)
 	}
+	if p.cfg.KnownBad != nil {
+		p.log.Error("the list that the configuration knows can't be read: discovery is asked for all", "err", p.cfg.KnownBad)
+	}
 	p.cfg.Module.Caps.MaxOpen = int(openSockets * float64(p.cfg.Sockets))
 	if p.cfg.Admission != "" {
 		if err := p.openDoor(); err != nil {
@@ -249,6 +253,9 @@
 			return fmt.Errorf("settings: %w", err)
 		}
 		listener = p.conns.door.NewListener(listener, p.log)
+	} else {
+		// Danger: net/http rests for up to a second when a descriptor is missing, and all clients wait meanwhile.
+		listener = door.NewListener(listener, p.log, p.conns.evictIdle, func() {})
 	}
 	if p.cfg.Fleet != "" {
 		end, err := p.joinFleet()
@@ -265,7 +272,7 @@
 			return fmt.Errorf("settings: %w", err)
 		}
 		seed := p.cfg.Seed ^ uint64(backendID(p.cfg.Name)) // two proxies of one seed must not ask in step
-		p.comeback = source.NewPlan(f, max(1, p.cfg.Module.Instances), seed, engine.NewClock().Now, p.log)
+		p.comeback = source.NewPlan(f, max(1, p.cfg.Module.Instances), seed, engine.NewClock().Now, p.log).Within(p.cfg.pace.rest)
 		if path := p.store.Path("memory"); f.Memory != nil && path != "" {
 			p.memory = openMemory(path, f.Every(), f.Oldest())
 			p.cfg.Known = p.memory.known(p.cfg.Discovery, p.cfg.Known)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -120,11 +120,19 @@
 // uploadReader reads an upload for one attempt, from the first byte on.
 type uploadReader struct {
 	*upload
-	to *conn
-	at int // in what was read ahead
+	to  *conn
+	at  int   // in what was read ahead
+	err error // that ended it short of the body's end
 }
 
-func (r *uploadReader) Read(p []byte) (int, error) {
+func (r *uploadReader) Read(p []byte) (n int, err error) {
+	if n, err = r.next(p); err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
+func (r *uploadReader) next(p []byte) (int, error) {
 	// Danger: the backend may answer as soon as it has the last byte, before whoever writes has seen the end here.
 	if r.ended.Load() {
 		return 0, io.EOF
@@ -158,10 +166,15 @@
 	if u.isSpent() {
 		return 0, false, errSpent
 	}
-	req.ContentLength, req.Body = u.length, io.NopCloser(&uploadReader{upload: u, to: c})
-	to := &sender{conn: c}
+	body, to := &uploadReader{upload: u, to: c}, &sender{conn: c}
+	req.ContentLength, req.Body = u.length, io.NopCloser(body)
 	err := req.Write(to)
 	if err != nil {
+		// Danger: net/http tells what the body's reader has said by a type that errors.Is does not look into; a client
+		// that fails its body would count as a backend that can't be reached.
+		if body.err != nil {
+			err = body.err
+		}
 		return to.n, false, fmt.Errorf("sending a body: %w", err)
 	}
 	c.limitWrite(time.Time{})
@@ -203,16 +216,21 @@
 	}
 }
 
-// limited reads an answer's body with a time for each piece, and no more than an answer may be long.
+// limited reads an answer's body with a time for each piece and for all of them, and no more than an answer may be long.
+// Danger: one that trickles would else never end. What counts is the time that is waited here, not the client's.
 type limited struct {
-	from io.Reader
-	c    *conn
-	read int64
+	from   io.Reader
+	c      *conn
+	read   int64
+	waited time.Duration
 }
 
 func (l *limited) Read(p []byte) (int, error) {
-	l.c.limitRead(time.Now().Add(readStall))
+	began := time.Now()
+	most := readStall + time.Duration(float64(l.read)/bodyRate*float64(time.Second)) - l.waited
+	l.c.limitRead(began.Add(min(most, readStall)))
 	n, err := l.from.Read(p)
+	l.waited += time.Since(began)
 	if l.read += int64(n); l.read > mostBytes {
 		return n, fmt.Errorf("%w: more than %d bytes", errSpoilt, mostBytes)
 	}
@@ -335,6 +353,23 @@
 	}
 }
 
+// resetClient ends a client's connection by a reset. Danger: where an answer ends with the connection, a close would make what
+// has come of it seem whole.
+func resetClient(w http.ResponseWriter) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	socket := nc
+	if c, ours := nc.(*clientConn); ours {
+		socket = c.Conn
+	}
+	if tcp, is := socket.(*net.TCPConn); is {
+		tcp.SetLinger(0)
+	}
+}
+
 // timedOut tells whether an error is a limit on time that ran out.
 func timedOut(err error) bool {
 	ne := net.Error(nil)
--- /dev/null
+++ b/internal/proxy/watch_test.go
@@ -0,0 +1,651 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lapisspread/decision"
+	"lapisspread/internal/comeback/source"
+	"lapisspread/internal/engine"
+	"lapisspread/internal/register"
+)
+
+// trouble is what befalls calls for the list.
+type trouble string
+
+const (
+	well      trouble = "well"
+	refused   trouble = "refused"       // no connection
+	void      trouble = "no connection" // it never comes up
+	hung      trouble = "hung"          // it comes up, and nothing is ever said on it
+	turned    trouble = "turned away"   // come again in a minute
+	reset     trouble = "reset"
+	half      trouble = "half a list"
+	garbled   trouble = "garbled"
+	unordered trouble = "past changes"
+	slow      trouble = "slow" // 3 s to each answer
+	endless   trouble = "endless"
+)
+
+// troubled stands in for discovery within the process, so that time may be the bubble's.
+type troubled struct {
+	mu      sync.Mutex
+	now     trouble
+	version int
+	state   string // of its one server
+	changed chan struct{}
+	conns   map[net.Conn]bool
+	calls   int
+
+	addr string   // of its server
+	more []string // further ones, of which it never tells anything else
+}
+
+func newTroubled() *troubled {
+	return &troubled{addr: "127.0.0.1:1", now: well, version: 7, state: "active", changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+}
+
+// turn has other trouble begin. What is open then ends, or is never heard of again.
+func (d *troubled) turn(now trouble) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	was := d.now
+	if d.now = now; now == hung || now == void || was == hung && now == well {
+		return
+	}
+	for c := range d.conns {
+		c.Close()
+	}
+}
+
+// made is how many calls there were.
+func (d *troubled) made() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// drain tells that its server leaves.
+func (d *troubled) drain(version int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version, d.state = version, "leaving"
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *troubled) dial(slack time.Duration) func(ctx context.Context, _, _ string) (net.Conn, error) {
+	return func(ctx context.Context, _, _ string) (net.Conn, error) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		switch d.now {
+		case refused:
+			d.calls++
+			return nil, syscall.ECONNREFUSED
+		case void:
+			d.calls++
+			d.mu.Unlock()
+			defer d.mu.Lock()
+			return nil, errors.Join(pause(ctx, slack), errors.New("i/o timeout"))
+		}
+		ours, theirs := net.Pipe()
+		d.conns[theirs] = true
+		go d.serve(theirs)
+		return ours, nil
+	}
+}
+
+// listen serves on a socket, and tells its address.
+func (d *troubled) listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); d.turn(reset) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			if d.now == refused {
+				d.calls++
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			} else {
+				d.conns[c] = true
+				go d.serve(c)
+			}
+			d.mu.Unlock()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (d *troubled) serve(c net.Conn) {
+	defer func() {
+		d.mu.Lock()
+		delete(d.conns, c)
+		d.mu.Unlock()
+		c.Close()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.calls++
+		now, version, state, changed := d.now, d.version, d.state, d.changed
+		d.mu.Unlock()
+		query := req.URL.Query()
+		member := func() string { return strings.Join(append([]string{memberText("a", d.addr, state)}, d.more...), ",") }
+		ok := func(text string) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text) }
+		switch now {
+		case hung, void:
+			in.Peek(1) // until the proxy gives it up
+			return
+		case turned:
+			io.WriteString(c, "HTTP/1.1 503 Later\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")
+			continue
+		case reset:
+			return
+		case half:
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"generation\":9,")
+			return
+		case garbled:
+			ok("<html>")
+			continue
+		case unordered:
+			ok(listText(3, false))
+			continue
+		case endless:
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for err == nil {
+				_, err = fmt.Fprintf(c, "1000\r\n%4096s\r\n", "")
+			}
+			return
+		case slow:
+			time.Sleep(3 * time.Second)
+		}
+		if query.Get("from") == strconv.Itoa(version) {
+			hold, _ := strconv.Atoi(query.Get("hold_ms"))
+			gone := make(chan struct{})
+			go func() { in.Peek(1); close(gone) }()
+			var changes []string
+			select {
+			case <-time.After(time.Duration(hold) * time.Millisecond):
+			case <-gone:
+				return
+			case <-changed:
+				changes = append(changes, "") // as of now
+			}
+			d.mu.Lock()
+			silent := d.now == hung || d.now == void
+			version, state = d.version, d.state
+			d.mu.Unlock()
+			if changes != nil {
+				changes[0] = member()
+			}
+			if !silent {
+				ok(listText(version, false, changes...))
+			}
+			<-gone // the next call, or that this one is given up
+			if silent {
+				return
+			}
+			continue
+		}
+		ok(listText(version, !query.Has("from"), member()))
+	}
+}
+
+// learner is an upstream that notes when it learns that its server drains.
+type learner struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (l *learner) Update(list List) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range list.Members {
+		if m.State == decision.Draining && l.at.IsZero() {
+			l.at = time.Now()
+		}
+	}
+}
+func (l *learner) Find(decision.BackendID) engine.Peer { return nil }
+func (l *learner) Release(decision.BackendID)          {}
+
+// Whatever call for the list has failed, been refused or been given up, and for however long: a drain is learnt well within the
+// 6 s after which it counts as told from when discovery can be reached, and within its grace where lists are pushed. What that
+// takes in calls is bounded too.
+func TestADrainIsLearntSoonAfterAnyTrouble(t *testing.T) {
+	for _, onRequest := range []bool{true, false} {
+		for _, other := range []struct{ asked, connect, grace time.Duration }{
+			{2 * time.Second, 30 * time.Millisecond, 500 * time.Millisecond}, {60 * time.Second, time.Second, 250 * time.Millisecond}} {
+			m := decision.Config{Instances: 24, Tick: 2 * time.Millisecond, OnRequest: onRequest,
+				Classes:     []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
+				Obligations: decision.Obligations{AskEvery: other.asked, DrainGrace: other.grace}, Caps: decision.Caps{ConnectTimeout: other.connect}}
+			for _, what := range []trouble{refused, void, hung, turned, reset, half, garbled, unordered, slow} {
+				for _, by := range []string{"alone", "hub", "comeback"} {
+					t.Run(fmt.Sprintf("on request %v/asked every %v/%s/%s", onRequest, other.asked, what, by), func(t *testing.T) {
+						t.Parallel()
+						phases := 1
+						switch { // where it matters when in a call the trouble ends
+						case by == "comeback" && !onRequest:
+							return
+						case onRequest && by == "alone" && (what == hung || what == void || what == slow):
+							phases = 8
+						}
+						for phase := range phases {
+							synctest.Test(t, func(t *testing.T) { learns(t, m, what, by, phase) })
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+func learns(t *testing.T, m decision.Config, what trouble, by string, phase int) {
+	p := paceFor(&m)
+	down := p.hold + 3*time.Second + time.Duration(phase)*770*time.Millisecond
+	reg, up := newTroubled(), &learner{}
+	log := slog.New(slog.DiscardHandler)
+	d := newDiscovery("register.test:1", p, log)
+	d.dial = reg.dial(p.slack)
+	known, _ := parseList([]byte(listText(7, true, memberText("a", "127.0.0.1:1", "active"))))
+	var asked engine.Source = d
+	switch by {
+	case "hub":
+		asked = register.NewHubs(p.rest, func(string) engine.Source { return d }).Join(d.addr, known)
+	case "comeback":
+		f, err := source.Parse("comeback.toml", []byte("version = 1\n[calls]\nrate = 4.0\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := source.NewPlan(f, m.Instances, uint64(phase), engine.NewClock().Now, log).Within(p.rest).Wrap("", d, known)
+		d.hold = func() time.Duration { return w.Hold(p.hold) }
+		down += 20 * time.Second // which is how long it holds them
+		asked = w
+	}
+	e, err := engine.New(engine.Options{Module: m, Seed: uint64(phase), Known: known, Upstream: up, Source: asked, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { e.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended; reg.turn(reset); time.Sleep(time.Minute) }()
+	time.Sleep(3 * time.Second)
+	reg.turn(what)
+	before := reg.made()
+	time.Sleep(down)
+	synctest.Wait()
+	made := reg.made() - before
+	back := time.Now()
+	most := 5500 * time.Millisecond
+	if !m.OnRequest && what != hung && what != void {
+		most = m.Obligations.DrainGrace
+	}
+	if what != slow {
+		reg.turn(well)
+	} else if !m.OnRequest { // an agent on this machine is never so slow
+		return
+	}
+	reg.drain(12)
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	up.mu.Lock()
+	defer up.mu.Unlock()
+	if took := up.at.Sub(back); up.at.IsZero() || took > most {
+		t.Errorf("down for %v, with %d calls meanwhile: the drain is learnt after %v, %v at most", down, made, took, most)
+	}
+	rest := max(p.rest, 50*time.Millisecond)
+	if bound := 20 + 4*int(down/rest); made > bound {
+		t.Errorf("%d calls in %v, the rest is %v at most", made, down, rest)
+	}
+}
+
+// A register that has begun anew counts from the start: its whole list is asked for, and its changes are no past ones.
+func TestARegisterThatCountsAnewIsBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := decision.Config{Instances: 1, Tick: time.Millisecond, Classes: []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
+			Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}}
+		reg, up := newTroubled(), &learner{}
+		d := newDiscovery("register.test:1", paceFor(&m), slog.New(slog.DiscardHandler))
+		d.dial = reg.dial(time.Second)
+		known, _ := parseList([]byte(listText(7, true, memberText("a", "127.0.0.1:1", "active"))))
+		e, err := engine.New(engine.Options{Module: m, Known: known, Upstream: up, Source: d})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { e.Run(ctx); close(ended) }()
+		time.Sleep(500 * time.Millisecond)
+		reg.drain(3)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		up.mu.Lock()
+		if up.at.IsZero() {
+			t.Error("the drain is not learnt")
+		}
+		up.mu.Unlock()
+		before := reg.made()
+		time.Sleep(10 * time.Second)
+		if made := reg.made() - before; made < 5 || made > 15 {
+			t.Errorf("%d calls in 10 s after that, each held for a second", made)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+// Discovery that answers each watch at once, with nothing new, is not asked as fast as the wire goes; news is told at once.
+func TestAnswersWithoutNewsArePaced(t *testing.T) {
+	for name, answer := range map[string]string{"no changes": listText(7, false), "the same list": listText(7, true),
+		"past changes": listText(3, false, memberText("a", "127.0.0.1:1", "active"))} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDiscovery("register.test:1", pace{hold: time.Second, slack: time.Second, fetch: time.Second}, slog.New(slog.DiscardHandler))
+				calls := 0 // of one goroutine at a time
+				d.dial = func(context.Context, string, string) (net.Conn, error) {
+					ours, theirs := net.Pipe()
+					go func() {
+						defer theirs.Close()
+						in := bufio.NewReader(theirs)
+						for {
+							req, err := http.ReadRequest(in)
+							if err != nil {
+								return
+							}
+							if calls++; calls > 5000 {
+								in.Peek(1)
+								return
+							}
+							text := answer
+							if !req.URL.Query().Has("from") {
+								text = listText(7, true)
+							}
+							fmt.Fprintf(theirs, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+						}
+					}()
+					return ours, nil
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				if err := d.Watch(ctx, 7, func(List) {}); !errors.Is(err, context.DeadlineExceeded) {
+					t.Error(err)
+				}
+				d.Close()
+				synctest.Wait()
+				if calls < 50 || calls > 200 {
+					t.Errorf("%d calls in 10 s", calls)
+				}
+			})
+		})
+	}
+}
+
+// stoppedReader is a socket whose reader stands still before each read, as all of a stopped process does, until it is let go.
+type stoppedReader struct {
+	*net.TCPConn
+	stands, goOn chan struct{}
+}
+
+func (c *stoppedReader) Read(p []byte) (int, error) {
+	c.stands <- struct{}{}
+	<-c.goOn
+	return c.TCPConn.Read(p)
+}
+
+// A process that was stopped (SIGSTOP) past its call's time finds the time up and the answer in its socket. It is no silence: the
+// answer counts, and the call is not made again.
+func TestAnAnswerThatWaitsIsNoSilence(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	second, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		in := bufio.NewReader(c)
+		answer := func(text string) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text) }
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		answer(listText(7, true))
+		<-second
+		answer(listText(8, false)) // it stands there before the call is made
+		close(written)
+		io.Copy(io.Discard, in)
+	}()
+	d := newDiscovery(l.Addr().String(), pace{slack: patience}, slog.New(slog.DiscardHandler))
+	defer d.Close()
+	d.late = patience
+	stands, goOn, dials := make(chan struct{}, 100), make(chan struct{}, 1), 0
+	d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials++
+		nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &stoppedReader{nc.(*net.TCPConn), stands, goOn}, nil
+	}
+	goOn <- struct{}{}
+	if _, err := d.call(t.Context(), "", patience); err != nil {
+		t.Fatal(err)
+	}
+	within(t, stands, "nothing is read")
+	within(t, stands, "the next answer is not waited for")
+	close(second)
+	within(t, written, "nothing is written")
+	go func() {
+		time.Sleep(600 * time.Millisecond) // the call's time is up
+		close(goOn)
+	}()
+	list, err := d.call(t.Context(), watchQuery(7, lookHold), 300*time.Millisecond)
+	if err != nil || list.Version != 8 || dials != 1 {
+		t.Errorf("%+v, %v; %d connections", list, err, dials)
+	}
+}
+
+// pushed has a proxy watch an agent on its machine at the pace of its settings.
+func pushed(cfg *Config) {
+	cfg.Module.OnRequest = false
+	cfg.pace = paceFor(&cfg.Module)
+}
+
+// drains are two servers, and a register that names both, the first of them a draining one after drain.
+func drains(t *testing.T) (reg *troubled, known string, onA, onB chan *http.Request) {
+	onA, onB = make(chan *http.Request, 1024), make(chan *http.Request, 1024)
+	reg = newTroubled()
+	reg.addr = countingBackend(t, onA)
+	reg.more = []string{memberText("b", countingBackend(t, onB), "active")}
+	return reg, listText(7, true, memberText("a", reg.addr, "active"), reg.more[0]), onA, onB
+}
+
+// avoids waits until a proxy has learnt that a server drains, and sends it nothing from then on.
+func (p *running) avoids(t *testing.T, on chan *http.Request) {
+	t.Helper()
+	for start := time.Now(); !strings.Contains(p.logs.String(), "state=draining"); time.Sleep(time.Millisecond) {
+		if time.Since(start) > patience {
+			t.Fatal("the drain is not learnt")
+		}
+	}
+	mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, "")) // the list was logged just before it was handed on
+	before := len(on)
+	for range 20 {
+		mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+	}
+	if n := len(on) - before; n != 0 {
+		t.Errorf("%d requests to the draining server", n)
+	}
+}
+
+// A server begins to drain while the watch is silent, cut or turned away, or what comes is no list. The last good list holds
+// meanwhile and all are served; the drain is learnt once discovery is well, and then nothing new goes there.
+func TestADrainThatWasMissed(t *testing.T) {
+	for _, what := range []trouble{hung, refused, reset, turned, half, garbled, unordered, endless} {
+		t.Run(string(what), func(t *testing.T) {
+			t.Parallel()
+			reg, known, onA, _ := drains(t)
+			addr := reg.listen(t)
+			p := startProxy(t, known, newCatalog(t), func(cfg *Config) { pushed(cfg); cfg.Discovery = addr })
+			until := func(made int) {
+				t.Helper()
+				for start := time.Now(); reg.made() < made; time.Sleep(time.Millisecond) {
+					if time.Since(start) > patience {
+						t.Fatalf("%d calls", reg.made())
+					}
+				}
+			}
+			until(2) // the one that shows that it answers, and a watch
+			reg.turn(what)
+			began, before := time.Now(), reg.made()
+			reg.drain(9)
+			until(before + 2)
+			mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+			if strings.Contains(p.logs.String(), "state=draining") {
+				t.Error("the drain is learnt from what is no list")
+			}
+			if made, most := reg.made()-before, 20+int(time.Since(began)/(20*time.Millisecond)); made > most {
+				t.Errorf("%d calls in %v", made, time.Since(began))
+			}
+			reg.turn(well)
+			p.avoids(t, onA)
+			if bad := p.proxy.own.ListsBad.Load() > 0; bad != (what == half || what == garbled || what == endless) {
+				t.Errorf("%d bad lists are counted", p.proxy.own.ListsBad.Load())
+			}
+		})
+	}
+}
+
+// SIGHUP once and again, back to where it was, and to a register that can't be used yet: what holds at last is the list of the last
+// one named, whatever its number, and what others still say counts no more.
+func TestReloadsCross(t *testing.T) {
+	for name, play := range map[string]func(p *running, to func(*troubled), last, other *troubled){
+		"twice in a row": func(p *running, to func(*troubled), last, other *troubled) { to(other); to(last) },
+		"there and back": func(p *running, to func(*troubled), last, other *troubled) { to(last); to(other); to(last) },
+		"the same again": func(p *running, to func(*troubled), last, other *troubled) { to(last); to(last) },
+		"refused at first": func(p *running, to func(*troubled), last, other *troubled) {
+			last.turn(refused)
+			to(last)
+			awaits(p, last)
+			last.turn(well)
+		},
+		"hung at first": func(p *running, to func(*troubled), last, other *troubled) {
+			last.turn(hung)
+			to(last)
+			awaits(p, last)
+			last.turn(well)
+		},
+		"garbled at first": func(p *running, to func(*troubled), last, other *troubled) {
+			last.turn(garbled)
+			to(last)
+			awaits(p, last)
+			last.turn(well)
+		},
+		"the old one is cut": func(p *running, to func(*troubled), last, other *troubled) { other.turn(reset); to(last) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			other, known, onA, _ := drains(t) // which says nothing but that all are well, under higher numbers
+			other.version = 900
+			last := newTroubled()
+			last.addr, last.more, last.version, last.state = other.addr, other.more, 3, "leaving"
+			addrs := map[*troubled]string{other: other.listen(t), last: last.listen(t)}
+			p := startProxy(t, strings.Replace(known, `"generation":7`, `"generation":900`, 1), newCatalog(t), func(cfg *Config) { pushed(cfg); cfg.Discovery = addrs[other] })
+			mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+			play(p, func(r *troubled) {
+				cfg := p.proxy.cfg
+				cfg.Discovery = addrs[r]
+				p.proxy.Reload(cfg)
+			}, last, other)
+			p.avoids(t, onA)
+			// The old one speaks up, under a higher number.
+			other.mu.Lock()
+			other.version = 950
+			close(other.changed)
+			other.changed = make(chan struct{})
+			other.mu.Unlock()
+			before, asked := len(onA), last.made()
+			for start := time.Now(); last.made() < asked+2; time.Sleep(20 * time.Millisecond) { // it goes on to be watched
+				if time.Since(start) > patience {
+					t.Fatal("the new register is watched no more")
+				}
+				mustAnswer(t, 200)(p.ask(t, "fetch-work", 10000, ""))
+			}
+			if n := len(onA) - before; n != 0 {
+				t.Errorf("%d requests to the draining server, which only the old register calls ready", n)
+			}
+		})
+	}
+}
+
+// Two moves of one moment, by each of some chances: the later one holds, however the times that they draw lie.
+func TestTheLaterOfTwoMovesHolds(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			first, second, third := newTroubled(), newTroubled(), newTroubled()
+			a, b, c := first.listen(t), second.listen(t), third.listen(t)
+			known, _ := parseList([]byte(listText(7, true, memberText("a", "127.0.0.1:1", "active"))))
+			m := decision.Config{Instances: 1, Tick: time.Millisecond, Classes: []decision.Class{{Name: "c", Aim: time.Second, GiveUp: time.Second}},
+				Obligations: decision.Obligations{DrainGrace: 250 * time.Millisecond}}
+			at := func(addr string) *discovery { return newDiscovery(addr, paceFor(&m), slog.New(slog.DiscardHandler)) }
+			e, err := engine.New(engine.Options{Module: m, Seed: seed, Known: known, Upstream: &learner{}, Source: at(a)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() { e.Run(ctx); close(ended) }()
+			skipped := at(b)
+			e.Post(func() { e.MoveTo(skipped); e.MoveTo(at(c)) })
+			for start := time.Now(); third.made() == 0; time.Sleep(time.Millisecond) {
+				if time.Since(start) > patience {
+					t.Fatal("the last one is not asked")
+				}
+			}
+			time.Sleep(600 * time.Millisecond) // a move that was not taken back would be made in this time
+			addr := make(chan string)
+			e.Post(func() { addr <- e.Source().Addr() })
+			if now, n := <-addr, second.made(); now != c || n != 0 || skipped.ctx.Err() == nil {
+				t.Errorf("%s is asked, want %s; the one between was asked %d times, and is closed: %v", now, c, n, skipped.ctx.Err() != nil)
+			}
+			cancel()
+			<-ended
+		})
+	}
+}
+
+// awaits waits until a register was called twice.
+func awaits(p *running, r *troubled) {
+	for start := time.Now(); r.made() < 2 && time.Since(start) < patience; time.Sleep(time.Millisecond) {
+	}
+}
