--- a/internal/consensus/node/node.go
+++ b/internal/consensus/node/node.go
@@ -30,7 +30,7 @@
 	Silence time.Duration // the longest lease: for so long after a start it waits for all others to confirm its store, and after a cut in any case. Must be set
 	Tick    time.Duration // 100 ms; an election comes after 10 to 19, a leader's beat after each
 	Limits  consensus.Settings
-	MaxBody int               // bytes of a request between stewards, a snapshot included; 16 MiB, at least 1 MiB
+	MaxBody int               // bytes of a request between stewards, a snapshot included; 64 MiB, at least 1 MiB
 	Queue   int               // messages that wait, for each peer and of all peers; 512
 	TLS     *tls.Config       // of the client's side; nil is as the address says
 	Via     http.RoundTripper // instead of a transport of its own
@@ -80,7 +80,7 @@
 	if conf.Tick == 0 {
 		conf.Tick = 100 * time.Millisecond
 	}
-	def(&conf.MaxBody, 16<<20)
+	def(&conf.MaxBody, 64<<20)
 	def(&conf.Queue, 512)
 	if conf.Silence <= 0 || conf.Tick < 0 || conf.Machine == nil || conf.MaxBody < 0 || conf.Queue < 0 {
 		return nil, fmt.Errorf("consensus: silence %v, tick %v, max-body %d, queue %d, machine %v", conf.Silence, conf.Tick, conf.MaxBody, conf.Queue, conf.Machine)
