Gather changes into trains that nothing displaces, and halve one that stops

A new offer took the place of the policy on its way, which alone takes 3 minutes: of 400 begun one each 9 s none would get through.

The book now has what is in force (Base), the train on its way (Next) and the newest merged (Head). Offers move Head; when Next is through, Head departs with all that has gathered. Of a train that was stopped a single change is at fault: it is taken out of Head and told with its reason, number and who gave it. Several are halved, by the order in which they came, until one stands alone; what its team has replaced since is not tried again, and what goes only together is told together. A charter is a change like files. Going back drops all that waits, a charter on its way too; one that is in force stays, as before. A judgement may say how many proxies the leader knew.

Four guards taken out are each convicted. The older tests now have trains come through before they look at what is in force, for an offer no longer displaces.

--- a/internal/policybook/book.go
+++ b/internal/policybook/book.go
@@ -2,14 +2,17 @@
 // and held, and the merged policy under an epoch. It is pure: commands come from a log that all stewards agree on, and the same
 // commands give the same bytes at each of them. What conflicts, and who is held for it, is package namespace's to say.
 //
-// Epochs only rise; Order rises when an operator tells the fleet to go back, and then alone. A file's number is used once: what is
-// late or repeated takes no namespace back. The design: docs/fleet-ownership-design.md.
+// Three policies matter: Base is in force, Next is the train on its way, Head is the newest merged. An offer moves Head and never
+// displaces Next; what has gathered departs as the next train. A train that is stopped is halved until the change at fault stands
+// alone (see train.go). Epochs only rise; Order rises when an operator tells the fleet to go back, and then alone. A file's number
+// is used once: what is late or repeated takes no namespace back. The design: docs/fleet-ownership-design.md, docs/capacity-trains.md.
 package policybook
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,6 +30,7 @@
 	MostKept   = 4         // policies that the fleet can be told to go back to
 	mostBy     = 128       // bytes of who gave a command
 	mostTold   = 64        // conflicts
+	mostFaults = 256       // changes that were at fault, the newest
 	mostWords  = 2 << 10   // bytes of one text that tells why
 )
 
@@ -63,6 +67,8 @@
 	Done  bool   `json:"done"`          // else it was stopped
 	Why   string `json:"why,omitempty"` // of one that was stopped
 	Help  string `json:"help,omitempty"`
+
+	Proxies int `json:"proxies,omitempty"` // that the leader knew by then; 0 is not told
 }
 
 // Held tells why a namespace's file was held back. Texts stand for errors, so that all stewards keep the same bytes.
@@ -76,32 +82,50 @@
 	Help      string   `json:"help"`
 }
 
-// Kept is a policy with the files that it came of.
+// Kept is a policy with what it came of.
 type Kept struct {
-	Offer rollout.Offer     `json:"offer"`
-	Files map[string]string `json:"files"` // by namespace, as they were offered
-	Text  string            `json:"text"`  // the policy's encoding
+	Offer   rollout.Offer   `json:"offer"`
+	Charter file            `json:"charter"`
+	Files   map[string]file `json:"files"` // by namespace, as they were offered
+	Text    string          `json:"text"`  // the policy's encoding
 }
 
+// file is a charter or a namespace's file, as it was given.
 type file struct {
-	Text string `json:"text"`
-	By   string `json:"by,omitempty"`
+	Text   string `json:"text"`
+	By     string `json:"by,omitempty"`
+	Number uint64 `json:"number,omitempty"` // of a namespace's file
+	At     uint64 `json:"at,omitempty"`     // the merge that it came in with
+}
+
+// UnmarshalJSON reads what snapshots of before trains have too: the text alone.
+func (f *file) UnmarshalJSON(text []byte) error {
+	if len(text) > 0 && text[0] == '"' {
+		return json.Unmarshal(text, &f.Text)
+	}
+	type plain file
+	return json.Unmarshal(text, (*plain)(f))
 }
 
 type state struct {
 	Form      int               `json:"form"` // 1
-	Charter   string            `json:"charter,omitempty"`
-	Good      map[string]file   `json:"good"`
+	Charter   file              `json:"charter"`
+	Good      map[string]file   `json:"good"`    // that Head came of, and those of namespaces that the charter has no more
 	Waiting   map[string]file   `json:"waiting"` // held: they come in by themselves once nothing is against them
 	Seen      map[string]uint64 `json:"seen"`    // the highest number that a namespace has used
 	Held      []Held            `json:"held,omitempty"`
 	Conflicts []string          `json:"conflicts,omitempty"`
 	Order     uint64            `json:"order"`
-	Epoch     uint64            `json:"epoch"` // the highest
+	Epoch     uint64            `json:"epoch"`  // the highest
+	Merges    uint64            `json:"merges"` // that there were
+	Head      Kept              `json:"head"`   // the newest merged
 	Kept      []Kept            `json:"kept,omitempty"`
-	Base      int               `json:"base"`              // of Kept: what all have; -1 is none
-	Next      int               `json:"next"`              // of Kept: what goes out; -1 is none
-	Stopped   *Judge            `json:"stopped,omitempty"` // why Next goes no further
+	Base      int               `json:"base"`             // of Kept: what all have; -1 is none
+	Next      int               `json:"next"`             // of Kept: the train on its way; -1 is none
+	Trials    [][]change        `json:"trials,omitempty"` // parts of a train that was stopped, that go out one by one before Head
+	Stopped   *Judge            `json:"stopped,omitempty"`
+	Faults    []Fault           `json:"faults,omitempty"` // the newest last
+	Proxies   int               `json:"proxies,omitempty"`
 }
 
 // flaw is a guard taken out, to see that the tests convict.
@@ -111,12 +135,17 @@
 	noSeen    flaw = 1 << iota // a file's number may come again
 	allStop                    // one that is held stops all
 	sameOrder                  // going back is not counted
+	displace                   // an offer takes the place of the train on its way
+	blameAll                   // a train that was stopped is not halved: all in it are at fault
+	noBlame                    // the change at fault stays in Head
+	tellOne                    // of a train whose changes can't be parted one is told, the others are dropped without a word
 )
 
 // Book is the state. Callers see to it that one at a time calls.
 type Book struct {
 	s     state
 	flaws flaw
+	told  *Standing // of the state as it is; nil is not worked out yet
 }
 
 // New makes an empty one. Orders begin at order: a fleet that is founded anew numbers its epochs from 1, and has to go before all
@@ -126,7 +155,7 @@
 }
 
 // Empty tells whether nothing was ever taken in.
-func (b *Book) Empty() bool { return b.s.Charter == "" }
+func (b *Book) Empty() bool { return b.s.Charter.Text == "" }
 
 // Apply carries a command out, whole or not at all. Errors change nothing: NoCharter, TooMuch, BadCommand, EpochGone, and those of
 // package namespace for a file or a charter that is bad by itself. A file that is held back is no error: see Held.
@@ -140,6 +169,9 @@
 	switch {
 	case given != 1:
 		return BadCommand{fmt.Sprintf("it says %d things", given)}
+	}
+	b.told = nil
+	switch {
 	case c.Charter != nil:
 		return b.charter(*c.Charter)
 	case c.Offer != nil:
@@ -168,8 +200,10 @@
 		return err
 	}
 	next := b.copy()
-	next.Charter = c.Text
-	return b.merge(next)
+	if c.Text != next.Charter.Text {
+		next.Charter = file{Text: c.Text, By: c.By, At: next.Merges + 1}
+	}
+	return b.moved(next)
 }
 
 func (b *Book) offer(o Offer) error {
@@ -183,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	charter, err := namespace.ParseCharter("charter", []byte(b.s.Charter))
+	charter, err := namespace.ParseCharter("charter", []byte(b.s.Charter.Text))
 	if err != nil {
 		return err
 	}
@@ -198,30 +232,39 @@
 	}
 	next := b.copy()
 	next.Seen[n.Name] = max(n.Number, next.Seen[n.Name])
-	next.Waiting[n.Name] = file{o.Text, o.By}
+	next.Waiting[n.Name] = file{Text: o.Text, By: o.By, Number: n.Number}
 	if b.flaws&noSeen != 0 && next.Good[n.Name].Text != "" {
 		delete(next.Good, n.Name)
 	}
-	return b.merge(next)
+	return b.moved(next)
+}
+
+// moved puts a state in place of this one in which charter or files are others: it is merged, and if no train is on its way, one departs.
+func (b *Book) moved(s *state) error {
+	if err := b.merge(s, true); err != nil {
+		return err
+	}
+	b.depart(s)
+	b.s = *s
+	return nil
 }
 
 // copy is a state that can be changed and thrown away. What it shares is never written to.
 func (b *Book) copy() *state {
 	s := b.s
 	s.Good, s.Waiting, s.Seen, s.Kept = maps.Clone(s.Good), maps.Clone(s.Waiting), maps.Clone(s.Seen), slices.Clone(s.Kept)
+	s.Trials, s.Faults = slices.Clone(s.Trials), slices.Clone(s.Faults)
 	return &s
 }
 
-// merge joins what a state has, and puts it in place of this one if all of it is within the bounds.
-func (b *Book) merge(s *state) error {
-	charter, err := namespace.ParseCharter("charter", []byte(s.Charter))
+// join merges files over last good ones under a charter. All three were read before, when they came.
+func join(charter file, good, offered map[string]file) (namespace.Outcome, error) {
+	c, err := namespace.ParseCharter("charter", []byte(charter.Text))
 	if err != nil {
-		return err
+		return namespace.Outcome{}, err
 	}
-	total := 0
 	parse := func(files map[string]file) (all []*namespace.Namespace, err error) {
 		for _, name := range slices.Sorted(maps.Keys(files)) {
-			total += len(files[name].Text)
 			n, err := namespace.Parse(name, []byte(files[name].Text))
 			if err != nil {
 				return nil, err
@@ -230,55 +273,69 @@
 		}
 		return all, nil
 	}
-	good, err := parse(s.Good)
+	last, err := parse(good)
 	if err != nil {
-		return err
+		return namespace.Outcome{}, err
 	}
-	waiting, err := parse(s.Waiting)
+	next, err := parse(offered)
 	if err != nil {
-		return err
+		return namespace.Outcome{}, err
 	}
-	if total > MostFiles {
+	return namespace.Merge(c, last, next), nil
+}
+
+// merge joins what a state has, and moves its Head. An error is told before anything but s was touched.
+func (b *Book) merge(s *state, bounds bool) error {
+	total := 0
+	for _, files := range []map[string]file{s.Good, s.Waiting} {
+		for _, f := range files {
+			total += len(f.Text)
+		}
+	}
+	if bounds && total > MostFiles {
 		return TooMuch{"all namespaces' files", total, MostFiles}
 	}
-	out := namespace.Merge(charter, good, waiting)
+	out, err := join(s.Charter, s.Good, s.Waiting)
+	if err != nil {
+		return err
+	}
 	text := out.Policy.Encode()
-	if len(text) > MostPolicy {
+	if bounds && len(text) > MostPolicy {
 		return TooMuch{"the merged policy", len(text), MostPolicy}
 	}
 	if b.flaws&allStop != 0 && len(out.Held) > 0 {
-		b.s.Waiting = s.Waiting
+		waiting := s.Waiting
+		*s = *b.copy()
+		s.Waiting = waiting
 		return nil
 	}
-	number := map[string]uint64{}
-	for _, n := range waiting {
-		number[n.Name] = n.Number
-	}
+	s.Merges++
 	s.Held, s.Conflicts = nil, nil
 	for _, h := range out.Held {
 		by := s.Good[h.Namespace].By
-		if h.Offered == number[h.Namespace] {
-			by = s.Waiting[h.Namespace].By
+		if w, ok := s.Waiting[h.Namespace]; ok && h.Offered == w.Number {
+			by = w.By
 		}
 		s.Held = append(s.Held, Held{h.Namespace, h.Offered, h.Holds, by, h.Cut, cut(h.Error()), advice.Of(h)})
 	}
 	for _, c := range out.Conflicts[:min(mostTold, len(out.Conflicts))] {
 		s.Conflicts = append(s.Conflicts, cut(c.String()))
 	}
-	kept := Kept{Files: map[string]string{}, Text: string(text)}
+	kept := Kept{Charter: s.Charter, Files: map[string]file{}, Text: string(text)}
 	for _, n := range out.Good {
-		if w, ok := s.Waiting[n.Name]; ok && n.Number == number[n.Name] {
+		if w, ok := s.Waiting[n.Name]; ok && n.Number == w.Number {
+			w.At = s.Merges
 			s.Good[n.Name] = w
 			delete(s.Waiting, n.Name)
 		}
-		kept.Files[n.Name] = s.Good[n.Name].Text
+		kept.Files[n.Name] = s.Good[n.Name]
 	}
-	if at := max(s.Base, s.Next); at < 0 || s.Kept[s.current()].Offer.Hash != out.Hash {
+	kept.Offer = s.Head.Offer
+	if s.Head.Offer.Hash != out.Hash {
 		s.Epoch++
 		kept.Offer = rollout.Offer{Order: s.Order, Epoch: s.Epoch, Hash: out.Hash}
-		s.enter(kept)
 	}
-	b.s = *s
+	s.Head = kept
 	return nil
 }
 
@@ -289,31 +346,6 @@
 	return text
 }
 
-// current is of Kept the one that the newest files came to.
-func (s *state) current() int {
-	if s.Next >= 0 {
-		return s.Next
-	}
-	return s.Base
-}
-
-// enter has a policy go out. One that goes out yet gives way to it; what all have stays until the new one is through.
-func (s *state) enter(k Kept) {
-	s.Kept = append(s.Kept, k)
-	s.Next, s.Stopped = len(s.Kept)-1, nil
-	for len(s.Kept) > MostKept {
-		drop := 0
-		if drop == s.Base {
-			drop = 1
-		}
-		s.Kept = slices.Delete(s.Kept, drop, drop+1)
-		s.Next--
-		if s.Base > drop {
-			s.Base--
-		}
-	}
-}
-
 // back puts the files of an epoch back, and gives its policy to all. What waited is dropped: it was written against other files.
 func (b *Book) back(c Back) error {
 	if len(c.By) > mostBy {
@@ -337,14 +369,18 @@
 	k := s.Kept[at]
 	k.Offer.Order = s.Order
 	s.Kept[at] = k
-	s.Base, s.Next, s.Stopped, s.Held, s.Conflicts = at, -1, nil, nil, nil
-	s.Waiting = map[string]file{}
+	if s.Base >= 0 {
+		s.Charter = s.Kept[s.Base].Charter // that is in force stays; one on its way is dropped like the files
+	}
+	s.Base, s.Next, s.Stopped, s.Held, s.Conflicts, s.Trials = at, -1, nil, nil, nil, nil
+	s.Waiting, s.Head = map[string]file{}, k
 	was := s.Good
 	s.Good = map[string]file{}
-	for name, text := range k.Files {
-		s.Good[name] = file{Text: text, By: c.By}
-		if was[name].Text == text {
-			s.Good[name] = was[name]
+	for name, f := range k.Files {
+		s.Good[name] = f
+		if was[name].Text != f.Text {
+			f.By = c.By
+			s.Good[name] = f
 		}
 	}
 	b.s = *s
@@ -352,53 +388,77 @@
 }
 
 func (b *Book) judge(j Judge) error {
-	s := &b.s
-	if s.Next < 0 || s.Kept[s.Next].Offer.Epoch != j.Epoch || s.Kept[s.Next].Offer.Order != j.Order {
+	if b.s.Next < 0 || b.s.Kept[b.s.Next].Offer.Epoch != j.Epoch || b.s.Kept[b.s.Next].Offer.Order != j.Order {
 		return nil // of one that has given way
 	}
-	if s.Stopped != nil {
+	if b.s.Stopped != nil {
 		return nil
 	}
+	s := b.copy()
+	if j.Proxies > 0 {
+		s.Proxies = j.Proxies
+	}
 	if j.Done {
 		s.Base, s.Next = s.Next, -1
-		return nil
+		s.settled()
+	} else {
+		j.Why, j.Help = cut(j.Why), cut(j.Help)
+		s.Stopped = &j
+		b.part(s)
 	}
-	j.Why, j.Help = cut(j.Why), cut(j.Help)
-	s.Stopped = &j
+	b.depart(s)
+	b.s = *s
 	return nil
 }
 
-// Standing is what the fleet has and what goes out.
+// Standing is what the fleet has, what goes out, and what waits. Nobody writes to its lists.
 type Standing struct {
-	Base    rollout.Offer // what all have; none is the zero
-	Next    rollout.Offer // what goes out; none is the zero
-	Stopped *Judge        // why it goes no further; nil if it does
-	Held    []Held        // by namespace
-	Told    []string      // conflicts
-	Kept    []uint64      // the epochs that the fleet can be told to go back to
+	Base     rollout.Offer // in force: what all have; none is the zero
+	Next     rollout.Offer // the train on its way; none is the zero
+	Head     rollout.Offer // the newest merged. It departs under this epoch or, if parts of a stopped train go first, a higher one
+	Stopped  *Judge        // why Next goes no further; nil if it does
+	Train    []Change      // in Next, against Base
+	Gathered []Change      // in Head, and not in Next: they wait for a train
+	Faults   []Fault       // changes that were taken out, the newest last; one of a namespace, until a higher number of it is in force
+	Held     []Held        // by namespace
+	Told     []string      // conflicts
+	Kept     []uint64      // the epochs that the fleet can be told to go back to
+	Proxies  int           // that the leader knew at the last judgement; 0 is not known
 }
 
 // Standing tells how things stand.
 func (b *Book) Standing() Standing {
-	out := Standing{Held: slices.Clone(b.s.Held), Told: slices.Clone(b.s.Conflicts)}
-	if b.s.Base >= 0 {
-		out.Base = b.s.Kept[b.s.Base].Offer
+	if b.told != nil {
+		return *b.told
 	}
-	if b.s.Next >= 0 {
-		out.Next = b.s.Kept[b.s.Next].Offer
+	s := &b.s
+	out := Standing{Head: s.Head.Offer, Held: slices.Clone(s.Held), Told: slices.Clone(s.Conflicts), Faults: slices.Clone(s.Faults), Proxies: s.Proxies}
+	from := s.base()
+	out.Base = from.Offer
+	if s.Next >= 0 {
+		next := &s.Kept[s.Next]
+		out.Next, out.Train = next.Offer, told(changes(from, next))
+		if s.Stopped == nil {
+			from = next
+		}
 	}
-	if b.s.Stopped != nil {
-		j := *b.s.Stopped
+	out.Gathered = told(changes(from, &s.Head))
+	if s.Stopped != nil {
+		j := *s.Stopped
 		out.Stopped = &j
 	}
-	for _, k := range b.s.Kept {
+	for _, k := range s.Kept {
 		out.Kept = append(out.Kept, k.Offer.Epoch)
 	}
+	b.told = &out
 	return out
 }
 
-// Text is the encoding of a policy that is kept.
+// Text is the encoding of a policy that is kept, or of Head.
 func (b *Book) Text(o rollout.Offer) (string, bool) {
+	if b.s.Head.Offer == o && o.Hash != "" {
+		return b.s.Head.Text, true
+	}
 	for _, k := range b.s.Kept {
 		if k.Offer == o {
 			return k.Text, true
@@ -419,15 +479,52 @@
 	if next.Form != 1 || next.Base < -1 || next.Base >= len(next.Kept) || next.Next < -1 || next.Next >= len(next.Kept) || len(next.Kept) > MostKept {
 		return BadCommand{"a snapshot of another form"}
 	}
-	for _, k := range next.Kept {
+	if err := next.before(); err != nil {
+		return err
+	}
+	for _, k := range append(slices.Clone(next.Kept), next.Head) {
+		if k.Offer.Hash == "" {
+			continue // nothing was ever merged
+		}
 		if sum := sha256.Sum256([]byte(k.Text)); hex.EncodeToString(sum[:]) != k.Offer.Hash {
 			return BadCommand{fmt.Sprintf("a snapshot whose policy of epoch %d is damaged", k.Offer.Epoch)}
 		}
 	}
-	b.s = next
+	b.s, b.told = next, nil
 	return nil
 }
 
+// before gives a state of before trains what it lacks: the newest was on its way itself, and nothing gathered.
+func (s *state) before() error {
+	if s.Head.Offer.Hash != "" || len(s.Kept) == 0 {
+		return nil
+	}
+	number := func(files map[string]file) error {
+		for name, f := range files {
+			n, err := namespace.Parse(name, []byte(f.Text))
+			if err != nil {
+				return err
+			}
+			f.Number = n.Number
+			files[name] = f
+		}
+		return nil
+	}
+	for i := range s.Kept {
+		s.Kept[i].Charter = s.Charter
+		if err := number(s.Kept[i].Files); err != nil {
+			return err
+		}
+	}
+	switch {
+	case s.Next >= 0:
+		s.Head = s.Kept[s.Next]
+	case s.Base >= 0:
+		s.Head = s.Kept[s.Base]
+	}
+	return errors.Join(number(s.Good), number(s.Waiting))
+}
+
 // NoCharter is an offer to a fleet in which nobody may say anything yet.
 type NoCharter struct{}
 
--- a/internal/policybook/book_test.go
+++ b/internal/policybook/book_test.go
@@ -10,6 +10,7 @@
 
 	"lapisspread/internal/advice"
 	"lapisspread/internal/namespace"
+	"lapisspread/internal/rollout"
 )
 
 // charter has two teams on one host, and a third elsewhere; with the last argument beta has only a part.
@@ -54,16 +55,40 @@
 	b := New(0)
 	b.flaws = f
 	apply(t, b, Command{Charter: &Charter{Text: charter("x.org")}}, word(rules("alpha", 1, "x.org", "/a")), word(rules("beta", 1, "x.org", "/b")))
+	through(t, b)
 	return b
 }
 
-func routes(t *testing.T, b *Book) string {
+// through has all trains come through.
+func through(t *testing.T, b *Book) {
+	t.Helper()
+	for range 20 {
+		if b.Standing().Next.Epoch == 0 {
+			return
+		}
+		judge(t, b, true)
+	}
+	t.Fatalf("trains without an end: %+v", b.Standing())
+}
+
+// judge ends the train that is on its way.
+func judge(t *testing.T, b *Book, done bool) {
 	t.Helper()
 	s := b.Standing()
-	o := s.Next
-	if o.Epoch == 0 {
-		o = s.Base
+	j := Judge{Order: s.Next.Order, Epoch: s.Next.Epoch, Done: done}
+	if !done {
+		j.Why, j.Help = fmt.Sprintf("worse in epoch %d", j.Epoch), "mend it"
 	}
+	apply(t, b, Command{Judge: &j})
+}
+
+func routes(t *testing.T, b *Book) string {
+	t.Helper()
+	return routesOf(t, b, b.Standing().Head)
+}
+
+func routesOf(t *testing.T, b *Book, o rollout.Offer) string {
+	t.Helper()
 	text, ok := b.Text(o)
 	p, err := namespace.Decode([]byte(text))
 	if !ok || err != nil {
@@ -99,7 +124,7 @@
 			return nil
 		}},
 		"going back is no word that goes before": {sameOrder, func(t *testing.T, b *Book) error {
-			was := b.Standing().Next
+			was := b.Standing().Base
 			apply(t, b, Command{Back: &Back{Epoch: b.Standing().Kept[0]}})
 			if now := b.Standing().Base; !now.After(was) {
 				return fmt.Errorf("%+v does not go before %+v", now, was)
@@ -121,14 +146,16 @@
 	all = append(all, Command{Charter: &Charter{Text: charter("x.org")}})
 	for i := range n {
 		name := []string{"alpha", "beta", "gamma", "delta"}[rng.IntN(4)]
-		switch rng.IntN(8) {
+		switch rng.IntN(9) {
 		case 0:
 			all = append(all, Command{Charter: &Charter{Text: charter([]string{"x.org", "y.org"}[rng.IntN(2)])}})
 		case 1:
 			all = append(all, Command{Back: &Back{Epoch: uint64(rng.IntN(n))}})
 		case 2:
-			all = append(all, Command{Judge: &Judge{Epoch: uint64(i), Done: rng.IntN(2) == 0, Why: "w"}})
+			all = append(all, Command{Judge: &Judge{Epoch: uint64(i), Done: rng.IntN(2) == 0, Why: "w", Proxies: i}})
 		case 3:
+			all = append(all, Command{Judge: &Judge{Epoch: uint64(i), Done: rng.IntN(4) != 0, Why: "w"}})
+		case 4:
 			all = append(all, word("not = a file"))
 		default:
 			all = append(all, word(rules(name, 1+rng.IntN(i+1), []string{"x.org", "g.org"}[rng.IntN(2)], "/"+string(rune('a'+rng.IntN(3))))))
@@ -144,6 +171,13 @@
 		held := 0
 		for i, c := range drawn(rand.New(rand.NewPCG(seed, 1)), 40) {
 			before := a.Standing()
+			if c.Judge != nil { // of what is on its way, mostly
+				j := *c.Judge
+				if j.Epoch%4 != 0 {
+					j.Order, j.Epoch = before.Next.Order, before.Next.Epoch
+				}
+				c.Judge = &j
+			}
 			errA, errB := a.Apply(c), b.Apply(c)
 			if fmt.Sprint(errA) != fmt.Sprint(errB) {
 				t.Fatalf("seed %d: %v and %v", seed, errA, errB)
@@ -166,8 +200,8 @@
 				}
 			}
 			held += len(s.Held)
-			newest := max(before.Next.Epoch, before.Base.Epoch)
-			if after := max(s.Next.Epoch, s.Base.Epoch); after < newest && c.Back == nil {
+			newest := max(before.Next.Epoch, before.Base.Epoch, before.Head.Epoch)
+			if after := max(s.Next.Epoch, s.Base.Epoch, s.Head.Epoch); after < newest && c.Back == nil {
 				t.Fatalf("seed %d: epoch %d after %d without a word", seed, after, newest)
 			}
 			if s.Base != before.Base && before.Base.Epoch != 0 && !s.Base.After(before.Base) {
@@ -199,10 +233,10 @@
 // Back puts files back, drops what waits, and the file that was gone back from does not come again by itself.
 func TestBack(t *testing.T) {
 	b := begun(t, 0)
-	good := b.Standing().Next
-	apply(t, b, Command{Judge: &Judge{Epoch: good.Epoch, Done: true}}, word(rules("alpha", 2, "x.org", "/bad")))
+	good := b.Standing().Base
+	apply(t, b, word(rules("alpha", 2, "x.org", "/bad")))
 	next := b.Standing().Next
-	apply(t, b, Command{Judge: &Judge{Epoch: next.Epoch, Why: "worse"}})
+	judge(t, b, false)
 	if s := b.Standing(); s.Stopped == nil || s.Base != good {
 		t.Fatalf("%+v", s)
 	}
