Give a policy as items in pieces, and take changes of items up

A policy's Tree has one item for each rule; FromTree reads it back to the same bytes, and With costs what changed. The numbers of files stand apart, one for each namespace: a new version of a file changes the source of all its rules, and only those that say something else shall go to the proxies. Drawn merges agree whole and by changes.

--- a/internal/namespace/errors.go
+++ b/internal/namespace/errors.go
@@ -174,3 +174,20 @@
 func (e VersionTaken) Advice() string {
 	return "Give the file a number above all that were offered before. To go back, offer the old content under a new number."
 }
+
+// WrongItem says that one of a policy's items can't be read, or can't stand among the others.
+type WrongItem struct {
+	Key string // of the item, as "route team/name"
+	Err error
+}
+
+func (e WrongItem) Error() string { return fmt.Sprintf("policy: item %.100q: %v", e.Key, e.Err) }
+
+// Unwrap gives what is wrong.
+func (e WrongItem) Unwrap() error { return e.Err }
+
+// Advice is what an operator can do.
+func (WrongItem) Advice() string {
+	return "Whoever made this policy made it wrong, or it was made by a newer program. The one before goes on. See that stewards and " +
+		"proxies run programs that know each other, and offer the policy again."
+}
--- /dev/null
+++ b/internal/namespace/items.go
@@ -0,0 +1,420 @@
+package namespace
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"lapisspread/internal/pieces"
+)
+
+// A policy's items. Each rule is one, under its kind and name, as "route dispatch/r1", with its JSON as in the policy's encoding
+// but for the numbers of files: a namespace's number stands once, under "number NAMESPACE", for a new version of a file changes
+// the sources of all its rules, and only the few that say something else shall go to the proxies. "form" is the policy's form.
+const (
+	formKey   = "form"
+	numberKey = "number"
+)
+
+// Diff is what a change makes of the rules that requests are led by. What only comes from another version of a file is none.
+type Diff struct {
+	Routes     []PolicyRoute // new ones, and those that say something else, as they are now
+	RoutesGone []string      // by name
+	Blocks     bool          // some block was changed, added or removed
+}
+
+// itemKind is one of a policy's lists.
+type itemKind interface {
+	name() string
+	// sources calls f with the source of each value of all rules. It must not change it.
+	sources(p *Policy, f func(*Source))
+	// items adds the list's items.
+	items(p *Policy, add func(key string, v any) error) error
+	// with puts a list with changes into next, in place of the one there, which stays as it is.
+	with(next *Policy, c *itemChanges, d *Diff) error
+}
+
+// itemChanges is what becomes of a policy's items.
+type itemChanges struct {
+	set     map[string][]pieces.Item // by kind
+	removed map[string][]string      // keys, by kind
+	numbers map[string]uint64        // of files, by namespace, as they are afterwards
+	renewed map[string]bool          // namespaces whose number is another than before
+}
+
+// list is one of a policy's lists, sorted by what tell gives.
+type list[T any] struct {
+	kind string
+	of   func(*Policy) *[]T
+	tell func(*T) string                        // the name, as in the key
+	from func(v *T, own bool, f func(*Source))  // calls f with each source; own has v hold copies of them first
+	note func(d *Diff, changed *T, gone string) // enters a change; changed is nil for one that is gone
+}
+
+func (l *list[T]) name() string { return l.kind }
+
+// key is the key of a rule. A name that would be too long stands by its beginning and its hash.
+func (l *list[T]) key(v *T) string {
+	name := l.tell(v)
+	if len(l.kind)+1+len(name) > pieces.MostKey {
+		sum := sha256.Sum256([]byte(name))
+		name = name[:64] + "..." + hex.EncodeToString(sum[:])
+	}
+	return l.kind + " " + name
+}
+
+func (l *list[T]) sources(p *Policy, f func(*Source)) {
+	all := *l.of(p)
+	for i := range all {
+		l.from(&all[i], false, f)
+	}
+}
+
+func (l *list[T]) items(p *Policy, add func(string, any) error) error {
+	all := *l.of(p)
+	for i := range all {
+		if i > 0 && l.tell(&all[i-1]) >= l.tell(&all[i]) {
+			return WrongItem{l.key(&all[i]), errors.New("it is there twice, or out of order")}
+		}
+		v := all[i]
+		l.from(&v, true, func(s *Source) { s.Number = 0 })
+		if err := add(l.key(&v), &v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *list[T]) with(next *Policy, c *itemChanges, d *Diff) error {
+	old := *l.of(next)
+	type change struct {
+		name string
+		is   *T // nil: gone
+	}
+	var changes []change
+	for _, i := range c.set[l.kind] {
+		v := new(T)
+		if err := strictJSON(i.Value, v); err != nil {
+			return WrongItem{i.Key, err}
+		}
+		if l.key(v) != i.Key {
+			return WrongItem{i.Key, fmt.Errorf("it holds the rule of %.100q", l.key(v))}
+		}
+		var err error
+		l.from(v, false, func(s *Source) { // what was read is held by nobody else
+			n, there := c.numbers[s.Namespace]
+			if s.Number != 0 || !there {
+				err = WrongItem{i.Key, fmt.Errorf("the number of the file of %q stands in the wrong place or nowhere", s.Namespace)}
+			}
+			s.Number = n
+		})
+		if err != nil {
+			return err
+		}
+		changes = append(changes, change{l.tell(v), v})
+	}
+	for _, key := range c.removed[l.kind] {
+		name := strings.TrimPrefix(key, l.kind+" ")
+		at, there := slices.BinarySearchFunc(old, name, func(v T, name string) int { return strings.Compare(l.tell(&v), name) })
+		if !there { // one with a name that is too long for a key, or none
+			if at = slices.IndexFunc(old, func(v T) bool { return l.key(&v) == key }); at < 0 {
+				continue
+			}
+		}
+		changes = append(changes, change{name: l.tell(&old[at])})
+	}
+	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(a.name, b.name) })
+	list := old
+	if len(changes) > 0 {
+		list = make([]T, 0, len(old)+len(changes))
+		rest := old
+		for i, x := range changes {
+			if i > 0 && changes[i-1].name == x.name {
+				return WrongItem{l.kind + " " + x.name, errors.New("it is there twice")}
+			}
+			at, there := slices.BinarySearchFunc(rest, x.name, func(v T, name string) int { return strings.Compare(l.tell(&v), name) })
+			list, rest = append(list, rest[:at]...), rest[at:]
+			if there {
+				rest = rest[1:]
+			}
+			if x.is != nil {
+				list = append(list, *x.is)
+			}
+			if l.note != nil {
+				l.note(d, x.is, x.name)
+			}
+		}
+		if list = append(list, rest...); len(list) == 0 {
+			list = nil
+		}
+	}
+	if len(c.renewed) > 0 {
+		copied := len(changes) > 0
+		for i := range list {
+			stale := false
+			l.from(&list[i], false, func(s *Source) { stale = stale || c.renewed[s.Namespace] && s.Number != c.numbers[s.Namespace] })
+			if !stale {
+				continue
+			}
+			if !copied {
+				list, copied = slices.Clone(list), true
+			}
+			l.from(&list[i], true, func(s *Source) { s.Number = c.numbers[s.Namespace] })
+		}
+	}
+	*l.of(next) = list
+	return nil
+}
+
+// fromValue goes through the sources of a value.
+func fromValue[T comparable](v **Value[T], own bool, f func(*Source)) {
+	if *v == nil {
+		return
+	}
+	if own {
+		*v = &Value[T]{(*v).Is, slices.Clone((*v).From)}
+	}
+	for i := range (*v).From {
+		f(&(*v).From[i])
+	}
+}
+
+var itemKinds = []itemKind{
+	&list[PolicyService]{kind: "service", of: func(p *Policy) *[]PolicyService { return &p.Services },
+		tell: func(v *PolicyService) string { return v.Name },
+		from: func(v *PolicyService, own bool, f func(*Source)) {
+			if own {
+				v.From = slices.Clone(v.From)
+			}
+			for i := range v.From {
+				f(&v.From[i])
+			}
+		}},
+	&list[PolicyRoute]{kind: "route", of: func(p *Policy) *[]PolicyRoute { return &p.Routes },
+		tell: func(v *PolicyRoute) string { return v.Name },
+		from: func(v *PolicyRoute, _ bool, f func(*Source)) { f(&v.From) },
+		note: func(d *Diff, v *PolicyRoute, gone string) {
+			if v != nil {
+				d.Routes = append(d.Routes, *v)
+			} else {
+				d.RoutesGone = append(d.RoutesGone, gone)
+			}
+		}},
+	&list[PolicyClass]{kind: "class", of: func(p *Policy) *[]PolicyClass { return &p.Classes },
+		tell: func(v *PolicyClass) string { return v.Name },
+		from: func(v *PolicyClass, own bool, f func(*Source)) {
+			fromValue(&v.Aim, own, f)
+			fromValue(&v.GiveUp, own, f)
+			fromValue(&v.Effect, own, f)
+			fromValue(&v.Worth, own, f)
+			fromValue(&v.Late, own, f)
+		}},
+	&list[PolicyShare]{kind: "share", of: func(p *Policy) *[]PolicyShare { return &p.Shares },
+		tell: func(v *PolicyShare) string { return v.Budget + " " + v.Namespace },
+		from: func(v *PolicyShare, own bool, f func(*Source)) {
+			fromValue(&v.Min, own, f)
+			fromValue(&v.Cap, own, f)
+			fromValue(&v.Weight, own, f)
+		}},
+	&list[PolicyBlock]{kind: "block", of: func(p *Policy) *[]PolicyBlock { return &p.Blocks },
+		tell: func(v *PolicyBlock) string { return v.Name },
+		from: func(v *PolicyBlock, _ bool, f func(*Source)) { f(&v.From) },
+		note: func(d *Diff, _ *PolicyBlock, _ string) { d.Blocks = true }},
+	&list[PolicyOrder]{kind: "order", of: func(p *Policy) *[]PolicyOrder { return &p.Orders },
+		tell: func(v *PolicyOrder) string { return v.Name },
+		from: func(v *PolicyOrder, _ bool, f func(*Source)) { f(&v.From) }},
+	&list[PolicyStaleness]{kind: "staleness", of: func(p *Policy) *[]PolicyStaleness { return &p.Staleness },
+		tell: func(v *PolicyStaleness) string { return v.Route },
+		from: func(v *PolicyStaleness, own bool, f func(*Source)) { fromValue(&v.Bears, own, f) }},
+}
+
+// plainJSON gives a value as Encode does.
+func plainJSON(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
+}
+
+// strictJSON reads a value that must be written as plainJSON does.
+func strictJSON(text []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if again, err := plainJSON(v); err != nil || !bytes.Equal(again, text) {
+		return errors.New("it is not in the one encoding that it has")
+	}
+	return nil
+}
+
+// numbers are the numbers of the files that rules come from, by namespace.
+func (p *Policy) numbers() (map[string]uint64, error) {
+	out := map[string]uint64{}
+	var err error
+	var last Source // most follow one of the same
+	for _, k := range itemKinds {
+		k.sources(p, func(s *Source) {
+			if s.Namespace == last.Namespace && s.Number == last.Number && last.Number > 0 {
+				return
+			}
+			last = *s
+			if n, there := out[s.Namespace]; s.Number == 0 || there && n != s.Number {
+				err = WrongItem{numberKey + " " + s.Namespace, fmt.Errorf("its rules come from versions %d and %d of its file", n, s.Number)}
+			}
+			out[s.Namespace] = s.Number
+		})
+	}
+	return out, err
+}
+
+// Tree gives the policy's items as pieces; the root names its content. It is an error if a list is out of order or a namespace's
+// rules come from two versions of its file, which Merge never gives.
+func (p *Policy) Tree() (*pieces.Tree, error) {
+	var all []pieces.Item
+	add := func(key string, v any) error {
+		text, err := plainJSON(v)
+		if err != nil {
+			return WrongItem{key, err}
+		}
+		all = append(all, pieces.Item{Key: key, Value: text})
+		return nil
+	}
+	if err := add(formKey, p.Form); err != nil {
+		return nil, err
+	}
+	numbers, err := p.numbers()
+	if err != nil {
+		return nil, err
+	}
+	for _, ns := range slices.Sorted(maps.Keys(numbers)) {
+		if err := add(numberKey+" "+ns, numbers[ns]); err != nil {
+			return nil, err
+		}
+	}
+	for _, k := range itemKinds {
+		if err := k.items(p, add); err != nil {
+			return nil, err
+		}
+	}
+	return pieces.Build(all)
+}
+
+// FromTree reads a policy from its items. They must be the very ones that Tree gives, and its routes must compile. Errors are
+// WrongItem, and those of package route.
+func FromTree(t *pieces.Tree) (*Policy, error) {
+	if _, there := t.Get(formKey); !there {
+		return nil, WrongItem{formKey, errors.New("it is missing")}
+	}
+	p, _, err := (&Policy{Form: 1}).with(slices.Collect(t.Items()), nil)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := p.Table(); err != nil {
+		return nil, fmt.Errorf("policy: %w", err)
+	}
+	return p, nil
+}
+
+// With gives the policy with items set and without those removed, as FromTree of the outcome does, and what that makes of the rules
+// that lead requests. It costs what changed, and the copying of the lists that do. The policy itself stays as it is.
+func (p *Policy) With(set []pieces.Item, removed []string) (*Policy, *Diff, error) {
+	next, d, err := p.with(set, removed)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(d.Routes) > 0 {
+		if _, err := next.Table(); err != nil {
+			return nil, nil, fmt.Errorf("policy: %w", err)
+		}
+	}
+	return next, d, nil
+}
+
+func (p *Policy) with(set []pieces.Item, removed []string) (*Policy, *Diff, error) {
+	before, err := p.numbers()
+	if err != nil {
+		return nil, nil, err
+	}
+	c := itemChanges{map[string][]pieces.Item{}, map[string][]string{}, maps.Clone(before), map[string]bool{}}
+	known := map[string]bool{formKey: true, numberKey: true}
+	for _, k := range itemKinds {
+		known[k.name()] = true
+	}
+	for _, key := range removed {
+		kind, name, _ := strings.Cut(key, " ")
+		switch kind {
+		case formKey:
+			return nil, nil, WrongItem{key, errors.New("it is missing")}
+		case numberKey:
+			delete(c.numbers, name)
+			c.renewed[name] = true
+		default:
+			c.removed[kind] = append(c.removed[kind], key)
+		}
+	}
+	for _, i := range set {
+		kind, name, named := strings.Cut(i.Key, " ")
+		switch {
+		case !known[kind] || named == (kind == formKey):
+			return nil, nil, WrongItem{i.Key, errors.New("this program knows no such rule")}
+		case kind == formKey:
+			if string(i.Value) != strconv.Itoa(p.Form) {
+				return nil, nil, WrongItem{i.Key, fmt.Errorf("form %.20s; this program reads %d", i.Value, p.Form)}
+			}
+		case kind == numberKey:
+			n, err := strconv.ParseUint(string(i.Value), 10, 64)
+			if err != nil || n == 0 || strconv.FormatUint(n, 10) != string(i.Value) {
+				return nil, nil, WrongItem{i.Key, fmt.Errorf("%.40q is no number of a file", i.Value)}
+			}
+			c.numbers[name] = n
+			c.renewed[name] = before[name] != 0 && before[name] != n
+		default:
+			c.set[kind] = append(c.set[kind], i)
+		}
+	}
+	maps.DeleteFunc(c.renewed, func(_ string, is bool) bool { return !is })
+	next, d := *p, &Diff{}
+	for _, k := range itemKinds {
+		if err := k.with(&next, &c, d); err != nil {
+			return nil, nil, err
+		}
+	}
+	after, err := next.numbers()
+	if err != nil {
+		return nil, nil, err
+	}
+	if !maps.Equal(after, c.numbers) {
+		for _, ns := range slices.Sorted(maps.Keys(c.numbers)) {
+			if _, there := after[ns]; !there {
+				return nil, nil, WrongItem{numberKey + " " + ns, errors.New("no rule comes from its file")}
+			}
+		}
+		return nil, nil, WrongItem{numberKey, errors.New("the number of a file is missing whose rules are there")}
+	}
+	for i := range d.Routes {
+		if err := weighted(&d.Routes[i].Route); err != nil {
+			return nil, nil, err
+		}
+	}
+	return &next, d, nil
+}
+
+// weighted wants all targets of a route to have their weights.
+func weighted(r *Route) error {
+	if slices.ContainsFunc(r.To, func(to Target) bool { return to.Weight == nil }) {
+		return fmt.Errorf("policy: route %s: a target has no weight", r.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/namespace/items_test.go
@@ -0,0 +1,180 @@
+package namespace
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"lapisspread/internal/advice"
+	"lapisspread/internal/pieces"
+)
+
+func treeOf(tb testing.TB, p *Policy) *pieces.Tree {
+	tb.Helper()
+	t, err := p.Tree()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return t
+}
+
+// A policy's items give back the policy, and the changes of items those of the policy, whatever the teams write.
+func TestItemsOfDrawnPolicies(t *testing.T) {
+	changed, gone := 0, 0
+	for i := range drawnSets {
+		c, set := drawSet(i)
+		d := drawer{rand.New(rand.NewPCG(uint64(i), 30))}
+		first := Merge(c, nil, set)
+		was := first.Policy
+		for range 3 {
+			tree := treeOf(t, was)
+			again, err := FromTree(tree)
+			if err != nil || !bytes.Equal(again.Encode(), was.Encode()) {
+				t.Fatalf("set %d: %v: %s\nis no longer\n%s", i, err, again.Encode(), was.Encode())
+			}
+			out := Merge(c, first.Good, d.change(c, first.Good))
+			next := treeOf(t, out.Policy)
+			before := again.Encode()
+			got, diff, err := again.With(pieces.Changes(tree, next))
+			if err != nil || !bytes.Equal(got.Encode(), out.Policy.Encode()) || treeOf(t, got).Root() != next.Root() {
+				t.Fatalf("set %d: %v: %s\ninstead of\n%s", i, err, got.Encode(), out.Policy.Encode())
+			}
+			if !bytes.Equal(again.Encode(), before) {
+				t.Fatalf("set %d: the policy before was changed", i)
+			}
+			checkDiff(t, was, out.Policy, diff)
+			changed, gone = changed+len(diff.Routes), gone+len(diff.RoutesGone)
+			first, was = out, out.Policy
+		}
+	}
+	t.Logf("%d routes changed, %d gone", changed, gone)
+	if changed < 100 || gone < 100 {
+		t.Error("the draw is too tame")
+	}
+}
+
+// checkDiff wants a diff to name just those routes that say something else.
+func checkDiff(t *testing.T, from, to *Policy, d *Diff) {
+	t.Helper()
+	find := func(p *Policy, name string) *PolicyRoute {
+		i := slices.IndexFunc(p.Routes, func(r PolicyRoute) bool { return r.Name == name })
+		if i < 0 {
+			return nil
+		}
+		return &p.Routes[i]
+	}
+	want := &Diff{}
+	for _, r := range to.Routes {
+		if old := find(from, r.Name); old == nil || !reflect.DeepEqual(old.Route, r.Route) || old.From.Rule != r.From.Rule {
+			want.Routes = append(want.Routes, r)
+		}
+	}
+	for _, r := range from.Routes {
+		if find(to, r.Name) == nil {
+			want.RoutesGone = append(want.RoutesGone, r.Name)
+		}
+	}
+	want.Blocks = !slices.EqualFunc(from.Blocks, to.Blocks, func(a, b PolicyBlock) bool { return reflect.DeepEqual(a.Block, b.Block) })
+	if !reflect.DeepEqual(d, want) {
+		t.Fatalf("the diff is %+v, not %+v", d, want)
+	}
+}
+
+// A new version of a file costs what it says otherwise, not all its rules.
+func TestANewVersionOfAFileIsFewItems(t *testing.T) {
+	c, all, next := fleet(t, 20, 40, 1, false)
+	next[0].Routes = next[0].Routes[:len(next[0].Routes)-1] // it would be held
+	next[0].Routes[3].To[0].Weight = new(float64)
+	*next[0].Routes[3].To[0].Weight = 2
+	first := Merge(c, nil, all)
+	out := Merge(c, first.Good, next)
+	if len(out.Held) > 0 {
+		t.Fatal(out.Held)
+	}
+	set, removed := pieces.Changes(treeOf(t, first.Policy), treeOf(t, out.Policy))
+	if len(set) != 2 || len(removed) > 0 {
+		t.Errorf("%d set, %d removed", len(set), len(removed))
+	}
+}
+
+func TestItemsThatAreWrongAreRefused(t *testing.T) {
+	c, all, _ := fleet(t, 3, 12, 0, false)
+	p := Merge(c, nil, all).Policy
+	tree := treeOf(t, p)
+	value := func(key string) string {
+		v, there := tree.Get(key)
+		if !there {
+			t.Fatal(key)
+		}
+		return string(v)
+	}
+	route := value("route team-0/r0")
+	for _, k := range []struct {
+		set  pieces.Item
+		gone string
+		want string
+	}{
+		{set: pieces.Item{Key: "route team-0/r1", Value: []byte(route)}, want: "it holds the rule of"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(" " + route)}, want: "the one encoding"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(route + " ")}, want: "the one encoding"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"name"`, `"Name"`, 1))}, want: "the one encoding"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `{`, `{"other":1,`, 1))}, want: "other"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"namespace":"team-0"`, `"namespace":"team-0","number":1`, 1))}, want: "wrong place"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"namespace":"team-0"`, `"namespace":"nobody"`, 1))}, want: "nowhere"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"weight":1`, `"weight":null`, 1))}, want: "no weight"},
+		{set: pieces.Item{Key: "route team-0/zz", Value: []byte(strings.Replace(route, `team-0/r0`, `team-0/zz`, 1))}, want: "ties with"},
+		{set: pieces.Item{Key: "what else", Value: []byte(`1`)}, want: "no such rule"},
+		{set: pieces.Item{Key: "route", Value: []byte(route)}, want: ""},
+		{set: pieces.Item{Key: "form", Value: []byte(`2`)}, want: "form 2"},
+		{set: pieces.Item{Key: "form x", Value: []byte(`1`)}, want: "no such rule"},
+		{set: pieces.Item{Key: "number team-0", Value: []byte(`0`)}, want: "no number"},
+		{set: pieces.Item{Key: "number team-0", Value: []byte(`01`)}, want: "no number"},
+		{set: pieces.Item{Key: "number nobody", Value: []byte(`1`)}, want: "no rule comes from"},
+		{gone: "number team-0", want: "versions"},
+		{gone: "form", want: "missing"},
+	} {
+		var set []pieces.Item
+		var removed []string
+		if k.gone != "" {
+			removed = []string{k.gone}
+		} else {
+			set = []pieces.Item{k.set}
+		}
+		_, _, err := p.With(set, removed)
+		if err == nil || !strings.Contains(err.Error(), k.want) {
+			t.Errorf("%s%s %s: %v, want %q", k.set.Key, k.gone, k.set.Value, err, k.want)
+		}
+		bad, err := tree.With(set, removed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = FromTree(bad)
+		if err == nil {
+			t.Errorf("%s%s: read whole, there was nothing wrong", k.set.Key, k.gone)
+		}
+		if wrong := (WrongItem{}); errors.As(err, &wrong) && advice.Of(err) == "" {
+			t.Errorf("%v says nothing", err)
+		}
+	}
+}
+
+// A name that is too long for a key has its place too.
+func TestLongNames(t *testing.T) {
+	long := strings.Repeat("ä", pieces.MostKey)
+	aim := &Value[float64]{1, []Source{{"a", 1, "class x"}}}
+	p := &Policy{Form: 1, Classes: []PolicyClass{{Name: "x", Worth: aim}, {Name: long, Worth: aim}}}
+	tree := treeOf(t, p)
+	got, err := FromTree(tree)
+	if err != nil || !bytes.Equal(got.Encode(), p.Encode()) {
+		t.Fatal(err)
+	}
+	less := &Policy{Form: 1, Classes: p.Classes[:1]}
+	got, _, err = p.With(pieces.Changes(tree, treeOf(t, less)))
+	if err != nil || !bytes.Equal(got.Encode(), less.Encode()) {
+		t.Fatalf("%v: %.300s", err, got.Encode())
+	}
+}
--- a/internal/namespace/policy.go
+++ b/internal/namespace/policy.go
@@ -261,10 +261,8 @@
 		return nil, fmt.Errorf("policy: form %d; this program reads 1", p.Form)
 	}
 	for i := range p.Routes {
-		for _, to := range p.Routes[i].To {
-			if to.Weight == nil {
-				return nil, fmt.Errorf("policy: route %s: a target has no weight", p.Routes[i].Name)
-			}
+		if err := weighted(&p.Routes[i].Route); err != nil {
+			return nil, err
 		}
 	}
 	if !bytes.Equal(p.Encode(), text) {
