--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -54,14 +54,16 @@
 // Policy says how the merged policy of all teams is used and goes out.
 type Policy struct {
 	Routes bool        `toml:"routes"` // proxies route by it, once the file of services has all services that it leads to
-	Watch  strict.Span `toml:"watch"`  // of each step of a roll-out; 1m if left out
-	Enough int64       `toml:"enough"` // requests that each side must have had before a look; 2000 if left out
+	Step   strict.Span `toml:"step"`   // of a roll-out, at least; 2.5s if left out
+	Watch  strict.Span `toml:"watch"`  // of the fleet after all have a policy; 1m if left out
+	Enough int64       `toml:"enough"` // requests that each side must have had before a look; 1000 if left out
 	Silent strict.Span `toml:"silent"` // after which a proxy counts as failed; 10s if left out
 }
 
 // Rollout is how a policy goes out.
 func (f *File) Rollout() rollout.Settings {
 	s := rollout.Defaults()
+	s.Step = cmp.Or(time.Duration(f.Policy.Step), s.Step)
 	s.Watch = cmp.Or(time.Duration(f.Policy.Watch), s.Watch)
 	s.Enough = cmp.Or(f.Policy.Enough, s.Enough)
 	s.Silent = cmp.Or(time.Duration(f.Policy.Silent), s.Silent)
--- a/internal/policybook/book.go
+++ b/internal/policybook/book.go
@@ -509,6 +509,17 @@
 	return nil, false
 }
 
+// Policies are all that are kept, and Head, the newest first.
+func (b *Book) Policies() iter.Seq2[rollout.Offer, *pieces.Tree] {
+	return func(yield func(rollout.Offer, *pieces.Tree) bool) {
+		for k := range b.s.policies() {
+			if !yield(k.Offer, k.Tree) {
+				return
+			}
+		}
+	}
+}
+
 // Whole is the encoding of a policy that is kept, for proxies that don't take pieces. It is not ok if it is longer than MostWhole, or
 // the policy is not kept.
 func (b *Book) Whole(o rollout.Offer) (text string, ok bool) {
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -16,7 +16,7 @@
 type Offer struct {
 	Order uint64 // how often an operator has told the fleet to go back
 	Epoch uint64 // of the policy; each new one is higher
-	Hash  string // of the policy's encoding: SHA-256 in hexadecimal
+	Hash  string // of the policy: its root (see package pieces), or SHA-256 of its encoding, in hexadecimal
 }
 
 // After tells whether an offer goes before another.
@@ -98,14 +98,18 @@
 }
 
 // flaw is a guard taken out, to see that the tests convict.
-type flaw uint8
+type flaw uint16
 
 const (
-	noFence  flaw = 1 << iota // older epochs are taken
-	noHash                    // any content is taken
-	noTest                    // nothing stops a roll-out
-	noSpend                   // each look has the whole error rate
-	pooled                    // requests count as drawn apart from each other, whichever proxy they came by
-	noSilent                  // a proxy that falls silent is left out
-	noEnough                  // looks are taken without enough requests
+	noFence   flaw = 1 << iota // older epochs are taken
+	noHash                     // any content is taken
+	noTest                     // nothing stops a roll-out
+	noSpend                    // each look has the whole error rate
+	pooled                     // requests count as drawn apart from each other, whichever proxy they came by
+	noSilent                   // a proxy that falls silent is left out
+	noEnough                   // looks are taken without enough requests
+	sameDraw                   // those that have a policy that was stopped are compared as if they were drawn
+	countLate                  // those that come after the draw are compared with those that were in it
+	noDeaf                     // looks are taken while most others are silent
+	noCells                    // proxies of a large fleet are drawn one by one
 )
