--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -128,6 +128,8 @@
 	rest    []*proxy // of them, those that have not; some may have left or got it since
 	sorted  bool     // rest is in the order of the draw
 	members uint64   // how often all members were told
+
+	every time.Duration // between two reports of a proxy, smoothed
 }
 
 type proxy struct {
@@ -139,8 +141,10 @@
 	at        uint64 // its place in the draw
 	told      uint64 // of members, when it last was one
 	number    uint64
-	heard     time.Duration
-	good, bad int64 // in the step, under what it is to have
+	heard     time.Duration // in the step, or the step's begin
+	last      time.Duration // when it reported; 0 is never
+	under     bool          // it has reported in the step under what it is to have
+	good, bad int64         // in the step, under what it is to have
 }
 
 // New makes the rule for a fleet that has a policy; the zero Offer is none.
@@ -148,7 +152,7 @@
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("rollout: %w", err)
 	}
-	return &Rollout{set: s, base: has, last: has.Epoch, looks: s.Looks, errs: s.Error,
+	return &Rollout{set: s, base: has, last: has.Epoch, looks: s.Looks, errs: s.Error, every: min(time.Second, s.Silent/5),
 		proxies: map[string]*proxy{}, missing: map[string]*proxy{}}, nil
 }
 
@@ -309,7 +313,7 @@
 	r.began, r.looked = now, 0
 	clear(r.missing)
 	for _, p := range r.proxies {
-		p.good, p.bad, p.heard = 0, 0, now
+		p.good, p.bad, p.heard, p.under = 0, 0, now, false
 	}
 	r.reach()
 }
@@ -330,7 +334,7 @@
 		if p.has || p.apart || p.gone {
 			continue
 		}
-		p.has, p.good, p.bad = true, 0, 0
+		p.has, p.good, p.bad, p.under = true, 0, 0, false
 		r.drawn++
 		want--
 	}
@@ -403,7 +407,10 @@
 	if p == nil || t.Number <= p.number || t.Good < 0 || t.Bad < 0 {
 		return
 	}
-	p.number, p.heard = t.Number, now
+	if p.last > 0 {
+		r.every += (min(now-p.last, r.set.Silent) - r.every) / 64
+	}
+	p.number, p.heard, p.last = t.Number, now, now
 	is := r.base
 	if p.has && r.next != (Offer{}) {
 		is = r.next
@@ -415,6 +422,7 @@
 		return
 	}
 	if t.Has == is {
+		p.under = true
 		p.good += t.Good
 		p.bad += t.Bad
 	}
@@ -441,8 +449,8 @@
 		return
 	}
 	// Danger: a look with few requests tells little and costs its part of the error rate. Without traffic a step does not end.
-	counts, deaf := r.counts(now)
-	if deaf && r.flaws&noDeaf == 0 {
+	counts, known := r.counts(now)
+	if !known && r.flaws&noDeaf == 0 {
 		return
 	}
 	if (counts[0] < r.set.Enough || counts[1] < r.set.Enough) && r.flaws&noEnough == 0 {
@@ -479,10 +487,9 @@
 }
 
 // silent tells whether a proxy is gone or has said nothing for too long. A step that is shorter than the settings' time still finds who
-// fell silent in it: who missed two reports, which come five times in that time, once a second at most.
+// fell silent in it: who missed two reports, as often as they come.
 func (r *Rollout) silent(p *proxy, now time.Duration) bool {
-	most := min(r.set.Silent, max(r.set.Step*4/5, 2*min(time.Second, r.set.Silent/5)))
-	return p.gone || now-p.heard > most
+	return p.gone || now-p.heard > min(r.set.Silent, max(r.set.Step*4/5, 2*r.every))
 }
 
 // compared goes through the proxies that are, and those of them that left in the step.
@@ -496,22 +503,28 @@
 	}
 }
 
-// counts are the requests of those that have the new policy, and of the others. Where most others are silent, it is us who are deaf.
-func (r *Rollout) counts(now time.Duration) (counts [2]int64, deaf bool) {
-	heard := 0
+// counts are the requests of those that have the new policy, and of the others. It is not known how a step goes while more than a quarter
+// of the others are silent, for then it is us who are deaf, or while most of those that are to have the policy have told of it nothing yet.
+func (r *Rollout) counts(now time.Duration) (counts [2]int64, known bool) {
+	others, silent, have, yet := 0, 0, 0, 0
 	r.compared(func(p *proxy) {
 		side := 1
 		if p.has {
 			side = 0
-		} else if r.silent(p, now) {
-			heard--
+			have++
+			if !p.under && !r.silent(p, now) {
+				yet++
+			}
 		} else {
-			heard++
+			others++
+			if r.silent(p, now) {
+				silent++
+			}
 		}
 		_, n := r.share(p, now)
 		counts[side] += n
 	})
-	return counts, heard < 0
+	return counts, 4*silent <= others && 2*yet <= have
 }
 
 // figures are the shares of both sides, in the order of the draw.
