Watch the fleet after all have a policy, and tell what became worse

Where all have a policy nobody is left to compare with, and steps of seconds don't see what comes later. Aftermath compares the fleet's share of bad requests before and after each train for a minute and tells, with the epoch at which the difference is greatest; going back is an operator's. 40 drawn runs with a train each 6 s: nothing told without cause; a point more of bad requests is told within a minute, and the epoch named is at most one off.

--- /dev/null
+++ b/internal/rollout/aftermath_test.go
@@ -0,0 +1,76 @@
+package rollout
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lapisspread/internal/advice"
+)
+
+// aftermath has a train come through each 6 s for four minutes; from one of them on, or from a moment, more requests go bad. It gives what
+// was told, and when.
+func aftermath(seed uint64, n int, harm float64, from uint64) (told []WorseAfter, when []time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	a := NewAftermath(Defaults())
+	epoch, weather := uint64(0), 0.0
+	for now := time.Duration(0); now < 4*time.Minute; now += 100 * time.Millisecond {
+		if now%(6*time.Second) == 0 && now > 0 {
+			epoch++
+			a.Through(now, epoch)
+		}
+		if now%time.Second == 0 {
+			weather = 0.9*weather + 0.0003*rng.NormFloat64() // what goes bad by itself comes in waves
+			share := max(0, 0.01+weather)
+			if from > 0 && epoch >= from {
+				share += harm
+			}
+			total := int64(n * 160)
+			bad := int64(float64(total)*share) + rng.Int64N(20)
+			a.Report(now, total-bad, bad)
+		}
+		if err := a.Tick(now); err != nil {
+			var w WorseAfter
+			if !errors.As(err, &w) || advice.Of(err) == "" {
+				panic(err)
+			}
+			told, when = append(told, w), append(when, now)
+		}
+	}
+	return told, when
+}
+
+func TestAftermath(t *testing.T) {
+	for seed := range uint64(40) {
+		if told, _ := aftermath(seed, 300, 0, 0); len(told) > 0 {
+			t.Errorf("seed %d: nothing became worse: %v", seed, told)
+		}
+		told, when := aftermath(seed, 300, 0.01, 20)
+		if len(told) != 1 || told[0].Epoch < 19 || told[0].Epoch > 21 || told[0].After < told[0].Before+0.005 {
+			t.Errorf("seed %d: %v at %v", seed, told, when)
+			continue
+		}
+		if late := when[0] - 20*6*time.Second; late < 0 || late > time.Minute {
+			t.Errorf("seed %d: told at %v", seed, when[0])
+		}
+	}
+}
+
+// A leader that has just begun knows nothing of before, and one that hears nothing tells nothing.
+func TestAftermathWithoutABefore(t *testing.T) {
+	a := NewAftermath(Defaults())
+	a.Through(time.Second, 1)
+	for now := time.Duration(0); now < 2*time.Minute; now += 100 * time.Millisecond {
+		a.Report(now, 100, 50)
+		if err := a.Tick(now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.Through(2*time.Minute, 2)
+	for now := 2 * time.Minute; now < 4*time.Minute; now += 100 * time.Millisecond {
+		if err := a.Tick(now); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
