Try a change alone that another one came in with

One that had waited for another to make room came in with the same merge, and both were blamed where the other did harm.

--- a/internal/policybook/train.go
+++ b/internal/policybook/train.go
@@ -191,12 +191,19 @@
 		return
 	}
 	half := len(all) / 2
+	var parts [][]change
 	for i := range all[1:] {
 		n := half + i // a half or more, then less
 		if n >= len(all) {
 			n = len(all) - 1 - i
 		}
-		if _, came := b.tried(s, all[:n]); len(came) > 0 && len(came) < len(all) {
+		parts = append(parts, all[:n])
+	}
+	for i := range all[1:] { // one may need another that came in with it, and not the other way round
+		parts = append(parts, all[i+1:i+2])
+	}
+	for _, p := range parts {
+		if _, came := b.tried(s, p); len(came) > 0 && len(came) < len(all) {
 			rest := slices.DeleteFunc(slices.Clone(all), func(c change) bool { return slices.Contains(came, c) })
 			s.Trials = slices.Insert(s.Trials, 0, came, rest)
 			return
--- a/internal/policybook/train_test.go
+++ b/internal/policybook/train_test.go
@@ -242,6 +242,21 @@
 	}
 }
 
+// One that waited for another to make room goes with it; the other can go without: it alone is at fault, and the one waits again.
+func TestOneThatNeedsAnother(t *testing.T) {
+	for _, needs := range []int{0, 2} { // before and after the other, by name
+		b := ten(t, 0)
+		apply(t, b, word(team(needs, 2, "/1", false)), word(team(1, 2, "/1a", true)))
+		if s := b.Standing(); len(s.Train) != 2 {
+			t.Fatalf("%+v", s)
+		}
+		play(t, b)
+		if s := b.Standing(); !slices.Equal(faults(b), []string{"t12"}) || len(s.Held) != 1 || s.Held[0].Namespace != fmt.Sprint("t", needs) {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
 // A fleet whose first train stops has nothing before it to go on with; a mended offer departs.
 func TestTheFirstTrainIsStopped(t *testing.T) {
 	b := New(7)
