--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -68,27 +68,32 @@
 	}
 }
 
-// BenchmarkLook is the look that stops a policy in the second step, which takes all the draws that the level needs; and one that does not.
+// BenchmarkLook is the look that stops a policy in the second step, which takes all the draws that the level needs, also with proxies drawn
+// one by one instead of in cells; and one that does not.
 func BenchmarkLook(b *testing.B) {
 	for _, n := range sizes {
-		for name, harm := range map[string]int64{"harmful": 50, "harmless": 0} {
-			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+		for _, k := range []struct {
+			name  string
+			harm  int64
+			flaws flaw
+		}{{"harmless", 0, 0}, {"harmful", 50, 0}, {"onebyone", 50, noCells}} {
+			b.Run(fmt.Sprintf("%s/%d", k.name, n), func(b *testing.B) {
 				for b.Loop() {
 					b.StopTimer()
 					r, names := benchFleet(b, n)
-					r.step = len(r.set.Steps) - 2
+					r.step, r.flaws = len(r.set.Steps)-2, k.flaws
 					r.enter(0)
 					for i, name := range names {
 						o, bad := r.Offer(name), int64(i%23)
 						if o.Epoch == 2 {
-							bad += harm
+							bad += k.harm
 						}
 						r.Report(100*time.Millisecond, Report{name, 1, o, 1000 - bad, bad})
 						r.Report(r.set.Step, Report{name, 2, o, 1000 - bad, bad})
 					}
 					b.StartTimer()
 					r.Tick(r.set.Step)
-					if state, _ := r.State(); (state == Stopped) != (harm > 0) {
+					if state, _ := r.State(); (state == Stopped) != (k.harm > 0) {
 						b.Fatal(state)
 					}
 				}
