Make a table of routes with changes at the cost of what changes

Compile of all rules for each change of one takes the time of all. A policy that was read keeps its table, so that it is compiled once.

--- a/internal/namespace/items.go
+++ b/internal/namespace/items.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"lapisspread/internal/pieces"
+	"lapisspread/internal/route"
 )
 
 // A policy's items. Each rule is one, under its kind and name, as "route dispatch/r1", with its JSON as in the policy's encoding
@@ -321,8 +322,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := p.Table(); err != nil {
-		return nil, fmt.Errorf("policy: %w", err)
+	if err := p.compile(); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
@@ -334,11 +335,20 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(d.Routes) > 0 {
-		if _, err := next.Table(); err != nil {
+	table, err := p.Table()
+	if err != nil {
+		return nil, nil, fmt.Errorf("policy: %w", err)
+	}
+	if len(d.Routes) > 0 || len(d.RoutesGone) > 0 {
+		rules := make([]route.Rule, len(d.Routes))
+		for i := range d.Routes {
+			rules[i] = d.Routes[i].rule()
+		}
+		if table, err = table.With(rules, d.RoutesGone); err != nil {
 			return nil, nil, fmt.Errorf("policy: %w", err)
 		}
 	}
+	next.table = table
 	return next, d, nil
 }
 
@@ -386,6 +396,7 @@
 	}
 	maps.DeleteFunc(c.renewed, func(_ string, is bool) bool { return !is })
 	next, d := *p, &Diff{}
+	next.table = nil
 	for _, k := range itemKinds {
 		if err := k.with(&next, &c, d); err != nil {
 			return nil, nil, err
--- a/internal/namespace/policy.go
+++ b/internal/namespace/policy.go
@@ -60,6 +60,8 @@
 	Blocks    []PolicyBlock     `json:"blocks"`
 	Orders    []PolicyOrder     `json:"orders"`
 	Staleness []PolicyStaleness `json:"staleness"`
+
+	table *route.Table // of the routes, where the policy was read; nothing changes it then
 }
 
 // PolicyService is a service that routes may lead to.
@@ -268,8 +270,8 @@
 	if !bytes.Equal(p.Encode(), text) {
 		return nil, errors.New("policy: not in the one encoding that a policy has")
 	}
-	if _, err := p.Table(); err != nil {
-		return nil, fmt.Errorf("policy: %w", err)
+	if err := p.compile(); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
@@ -300,14 +302,29 @@
 func (p *Policy) Rules() []route.Rule {
 	out := make([]route.Rule, len(p.Routes))
 	for i := range p.Routes {
-		r := &p.Routes[i]
-		out[i] = r.Match.rule(r.Name, r.targets())
+		out[i] = p.Routes[i].rule()
 	}
 	return out
 }
 
-// Table compiles the routes.
-func (p *Policy) Table() (*route.Table, error) { return route.Compile(p.Rules(), "") }
+func (r *PolicyRoute) rule() route.Rule { return r.Match.rule(r.Name, r.targets()) }
+
+// Table gives the compiled routes. Where the policy was read, by Decode, FromTree or With, they are compiled already.
+func (p *Policy) Table() (*route.Table, error) {
+	if p.table != nil {
+		return p.table, nil
+	}
+	return route.Compile(p.Rules(), "")
+}
+
+func (p *Policy) compile() error {
+	table, err := p.Table()
+	if err != nil {
+		return fmt.Errorf("policy: %w", err)
+	}
+	p.table = table
+	return nil
+}
 
 // Explanation is what a policy does with a request, and by whose rules.
 type Explanation struct {
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -18,11 +18,7 @@
 // from the table: the first reason is the winner's, those that match and lost follow, then the rest.
 func (t *Table) Explain(q *Request) []Reason {
 	var out []Reason
-	for i := range t.rules {
-		r := &t.rules[i]
-		if i == t.fallback {
-			continue
-		}
+	for _, r := range t.rules {
 		why := r.mismatch(q)
 		out = append(out, Reason{r, why == "", why})
 	}
@@ -47,10 +43,10 @@
 			out[i].Why = "matches, but " + lost(out[0].Rule, out[i].Rule)
 		}
 	}
-	if t.fallback >= 0 {
+	if t.fallback != nil {
 		why := "the default: no rule matches"
 		matches := Clear(q.Path)
-		last := Reason{&t.rules[t.fallback], matches, why}
+		last := Reason{t.fallback, matches, why}
 		if len(out) > 0 && out[0].Matches {
 			last.Why = "the default goes last"
 			return append(out, last)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,6 +16,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"math"
 	"math/bits"
 	"slices"
@@ -62,24 +63,29 @@
 
 // Table is compiled rules. Any number of goroutines may use it.
 type Table struct {
-	rules    []Rule
-	hosts    map[string]*paths
-	suffixes map[string]*paths // by what follows "*."
+	rules    []*Rule
+	hosts    spread[string, *paths]
+	suffixes spread[string, *paths] // by what follows "*."
 	any      *paths
-	fallback int // the rule that takes what no other matches; -1 is none
+	fallback *Rule // takes what no other matches; nil is none
+	expanded int   // combinations of methods, classes and tenants
 }
 
 type paths struct {
-	exact, prefix map[string]*leaf
+	exact, prefix spread[string, *leaf]
 	any           *leaf
+	by            *edit
 }
 
 // leaf is the rules of one host and path. They are found by what else they ask for, most asked for first.
-type leaf struct{ asks []asks }
+type leaf struct {
+	asks []asks
+	by   *edit
+}
 
 type asks struct {
 	flags flags
-	rules map[extra]int32
+	rules spread[extra, *Rule]
 }
 
 type extra struct{ method, class, tenant string }
@@ -106,12 +112,17 @@
 	if len(rules) > MostRules {
 		return nil, fmt.Errorf("%d rules; %d are the most", len(rules), MostRules)
 	}
-	t := &Table{rules: slices.Clone(rules), hosts: map[string]*paths{}, suffixes: map[string]*paths{}, any: &paths{}, fallback: -1}
+	t := &Table{rules: make([]*Rule, len(rules)), any: &paths{}}
+	e := &edit{}
 	var errs []error
-	expanded := 0
 	names := map[string]int{}
-	for i := range t.rules {
-		r := &t.rules[i]
+	places := map[*Rule]int{}
+	for i := range rules {
+		r := &rules[i]
+		t.rules[i] = new(Rule)
+		*t.rules[i] = *r
+		r = t.rules[i]
+		places[r] = i
 		if first, there := names[r.Name]; there && r.Name != "" {
 			errs = append(errs, fmt.Errorf("route[%d] %q: name: route[%d] has it too", i, r.Name, first))
 		}
@@ -120,23 +131,104 @@
 			errs = append(errs, fmt.Errorf("route[%d] %q: %w", i, r.Name, err))
 			continue
 		}
-		expanded += max(1, len(r.Methods)) * max(1, len(r.Classes)) * max(1, len(r.Tenants))
-		if expanded > mostExpanded {
+		t.expanded += r.combinations()
+		if t.expanded > mostExpanded {
 			return nil, fmt.Errorf("route[%d] %q: the rules come to more than %d combinations of methods, classes and tenants", i, r.Name, mostExpanded)
 		}
-		if other := t.add(int32(i)); other >= 0 {
+		if other := t.add(e, r); other != nil {
 			errs = append(errs, fmt.Errorf("route[%d] %q: ties with route[%d] %q: a request can match both, and neither goes before the other",
-				i, r.Name, other, t.rules[other].Name))
+				i, r.Name, places[other], other.Name))
 		}
 	}
 	if len(errs) > 0 {
 		return nil, errors.Join(errs...)
 	}
+	return t.Otherwise(fallback), nil
+}
+
+// Otherwise gives the same table with another service for what no rule matches; empty is none.
+func (t *Table) Otherwise(fallback string) *Table {
+	next := *t
+	next.fallback = nil
 	if fallback != "" {
-		t.fallback = len(t.rules)
-		t.rules = append(t.rules, Rule{Name: "default", To: []Target{{fallback, 1}}})
+		next.fallback = &Rule{Name: "default", To: []Target{{fallback, 1}}}
+	}
+	return &next
+}
+
+// With gives the table with rules set, by their names, and without those gone. A rule that is there keeps its place, a new one goes
+// to the end. The verdicts and errors are those of Compile of the outcome; what did not change is shared. The table stays as it is.
+func (t *Table) With(set []Rule, gone []string) (*Table, error) {
+	type change struct {
+		rule *Rule // nil: gone
+		done bool
+	}
+	changes := make(map[string]*change, len(set)+len(gone))
+	for _, name := range gone {
+		changes[name] = &change{}
+	}
+	var unnamed []*Rule // or with the name of another in set
+	for i := range set {
+		r := set[i]
+		if c := changes[r.Name]; r.Name == "" || c != nil && c.rule != nil {
+			unnamed = append(unnamed, &r)
+			continue
+		}
+		changes[r.Name] = &change{rule: &r}
+	}
+	delete(changes, "")
+	next := &Table{rules: make([]*Rule, 0, len(t.rules)+len(set)), hosts: t.hosts.share(), suffixes: t.suffixes.share(), any: t.any,
+		fallback: t.fallback, expanded: t.expanded}
+	e := &edit{}
+	for _, r := range t.rules {
+		c := changes[r.Name]
+		if c == nil {
+			next.rules = append(next.rules, r)
+			continue
+		}
+		if c.rule != nil && !c.done {
+			next.rules = append(next.rules, c.rule)
+		}
+		c.done = true
+		next.expanded -= r.combinations()
+		next.remove(e, r)
+	}
+	whole := func() (*Table, error) { // something is wrong: all of it is told as of any rules
+		rules := make([]Rule, len(next.rules))
+		for i, r := range next.rules {
+			rules[i] = *r
+		}
+		fallback := ""
+		if t.fallback != nil {
+			fallback = t.fallback.To[0].Service
+		}
+		return Compile(rules, fallback)
+	}
+	for i := range set {
+		if c := changes[set[i].Name]; c != nil && !c.done {
+			next.rules = append(next.rules, c.rule)
+			c.done = true
+		}
+	}
+	next.rules = append(next.rules, unnamed...)
+	if len(unnamed) > 0 || len(next.rules) > MostRules {
+		return whole()
 	}
-	return t, nil
+	for i := range set {
+		r := changes[set[i].Name].rule
+		if r.check() != nil {
+			return whole()
+		}
+		if next.expanded += r.combinations(); next.expanded > mostExpanded || next.add(e, r) != nil {
+			return whole()
+		}
+	}
+	return next, nil
+}
+
+// combinations are how many entries a rule has in the table.
+func (r *Rule) combinations() int {
+	return max(1, len(r.Methods)) * max(1, len(r.Classes)) * max(1, len(r.Tenants))
 }
 
 func (r *Rule) check() error {
@@ -209,33 +301,8 @@
 	return true
 }
 
-// add enters a rule and gives one that it ties with, or -1.
-func (t *Table) add(i int32) int32 {
-	r := &t.rules[i]
-	p := t.any
-	if suffix, wild := strings.CutPrefix(r.Host, "*."); wild {
-		p = at(t.suffixes, suffix)
-	} else if r.Host != "" {
-		p = at(t.hosts, r.Host)
-	}
-	var l *leaf
-	switch {
-	case r.Path != "":
-		if p.exact == nil {
-			p.exact = map[string]*leaf{}
-		}
-		l = at(p.exact, r.Path)
-	case r.PathPrefix != "":
-		if p.prefix == nil {
-			p.prefix = map[string]*leaf{}
-		}
-		l = at(p.prefix, r.PathPrefix)
-	default:
-		if p.any == nil {
-			p.any = &leaf{}
-		}
-		l = p.any
-	}
+// flags say what a rule asks for.
+func (r *Rule) flags() flags {
 	var f flags
 	if len(r.Methods) > 0 {
 		f |= byMethod
@@ -246,32 +313,136 @@
 	if len(r.Tenants) > 0 {
 		f |= byTenant
 	}
-	k, there := slices.BinarySearchFunc(l.asks, f, func(a asks, f flags) int { return int(f) - int(a.flags) })
-	if !there {
-		l.asks = slices.Insert(l.asks, k, asks{f, map[extra]int32{}})
+	return f
+}
+
+// leafOf is the rules of a rule's host and path, for an edit to change.
+func (t *Table) leafOf(e *edit, r *Rule) *leaf {
+	own := func(p *paths) *paths {
+		switch {
+		case p == nil:
+			return &paths{by: e}
+		case p.by != e:
+			return &paths{p.exact.share(), p.prefix.share(), p.any, e}
+		}
+		return p
+	}
+	var p *paths
+	if suffix, wild := strings.CutPrefix(r.Host, "*."); wild {
+		old, _ := t.suffixes.get(suffix, hashOfString)
+		if p = own(old); p != old {
+			t.suffixes.set(e, suffix, p, hashOfString)
+		}
+	} else if r.Host != "" {
+		old, _ := t.hosts.get(r.Host, hashOfString)
+		if p = own(old); p != old {
+			t.hosts.set(e, r.Host, p, hashOfString)
+		}
+	} else {
+		p = own(t.any)
+		t.any = p
+	}
+	in := func(m *spread[string, *leaf], path string) *leaf {
+		old, _ := m.get(path, hashOfString)
+		l := old.own(e)
+		if l != old {
+			m.set(e, path, l, hashOfString)
+		}
+		return l
 	}
-	m := l.asks[k].rules
+	switch {
+	case r.Path != "":
+		return in(&p.exact, r.Path)
+	case r.PathPrefix != "":
+		return in(&p.prefix, r.PathPrefix)
+	}
+	p.any = p.any.own(e)
+	return p.any
+}
+
+// own gives a leaf for an edit to change.
+func (l *leaf) own(e *edit) *leaf {
+	switch {
+	case l == nil:
+		return &leaf{by: e}
+	case l.by == e:
+		return l
+	}
+	next := &leaf{make([]asks, len(l.asks)), e}
+	for i := range l.asks {
+		next.asks[i] = asks{l.asks[i].flags, l.asks[i].rules.share()}
+	}
+	return next
+}
+
+// extras calls f with each combination that a rule asks for, until f says no.
+func (r *Rule) extras(f func(extra) bool) {
 	for _, method := range orNone(r.Methods) {
 		for _, class := range orNone(r.Classes) {
 			for _, tenant := range orNone(r.Tenants) {
-				e := extra{method, class, tenant}
-				if other, taken := m[e]; taken {
-					return other
+				if !f(extra{method, class, tenant}) {
+					return
 				}
-				m[e] = i
 			}
 		}
 	}
-	return -1
 }
 
-func at[T any](m map[string]*T, key string) *T {
-	v := m[key]
-	if v == nil {
-		v = new(T)
-		m[key] = v
+func (l *leaf) place(f flags) (int, bool) {
+	return slices.BinarySearchFunc(l.asks, f, func(a asks, f flags) int { return int(f) - int(a.flags) })
+}
+
+// add enters a rule and gives one that it ties with, or nil.
+func (t *Table) add(e *edit, r *Rule) (tie *Rule) {
+	l, f := t.leafOf(e, r), r.flags()
+	k, there := l.place(f)
+	if !there {
+		l.asks = slices.Insert(l.asks, k, asks{flags: f})
+	}
+	m := &l.asks[k].rules
+	r.extras(func(x extra) bool {
+		if tie, _ = m.get(x, hashOfExtra); tie == nil {
+			m.set(e, x, r, hashOfExtra)
+		}
+		return tie == nil
+	})
+	return tie
+}
+
+// remove takes a rule out that is there, and what is empty without it.
+func (t *Table) remove(e *edit, r *Rule) {
+	l, f := t.leafOf(e, r), r.flags()
+	k, _ := l.place(f)
+	m := &l.asks[k].rules
+	r.extras(func(x extra) bool {
+		m.remove(e, x, hashOfExtra)
+		return true
+	})
+	if m.n > 0 {
+		return
+	}
+	if l.asks = slices.Delete(l.asks, k, k+1); len(l.asks) > 0 {
+		return
+	}
+	hosts, host := &t.hosts, r.Host
+	p := t.any
+	if suffix, wild := strings.CutPrefix(r.Host, "*."); wild {
+		hosts, host = &t.suffixes, suffix
+	}
+	if r.Host != "" {
+		p, _ = hosts.get(host, hashOfString)
+	}
+	switch {
+	case r.Path != "":
+		p.exact.remove(e, r.Path, hashOfString)
+	case r.PathPrefix != "":
+		p.prefix.remove(e, r.PathPrefix, hashOfString)
+	default:
+		p.any = nil
+	}
+	if r.Host != "" && p.empty() {
+		hosts.remove(e, host, hashOfString)
 	}
-	return v
 }
 
 func orNone(list []string) []string {
@@ -289,32 +460,32 @@
 	var room [mostHost + 1]byte
 	host := hostOf(&room, q.Host)
 	known := false
-	if p := t.hosts[string(host)]; p != nil {
+	if p := hostAt(&t.hosts, host); p != nil {
 		known = true
-		if i := p.find(q); i >= 0 {
-			return &t.rules[i], Found
+		if r := p.find(q); r != nil {
+			return r, Found
 		}
 	}
-	if len(t.suffixes) > 0 {
+	if t.suffixes.n > 0 {
 		for rest := host; ; {
 			dot := slices.Index(rest, '.')
 			if dot < 0 {
 				break
 			}
 			rest = rest[dot+1:]
-			if p := t.suffixes[string(rest)]; p != nil {
+			if p := hostAt(&t.suffixes, rest); p != nil {
 				known = true
-				if i := p.find(q); i >= 0 {
-					return &t.rules[i], Found
+				if r := p.find(q); r != nil {
+					return r, Found
 				}
 			}
 		}
 	}
-	if i := t.any.find(q); i >= 0 {
-		return &t.rules[i], Found
+	if r := t.any.find(q); r != nil {
+		return r, Found
 	}
-	if t.fallback >= 0 {
-		return &t.rules[t.fallback], Found
+	if t.fallback != nil {
+		return t.fallback, Found
 	}
 	if !known && t.any.empty() {
 		return nil, WrongHost
@@ -322,7 +493,29 @@
 	return nil, NoRoute
 }
 
-func (p *paths) empty() bool { return p.any == nil && len(p.exact) == 0 && len(p.prefix) == 0 }
+func (p *paths) empty() bool { return p.any == nil && p.exact.n == 0 && p.prefix.n == 0 }
+
+// hostAt is get for a host, which is no string yet.
+func hostAt(s *spread[string, *paths], host []byte) *paths {
+	switch len(s.parts) {
+	case 0:
+		return nil
+	case 1:
+		return s.parts[0][string(host)]
+	}
+	return s.parts[maphash.Bytes(seed, host)&uint64(len(s.parts)-1)][string(host)]
+}
+
+// leafAt is get for a path, without a call in the way where there is one part.
+func leafAt(s *spread[string, *leaf], path string) *leaf {
+	switch len(s.parts) {
+	case 0:
+		return nil
+	case 1:
+		return s.parts[0][path]
+	}
+	return s.parts[maphash.String(seed, path)&uint64(len(s.parts)-1)][path]
+}
 
 // hostOf writes a host without port, trailing dot and case into room. One that is too long is no host.
 func hostOf(room *[mostHost + 1]byte, host string) []byte {
@@ -343,20 +536,20 @@
 	return room[:len(host)]
 }
 
-func (p *paths) find(q *Request) int32 {
-	if l := p.exact[q.Path]; l != nil {
-		if i := l.find(q); i >= 0 {
-			return i
+func (p *paths) find(q *Request) *Rule {
+	if l := leafAt(&p.exact, q.Path); l != nil {
+		if r := l.find(q); r != nil {
+			return r
 		}
 	}
-	if len(p.prefix) > 0 {
+	if p.prefix.n > 0 {
 		for rest := q.Path; rest != ""; {
 			if rest != "/" {
 				rest = strings.TrimSuffix(rest, "/")
 			}
-			if l := p.prefix[rest]; l != nil {
-				if i := l.find(q); i >= 0 {
-					return i
+			if l := leafAt(&p.prefix, rest); l != nil {
+				if r := l.find(q); r != nil {
+					return r
 				}
 			}
 			if rest == "/" {
@@ -368,10 +561,10 @@
 	if p.any != nil {
 		return p.any.find(q)
 	}
-	return -1
+	return nil
 }
 
-func (l *leaf) find(q *Request) int32 {
+func (l *leaf) find(q *Request) *Rule {
 	for i := range l.asks {
 		a := &l.asks[i]
 		var e extra
@@ -384,11 +577,15 @@
 		if a.flags&byTenant != 0 {
 			e.tenant = q.Tenant
 		}
-		if i, there := a.rules[e]; there {
-			return i
+		part := 0
+		if len(a.rules.parts) > 1 {
+			part = int(hashOfExtra(e) & uint64(len(a.rules.parts)-1))
+		}
+		if r := a.rules.parts[part][e]; r != nil { // there is a rule that asks for this
+			return r
 		}
 	}
-	return -1
+	return nil
 }
 
 // Pick gives the service for a request of a rule, by the hash of what it shall stay by. The same hash gives the
@@ -433,8 +630,12 @@
 // Services are the names of all services that rules send to, sorted.
 func (t *Table) Services() []string {
 	var names []string
-	for i := range t.rules {
-		for _, to := range t.rules[i].To {
+	all := t.rules
+	if t.fallback != nil {
+		all = append(slices.Clip(all), t.fallback)
+	}
+	for _, r := range all {
+		for _, to := range r.To {
 			names = append(names, to.Service)
 		}
 	}
@@ -443,9 +644,4 @@
 }
 
 // Rules gives how many rules the table holds, without the default.
-func (t *Table) Rules() int {
-	if t.fallback >= 0 {
-		return len(t.rules) - 1
-	}
-	return len(t.rules)
-}
+func (t *Table) Rules() int { return len(t.rules) }
