Take what a policy leads requests by out of the proxy

Routes, stickiness and blocks of a policy are made in package policyroutes, whole or from what changed, so that others than the proxy's listeners can hold the same. Services that are missing are told in order, each once, as an error with advice.

--- /dev/null
+++ b/internal/policyroutes/policyroutes_test.go
@@ -0,0 +1,160 @@
+package policyroutes
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"lapisspread/internal/advice"
+	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
+	"lapisspread/internal/route"
+)
+
+// drawer draws policies of one team's routes and blocks, out of few values.
+type drawer struct{ *rand.Rand }
+
+var services = []string{"s0", "s1", "s2", "s3"}
+
+func (d drawer) policy() *namespace.Policy {
+	p := &namespace.Policy{Form: 1}
+	number := uint64(1 + d.IntN(2))
+	weight := 1.0
+	for i := range 8 {
+		name := fmt.Sprint("r", i)
+		if d.IntN(3) == 0 {
+			continue
+		}
+		r := namespace.PolicyRoute{From: namespace.Source{Namespace: "a", Number: number, Rule: "route " + name}}
+		r.Name, r.Path = "a/"+name, fmt.Sprint("/", i)
+		r.Sticky = []string{"", "tenant", "request"}[d.IntN(3)]
+		for k, s := range services {
+			if k == i%len(services) || d.IntN(5) == 0 {
+				r.To = append(r.To, namespace.Target{Service: s, Weight: &weight})
+			}
+		}
+		p.Routes = append(p.Routes, r)
+	}
+	for i := range 3 {
+		if d.IntN(3) == 0 {
+			continue
+		}
+		b := namespace.PolicyBlock{From: namespace.Source{Namespace: "a", Number: number, Rule: fmt.Sprint("block b", i)}}
+		b.Name, b.Path = fmt.Sprint("a/b", i), fmt.Sprint("/", d.IntN(4)+4*i)
+		p.Blocks = append(p.Blocks, b)
+	}
+	return p
+}
+
+// same says on what two routes differ; empty is nothing.
+func same(a, b *Routes) string {
+	if !maps.Equal(a.Sticky, b.Sticky) {
+		return fmt.Sprintf("sticky %v and %v", a.Sticky, b.Sticky)
+	}
+	for i := range 13 {
+		q := route.Request{Path: fmt.Sprint("/", i)}
+		x, v := a.Table.Lookup(&q)
+		y, w := b.Table.Lookup(&q)
+		if v != w || v == route.Found && (x.Name != y.Name || !slices.Equal(x.To, y.To)) {
+			return fmt.Sprintf("%s: %v %v and %v %v", q.Path, x, v, y, w)
+		}
+		if x, y := blocked(a, &q), blocked(b, &q); x != y {
+			return fmt.Sprintf("%s: blocked by %q and %q", q.Path, x, y)
+		}
+	}
+	return ""
+}
+
+func blocked(r *Routes, q *route.Request) string {
+	if r.Blocks == nil {
+		return ""
+	}
+	if rule, v := r.Blocks.Lookup(q); v == route.Found {
+		return rule.Name
+	}
+	return ""
+}
+
+func tree(t *testing.T, p *namespace.Policy) *pieces.Tree {
+	t.Helper()
+	out, err := p.Tree()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// What follows on routes is what is built anew, refusals too, and the routes before stay as they were.
+func TestWithAgreesWithBuild(t *testing.T) {
+	taken, refused := 0, 0
+	for seed := range uint64(100) {
+		d := drawer{rand.New(rand.NewPCG(seed, 32))}
+		fallback := []string{"", "s0"}[d.IntN(2)]
+		lacks := ""
+		if seed%2 == 0 {
+			lacks = "s3"
+		}
+		has := func(s string) bool { return s != lacks }
+		was := &namespace.Policy{Form: 1}
+		now, err := Build(was, fallback, has)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for step := range 12 {
+			next := d.policy()
+			p, diff, err := was.With(pieces.Changes(tree(t, was), tree(t, next)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, wantErr := Build(next, fallback, has)
+			got, err := now.With(p, diff, has)
+			before, beforeErr := Build(was, fallback, has)
+			if beforeErr != nil {
+				t.Fatal(beforeErr)
+			}
+			if wrong := same(now, before); wrong != "" {
+				t.Fatalf("seed %d, step %d: what was before has changed: %s", seed, step, wrong)
+			}
+			if err != nil || wantErr != nil {
+				if fmt.Sprint(err) != fmt.Sprint(wantErr) || !errors.As(err, new(MissingServices)) || advice.Of(err) == "" {
+					t.Fatalf("seed %d, step %d: %v, built %v", seed, step, err, wantErr)
+				}
+				refused++
+				continue
+			}
+			if wrong := same(got, want); wrong != "" {
+				t.Fatalf("seed %d, step %d: %s", seed, step, wrong)
+			}
+			was, now = p, got
+			taken++
+		}
+	}
+	t.Logf("%d taken, %d refused", taken, refused)
+	if taken < 300 || refused < 300 {
+		t.Error("the draw is too tame")
+	}
+}
+
+func TestBlocksThatTieAreRefused(t *testing.T) {
+	p := &namespace.Policy{Form: 1}
+	now, err := Build(p, "", func(string) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		b := namespace.PolicyBlock{From: namespace.Source{Namespace: "a", Number: 1, Rule: fmt.Sprint("block b", i)}}
+		b.Name, b.Path = fmt.Sprint("a/b", i), "/x"
+		p.Blocks = append(p.Blocks, b)
+	}
+	_, err = Build(p, "", func(string) bool { return true })
+	_, again := now.With(p, &namespace.Diff{Blocks: true}, func(string) bool { return true })
+	for _, err := range []error{err, again} {
+		if bad := (BadRoutes{}); !errors.As(err, &bad) || bad.What != "blocks" || !strings.Contains(err.Error(), "ties") || advice.Of(err) == "" {
+			t.Errorf("%v", err)
+		}
+	}
+}
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 
 	"lapisspread/internal/figures"
 	"lapisspread/internal/fleetlink"
-	"lapisspread/internal/namespace"
+	"lapisspread/internal/policyroutes"
 	"lapisspread/internal/route"
 )
 
@@ -37,44 +34,14 @@
 	if !routes || n.only != nil || t == nil || t.Policy == nil {
 		return nil
 	}
-	var missing []string
-	sticky := map[string]string{}
-	for _, r := range t.Policy.Routes {
-		sticky[r.Name] = r.Sticky
-		for _, to := range r.To {
-			if n.byName[to.Service] == nil && !slices.Contains(missing, to.Service) {
-				missing = append(missing, to.Service)
-			}
-		}
-	}
-	if len(missing) > 0 {
-		return fmt.Errorf("the file of services does not have %s", strings.Join(missing, ", "))
-	}
-	table, err := route.Compile(t.Policy.Rules(), n.otherwise)
-	if err != nil {
-		return err
-	}
-	blocks, err := blocksOf(t.Policy)
+	next, err := policyroutes.Build(t.Policy, n.otherwise, func(service string) bool { return n.byName[service] != nil })
 	if err != nil {
 		return err
 	}
-	n.table, n.sticky, n.blocks = table, sticky, blocks
+	n.policyRoutes, n.table, n.sticky, n.blocks = next, next.Table, next.Sticky, next.Blocks
 	return nil
 }
 
-// blocksOf is a table of what is blocked; nil of nothing.
-func blocksOf(p *namespace.Policy) (*route.Table, error) {
-	var rules []route.Rule
-	for _, b := range p.Blocks {
-		rules = append(rules, route.Rule{Name: b.Name, Host: b.Host, Path: b.Path, PathPrefix: b.PathPrefix, Methods: b.Methods, Classes: b.Classes,
-			Tenants: b.Tenants, To: []route.Target{{Service: "blocked", Weight: 1}}})
-	}
-	if len(rules) == 0 {
-		return nil, nil
-	}
-	return route.Compile(rules, "")
-}
-
 // blocked says which block of the policy a request meets.
 func (n *installed) blocked(q *route.Request) error {
 	if n.blocks == nil {
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -23,6 +23,7 @@
 	"lapisspread/internal/figures"
 	"lapisspread/internal/fleetlink"
 	"lapisspread/internal/fleetview"
+	"lapisspread/internal/policyroutes"
 	"lapisspread/internal/quota"
 	"lapisspread/internal/register"
 	"lapisspread/internal/route"
@@ -99,6 +100,8 @@
 	policy    *fleetlink.Taken // that requests are decided under; nil without a fleet
 	blocks    *route.Table     // of the policy; nil is none
 	otherwise string           // the file's service for what no route matches
+
+	policyRoutes *policyroutes.Routes // what table, sticky and blocks are of; nil if the policy doesn't lead requests
 }
 
 // services are all that run, and the routes to them.
