--- a/internal/namespace/items.go
+++ b/internal/namespace/items.go
@@ -16,9 +16,10 @@
 	"lapisspread/internal/route"
 )
 
-// A policy's items. Each rule is one, under its kind and name, as "route dispatch/r1", with its JSON as in the policy's encoding
-// but for the numbers of files: a namespace's number stands once, under "number NAMESPACE", for a new version of a file changes
-// the sources of all its rules, and only the few that say something else shall go to the proxies. "form" is the policy's form.
+// A policy's items. Each rule is one, under its kind and name, as "service payouts"; if its name is of a namespace, that stands first,
+// as "dispatch/route r1", so that what teams change together lies together in the tree. The value is its JSON as in the policy's encoding,
+// but for the numbers of files: a namespace's number stands once, under "dispatch/number", for a new version of a file changes the
+// sources of all its rules, and only the few that say something else shall go to the proxies. "form" is the policy's form.
 const (
 	formKey   = "form"
 	numberKey = "number"
@@ -66,11 +67,30 @@
 	name := l.tell(v)
 	if len(l.kind)+1+len(name) > pieces.MostKey {
 		sum := sha256.Sum256([]byte(name))
-		name = name[:64] + "..." + hex.EncodeToString(sum[:])
+		return l.kind + " " + name[:64] + "..." + hex.EncodeToString(sum[:])
+	}
+	if ns, rest, ok := strings.Cut(name, "/"); ok && !strings.Contains(ns, " ") {
+		return ns + "/" + l.kind + " " + rest
 	}
 	return l.kind + " " + name
 }
 
+// cutKey gives the kind of an item and its rule's name; of a number, its namespace.
+func cutKey(key string) (kind, name string) {
+	ns, rest, ok := strings.Cut(key, "/")
+	if !ok || strings.Contains(ns, " ") {
+		kind, name, _ = strings.Cut(key, " ")
+		return kind, name
+	}
+	if rest == numberKey {
+		return numberKey, ns
+	}
+	kind, name, _ = strings.Cut(rest, " ")
+	return kind, ns + "/" + name
+}
+
+func numberOf(ns string) string { return ns + "/" + numberKey }
+
 func (l *list[T]) sources(p *Policy, f func(*Source)) {
 	all := *l.of(p)
 	for i := range all {
@@ -122,7 +142,7 @@
 		changes = append(changes, change{l.tell(v), v})
 	}
 	for _, key := range c.removed[l.kind] {
-		name := strings.TrimPrefix(key, l.kind+" ")
+		_, name := cutKey(key)
 		at, there := slices.BinarySearchFunc(old, name, func(v T, name string) int { return strings.Compare(l.tell(&v), name) })
 		if !there { // one with a name that is too long for a key, or none
 			if at = slices.IndexFunc(old, func(v T) bool { return l.key(&v) == key }); at < 0 {
@@ -272,7 +292,7 @@
 			}
 			last = *s
 			if n, there := out[s.Namespace]; s.Number == 0 || there && n != s.Number {
-				err = WrongItem{numberKey + " " + s.Namespace, fmt.Errorf("its rules come from versions %d and %d of its file", n, s.Number)}
+				err = WrongItem{numberOf(s.Namespace), fmt.Errorf("its rules come from versions %d and %d of its file", n, s.Number)}
 			}
 			out[s.Namespace] = s.Number
 		})
@@ -300,7 +320,7 @@
 		return nil, err
 	}
 	for _, ns := range slices.Sorted(maps.Keys(numbers)) {
-		if err := add(numberKey+" "+ns, numbers[ns]); err != nil {
+		if err := add(numberOf(ns), numbers[ns]); err != nil {
 			return nil, err
 		}
 	}
@@ -363,7 +383,7 @@
 		known[k.name()] = true
 	}
 	for _, key := range removed {
-		kind, name, _ := strings.Cut(key, " ")
+		kind, name := cutKey(key)
 		switch kind {
 		case formKey:
 			return nil, nil, WrongItem{key, errors.New("it is missing")}
@@ -375,9 +395,9 @@
 		}
 	}
 	for _, i := range set {
-		kind, name, named := strings.Cut(i.Key, " ")
+		kind, name := cutKey(i.Key)
 		switch {
-		case !known[kind] || named == (kind == formKey):
+		case !known[kind] || kind == formKey && i.Key != formKey || kind == numberKey && i.Key != numberOf(name):
 			return nil, nil, WrongItem{i.Key, errors.New("this program knows no such rule")}
 		case kind == formKey:
 			if string(i.Value) != strconv.Itoa(p.Form) {
@@ -409,7 +429,7 @@
 	if !maps.Equal(after, c.numbers) {
 		for _, ns := range slices.Sorted(maps.Keys(c.numbers)) {
 			if _, there := after[ns]; !there {
-				return nil, nil, WrongItem{numberKey + " " + ns, errors.New("no rule comes from its file")}
+				return nil, nil, WrongItem{numberOf(ns), errors.New("no rule comes from its file")}
 			}
 		}
 		return nil, nil, WrongItem{numberKey, errors.New("the number of a file is missing whose rules are there")}
--- a/internal/namespace/items_test.go
+++ b/internal/namespace/items_test.go
@@ -112,29 +112,33 @@
 		}
 		return string(v)
 	}
-	route := value("route team-0/r0")
+	route := value("team-0/route r0")
 	for _, k := range []struct {
 		set  pieces.Item
 		gone string
 		want string
 	}{
-		{set: pieces.Item{Key: "route team-0/r1", Value: []byte(route)}, want: "it holds the rule of"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(" " + route)}, want: "the one encoding"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(route + " ")}, want: "the one encoding"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"name"`, `"Name"`, 1))}, want: "the one encoding"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `{`, `{"other":1,`, 1))}, want: "other"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"namespace":"team-0"`, `"namespace":"team-0","number":1`, 1))}, want: "wrong place"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"namespace":"team-0"`, `"namespace":"nobody"`, 1))}, want: "nowhere"},
-		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(strings.Replace(route, `"weight":1`, `"weight":null`, 1))}, want: "no weight"},
-		{set: pieces.Item{Key: "route team-0/zz", Value: []byte(strings.Replace(route, `team-0/r0`, `team-0/zz`, 1))}, want: "ties with"},
+		{set: pieces.Item{Key: "team-0/route r1", Value: []byte(route)}, want: "it holds the rule of"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(" " + route)}, want: "the one encoding"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(route + " ")}, want: "the one encoding"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(strings.Replace(route, `"name"`, `"Name"`, 1))}, want: "the one encoding"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(strings.Replace(route, `{`, `{"other":1,`, 1))}, want: "other"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(strings.Replace(route, `"namespace":"team-0"`, `"namespace":"team-0","number":1`, 1))}, want: "wrong place"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(strings.Replace(route, `"namespace":"team-0"`, `"namespace":"nobody"`, 1))}, want: "nowhere"},
+		{set: pieces.Item{Key: "team-0/route r0", Value: []byte(strings.Replace(route, `"weight":1`, `"weight":null`, 1))}, want: "no weight"},
+		{set: pieces.Item{Key: "team-0/route zz", Value: []byte(strings.Replace(route, `team-0/r0`, `team-0/zz`, 1))}, want: "ties with"},
 		{set: pieces.Item{Key: "what else", Value: []byte(`1`)}, want: "no such rule"},
-		{set: pieces.Item{Key: "route", Value: []byte(route)}, want: ""},
+		{set: pieces.Item{Key: "route", Value: []byte(route)}, want: "it holds the rule of"},
+		{set: pieces.Item{Key: "route team-0/r0", Value: []byte(route)}, want: "it holds the rule of"},
+		{set: pieces.Item{Key: "team-0/form", Value: []byte(`1`)}, want: "no such rule"},
+		{set: pieces.Item{Key: "number team-0", Value: []byte(`1`)}, want: "no such rule"},
+		{set: pieces.Item{Key: "number", Value: []byte(`1`)}, want: "no such rule"},
 		{set: pieces.Item{Key: "form", Value: []byte(`2`)}, want: "form 2"},
 		{set: pieces.Item{Key: "form x", Value: []byte(`1`)}, want: "no such rule"},
-		{set: pieces.Item{Key: "number team-0", Value: []byte(`0`)}, want: "no number"},
-		{set: pieces.Item{Key: "number team-0", Value: []byte(`01`)}, want: "no number"},
-		{set: pieces.Item{Key: "number nobody", Value: []byte(`1`)}, want: "no rule comes from"},
-		{gone: "number team-0", want: "versions"},
+		{set: pieces.Item{Key: "team-0/number", Value: []byte(`0`)}, want: "no number"},
+		{set: pieces.Item{Key: "team-0/number", Value: []byte(`01`)}, want: "no number"},
+		{set: pieces.Item{Key: "nobody/number", Value: []byte(`1`)}, want: "no rule comes from"},
+		{gone: "team-0/number", want: "versions"},
 		{gone: "form", want: "missing"},
 	} {
 		var set []pieces.Item
--- a/internal/pieces/assembly.go
+++ b/internal/pieces/assembly.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+	"math/bits"
 	"slices"
 )
 
@@ -35,7 +36,7 @@
 type part struct {
 	done *node // from the tree at hand, or put together
 	name Name
-	kids *[16]*part
+	kids *[fanOut]*part
 	leaf []partItem
 	kind byte // 0: it did not come yet
 }
@@ -50,7 +51,7 @@
 type slot struct {
 	part  *part
 	has   *node // the subtree at hand in the same place
-	place Name  // the nibbles that lead here, depth of them
+	place Name  // the digits that lead here, depth of them
 	depth int
 
 	value *partItem
@@ -152,7 +153,7 @@
 			at := place(items[i].key)
 			if a.flaws&noPlace == 0 {
 				for d := range s.depth {
-					if at.nibble(d) != s.place.nibble(d) {
+					if at.digit(d) != s.place.digit(d) {
 						return "a key of another place"
 					}
 				}
@@ -224,14 +225,14 @@
 		return
 	}
 	there, names, _ := children(piece)
-	p.kids = new([16]*part)
+	p.kids = new([fanOut]*part)
 	for i := range p.kids {
 		if there>>i&1 == 0 {
 			continue
 		}
 		p.kids[i] = &part{name: names[0]}
 		inner := slot{part: p.kids[i], has: s.has.shadow(i), place: s.place, depth: s.depth + 1}
-		inner.place[s.depth/2] |= byte(i) << (4 * (1 - s.depth%2))
+		inner.place[s.depth/perByte] |= byte(i) << (digitBits * (perByte - 1 - s.depth%perByte))
 		a.want(names[0], inner)
 		names = names[1:]
 	}
@@ -302,7 +303,7 @@
 		p.done = leafOf(items)
 		return p.done, nil
 	}
-	kids := new([16]*node)
+	kids := new([fanOut]*node)
 	for i, k := range p.kids {
 		var err error
 		if kids[i], err = a.join(k); err != nil {
@@ -371,9 +372,5 @@
 	for rest := piece[3:]; len(rest) > 0; rest = rest[sha256.Size:] {
 		names = append(names, Name(rest))
 	}
-	count := 0
-	for i := range 16 {
-		count += int(there >> i & 1)
-	}
-	return there, names, count == len(names)
+	return there, names, bits.OnesCount16(there) == len(names) && there>>fanOut == 0
 }
--- a/internal/pieces/pieces.go
+++ b/internal/pieces/pieces.go
@@ -1,9 +1,9 @@
 // Package pieces holds content as a canonical Merkle radix tree, so that a change costs what changed: to make, to send and to
 // take up. It is pure: no I/O, no goroutine, no clock.
 //
-// Content is a set of items, each a value under a key. An item's place is given by the nibbles of SHA-256(key). A subtree
-// whose items come to LeafBytes at most, or that has one item, is a leaf; any other is a node with up to 16 children, named by
-// SHA-256 of their pieces (Merkle, 1987). So the shape follows from the content alone, whatever way it came about, and one
+// Content is a set of items, each a value under a key. An item's place is given by SHA-256 of its key, digit by digit, where the first
+// digits are those of its group. A subtree whose items come to LeafBytes at most, or that has one item, is a leaf; any other is a node
+// with up to fanOut children, named by SHA-256 of their pieces (Merkle, 1987). So the shape follows from the content alone, whatever way it came about, and one
 // content has one root. Values too long for a leaf are cut into chunks where the content itself says (as in LBFS, Muthitacharoen,
 // Chen and Mazières, 2001), which are named in the same way. No piece is over MostPiece.
 //
@@ -18,13 +18,14 @@
 	"encoding/hex"
 	"iter"
 	"slices"
+	"strings"
 	"sync"
 )
 
 // Bounds, in bytes.
 const (
 	MostPiece  = 16 << 10 // a piece is never longer
-	LeafBytes  = 1 << 10  // items that come to no more stand together in a leaf
+	LeafBytes  = 512  // items that come to no more stand together in a leaf
 	MostKey    = 4 << 10  // a key is never longer
 	MostValue  = 16 << 20 // a value is never longer
 	mostInline = 2 << 10  // longer values stand in chunks of their own
@@ -32,8 +33,8 @@
 
 // The kinds of pieces. Each piece begins with its kind, so that no piece of one kind hashes as one of another.
 const (
-	kindLeaf  = 1 // items in the order of the hashes of their keys
-	kindNode  = 2 // which children there are, two bytes, big endian, the lowest bit for nibble 0; then their names
+	kindLeaf  = 1 // items in the order of their places
+	kindNode  = 2 // which children there are, two bytes, big endian, the lowest bit for digit 0; then their names
 	kindChunk = 3 // a part of a value
 	kindList  = 4 // names of chunks, or of lists, in order
 )
@@ -44,8 +45,13 @@
 	byName = 1
 )
 
-// mostDepth is how many nibbles a hash has.
-const mostDepth = 2 * sha256.Size
+// The tree's shape: each node looks at so many bits of a place, a byte being cut into whole digits.
+const (
+	digitBits = 2
+	fanOut    = 1 << digitBits
+	perByte   = 8 / digitBits
+	mostDepth = sha256.Size * perByte // digits of a place
+)
 
 // Name names a piece: SHA-256 of it (FIPS 180-4).
 type Name [sha256.Size]byte
@@ -81,11 +87,24 @@
 	long  *long  // the chunks of its value; nil if it stands in the leaf
 }
 
-// place is where a key belongs.
-func place(key string) Name { return sha256.Sum256([]byte(key)) }
+// groupBytes is how much of a place comes from its key's group.
+const groupBytes = 2
 
-// nibble is the part of a place that a node at a depth looks at.
-func (n *Name) nibble(depth int) int { return int(n[depth/2]>>(4*(1-depth%2))) & 15 }
+// place is where a key belongs: what its group hashes to, then what it hashes to itself. Its group is what stands before the first
+// slash, or all of it: what changes together lies together, and has most of its way from the root in common.
+func place(key string) Name {
+	n := Name(sha256.Sum256([]byte(key)))
+	if group, _, ok := strings.Cut(key, "/"); ok {
+		g := sha256.Sum256([]byte(group))
+		copy(n[:groupBytes], g[:])
+	}
+	return n
+}
+
+// digit is the part of a place that a node at a depth looks at.
+func (n *Name) digit(depth int) int {
+	return int(n[depth/perByte]>>(digitBits*(perByte-1-depth%perByte))) & (fanOut - 1)
+}
 
 // bytes is what an item comes to in a leaf.
 func (i *item) bytes() int {
@@ -130,7 +149,7 @@
 	name  Name
 	piece []byte
 	items []item     // of a leaf
-	kids  *[16]*node // of a node; nil where there is none
+	kids  *[fanOut]*node // of a node; nil where there is none
 	count int        // items below
 	bytes int        // that they come to in leaves
 	size  int        // of all pieces below and this one
@@ -169,10 +188,10 @@
 }
 
 // nodeOf makes a node of children.
-func nodeOf(kids *[16]*node) *node {
+func nodeOf(kids *[fanOut]*node) *node {
 	n := &node{kids: kids}
 	var there uint16
-	names := make([]byte, 3, 3+16*sha256.Size)
+	names := make([]byte, 3, 3+fanOut*sha256.Size)
 	for i, k := range kids {
 		if k != nil {
 			there |= 1 << i
@@ -213,19 +232,19 @@
 		}
 		return leafOf(items)
 	}
-	kids := new([16]*node)
+	kids := new([fanOut]*node)
 	for part := range parts(all, depth) {
-		kids[part[0].at.nibble(depth)] = grow(part, depth+1)
+		kids[part[0].at.digit(depth)] = grow(part, depth+1)
 	}
 	return nodeOf(kids)
 }
 
-// parts cuts changes in order by the nibble at a depth.
+// parts cuts changes in order by the digit at a depth.
 func parts(all []change, depth int) iter.Seq[[]change] {
 	return func(yield func([]change) bool) {
 		for len(all) > 0 {
 			end := 1
-			for end < len(all) && all[end].at.nibble(depth) == all[0].at.nibble(depth) {
+			for end < len(all) && all[end].at.digit(depth) == all[0].at.digit(depth) {
 				end++
 			}
 			if !yield(all[:end]) {
@@ -266,7 +285,7 @@
 	kids := *n.kids
 	same, count, size := true, 0, 0
 	for part := range parts(changes, depth) {
-		k := part[0].at.nibble(depth)
+		k := part[0].at.digit(depth)
 		kids[k] = n.kids[k].edit(part, depth+1)
 		same = same && kids[k] == n.kids[k]
 	}
@@ -318,7 +337,7 @@
 	}
 	n, at := t.top, place(key)
 	for depth := 0; n != nil && n.kids != nil; depth++ {
-		n = n.kids[at.nibble(depth)]
+		n = n.kids[at.digit(depth)]
 	}
 	if n == nil {
 		return nil
@@ -401,7 +420,7 @@
 	return i.whole(), true
 }
 
-// Items gives all items, in the order of the hashes of their keys.
+// Items gives all items, in the order of their places.
 func (t *Tree) Items() iter.Seq[Item] {
 	return func(yield func(Item) bool) {
 		t.top.each(func(i *item) bool { return yield(Item{i.key, i.whole()}) })
@@ -423,13 +442,13 @@
 	return piece, there
 }
 
-// shadow is what a tree that is there already has below the same nibble: of a leaf itself, for what stood in a leaf may stand
+// shadow is what a tree that is there already has below the same digit: of a leaf itself, for what stood in a leaf may stand
 // in one further down now.
-func (n *node) shadow(nibble int) *node {
+func (n *node) shadow(digit int) *node {
 	if n == nil || n.kids == nil {
 		return n
 	}
-	return n.kids[nibble]
+	return n.kids[digit]
 }
 
 // Lacks gives the pieces that one who has another tree lacks, each after the one that names it; nil is a tree with nothing. An
