--- a/internal/pieces/pieces.go
+++ b/internal/pieces/pieces.go
@@ -25,7 +25,7 @@
 // Bounds, in bytes.
 const (
 	MostPiece  = 16 << 10 // a piece is never longer
-	LeafBytes  = 512  // items that come to no more stand together in a leaf
+	LeafBytes  = 512      // items that come to no more stand together in a leaf
 	MostKey    = 4 << 10  // a key is never longer
 	MostValue  = 16 << 20 // a value is never longer
 	mostInline = 2 << 10  // longer values stand in chunks of their own
@@ -148,11 +148,11 @@
 type node struct {
 	name  Name
 	piece []byte
-	items []item     // of a leaf
+	items []item         // of a leaf
 	kids  *[fanOut]*node // of a node; nil where there is none
-	count int        // items below
-	bytes int        // that they come to in leaves
-	size  int        // of all pieces below and this one
+	count int            // items below
+	bytes int            // that they come to in leaves
+	size  int            // of all pieces below and this one
 }
 
 // Tree is content in pieces. Any number of goroutines may use it.
