Let a policy go over the wire in pieces under its root

A report tells that the proxy takes pieces; a reply has some that it lacks, and any steward gives others by name. Older sides ignore the new fields and leave them out. The holder takes a policy by the root that its content came to, or as before by its text.

--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -15,7 +15,14 @@
 const (
 	PathPolicy = "/v1/policy"        // GET, gives PolicyStatus; the leader's is the newest
 	PathOrder  = "/v1/policy/order"  // POST policybook.Command: an operator's word
-	PathReport = "/v1/policy/report" // POST PolicyReport, gives PolicyReply
+	PathReport = "/v1/policy/report" // POST PolicyReport, gives PolicyReply; the leader answers
+	PathPieces = "/v1/policy/pieces" // POST PiecesRequest, gives PiecesReply; any steward answers
+)
+
+// Bounds on pieces (package pieces) in one message. A body that has as many is far under MostBody.
+const (
+	MostNames  = 256       // that a request asks for
+	MostPieces = 256 << 10 // bytes of pieces in a reply
 )
 
 // PolicyReport is what a proxy tells: see rollout.Report.
@@ -24,27 +31,54 @@
 	Proxy     string
 	Number    uint64
 	Has       rollout.Offer
-	Refused   rollout.Offer // that it has the text of and can't take up yet: it tries by itself
+	Refused   rollout.Offer `cbor:",omitzero"` // that it has the content of and can't take up yet: it tries by itself
 	Good, Bad int64
+	Pieces    bool `cbor:",omitempty"` // it takes pieces; one that doesn't is of an older release
 }
 
-// PolicyReply is what a proxy shall have. Text is the policy, if the proxy doesn't have it.
+// PolicyReply is what a proxy shall have. With InPieces the offer's hash is the root of a tree of pieces, and Pieces are some that the
+// proxy lacks, top first; it fetches all others by name. Else the hash is the SHA-256 of Text, which is the whole policy, if the
+// proxy doesn't have it.
 type PolicyReply struct {
-	Fleet string
-	Offer rollout.Offer
-	Text  []byte
+	Fleet    string
+	Offer    rollout.Offer
+	Text     []byte   `cbor:",omitempty"`
+	InPieces bool     `cbor:",omitempty"`
+	Pieces   [][]byte `cbor:",omitempty"`
+}
+
+// PiecesRequest asks for pieces by name, MostNames at most.
+type PiecesRequest struct {
+	Fleet, Proxy string
+	Root         string   // of the tree that they are of, in hexadecimal
+	Names        [][]byte // SHA-256 each
+}
+
+// PiecesReply has pieces in the order of their names in the request, as many as MostPieces allows. Lacks counts those that this steward
+// doesn't have. If too many proxies fetch at once it has none, and says after how many nanoseconds to come back.
+type PiecesReply struct {
+	Pieces [][]byte `cbor:",omitempty"`
+	Lacks  int      `cbor:",omitempty"`
+	Later  int64    `cbor:",omitempty"`
 }
 
 // PolicyStatus is how the policy stands, as one steward knows it.
 type PolicyStatus struct {
 	Standing policybook.Standing
-	Leads    bool   // whoever says so; the rest is known by it alone
-	State    string // of the roll-out
-	Proxies  int    // that report
-	Have     int    // of them, what goes out, or what all shall have
-	Refused  int    // of them, that can't take it up
+	Leads    bool     // whoever says so; the rest is known by it alone
+	State    string   // of the roll-out
+	Proxies  int      // that report
+	Have     int      // of them, what goes out, or what all shall have
+	Refused  int      // of them, that can't take it up
+	Behind   []string `cbor:",omitempty"` // of them, some that don't have yet what all have: MostBehind names at most, sorted
+	Late     int      `cbor:",omitempty"` // how many there are of these
+	Older    int      `cbor:",omitempty"` // of them, that take whole texts alone
+	Worse    string   `cbor:",omitempty"` // what the watch after the last roll-out has to tell; empty is nothing
 }
 
+// MostBehind is how many proxies are told by name in a PolicyStatus.
+const MostBehind = 20
+
 // Order gives whoever leads an operator's word about the policy.
 func (f *File) Order(ctx context.Context, client *http.Client, c policybook.Command) error {
 	var tried []error
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -16,7 +16,7 @@
 type Offer struct {
 	Order uint64 // how often an operator has told the fleet to go back
 	Epoch uint64 // of the policy; each new one is higher
-	Hash  string // of the policy's encoding: SHA-256 in hexadecimal
+	Hash  string // of the policy's content: the root of its tree of pieces (package pieces) in hexadecimal
 }
 
 // After tells whether an offer goes before another.
@@ -77,9 +77,16 @@
 // Has is what is held.
 func (h *Holder) Has() Offer { return h.has }
 
-// Take takes a policy up, whole or not at all. Nil is taken, or had already. Errors are OldEpoch, EpochTwice and WrongContent;
-// they change nothing.
+// Take takes a policy up that came as a whole text, as older stewards send it: the offer's hash is the text's SHA-256 then.
+// See TakeRoot.
 func (h *Holder) Take(o Offer, text []byte) error {
+	sum := sha256.Sum256(text)
+	return h.TakeRoot(o, hex.EncodeToString(sum[:]))
+}
+
+// TakeRoot takes a policy up whose content came to a root, whole or not at all. Nil is taken, or had already. Errors are OldEpoch,
+// EpochTwice and WrongContent; they change nothing.
+func (h *Holder) TakeRoot(o Offer, root string) error {
 	if o == h.has {
 		return nil
 	}
@@ -89,9 +96,8 @@
 	if !o.After(h.has) && h.flaws&noFence == 0 {
 		return OldEpoch{o, h.has}
 	}
-	sum := sha256.Sum256(text)
-	if got := hex.EncodeToString(sum[:]); got != o.Hash && h.flaws&noHash == 0 {
-		return WrongContent{o.Hash, got}
+	if root != o.Hash && h.flaws&noHash == 0 {
+		return WrongContent{o.Hash, root}
 	}
 	h.has = o
 	return nil
