--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -3,7 +3,8 @@
 //
 // Weighed: a database of pages (bbolt, as the ledger of effects has it). For one value of some kilobytes that is replaced
 // again and again its pages and its flush bring nothing, and its data pages have no checksum: a flipped bit is read as true.
-// A log that is appended to would have to be cut, and read to its end at each start. Where single records must be on disk
+// A log that is appended to has to be cut, and read to its end at each start: see Journal, for a value of megabytes of which little
+// changes at a time. Where single records must be on disk
 // before an answer goes out, bbolt is the better place.
 //
 // Nothing is flushed: the death of a process loses nothing that was written. The death of the machine may leave an older
