--- a/internal/durable/journal.go
+++ b/internal/durable/journal.go
@@ -123,6 +123,12 @@
 // Size is how long the file is, in bytes, after this one's last write or read; 0 is not known.
 func (j *Journal) Size() int64 { return j.size }
 
+// Same tells whether the file is still as long as this one has left or found it.
+func (j *Journal) Same() bool {
+	info, err := os.Stat(j.Path)
+	return err == nil && j.size > 0 && info.Size() == j.size
+}
+
 // Load reads the records that are whole, in the order in which they were written. Lost is how many bytes between them could not be read: a
 // cut end, or damage. Where nothing was written the error is fs.ErrNotExist, else ErrDamaged (nothing can be read) or ErrNewer.
 func (j *Journal) Load() (records [][]byte, lost int, err error) {
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -34,6 +34,7 @@
 	Refused   rollout.Offer `cbor:",omitzero"` // that it has the content of and can't take up yet: it tries by itself
 	Good, Bad int64
 	Pieces    bool `cbor:",omitempty"` // it takes pieces; one that doesn't is of an older release
+	Most      int  `cbor:",omitempty"` // bytes of pieces that the reply shall have at most; 0 is MostPieces
 }
 
 // PolicyReply is what a proxy shall have. With InPieces the offer's hash is the root of a tree of pieces, and Pieces are some that the
