Have a proxy take policies up in pieces, and keep them so

A change cost the whole text on the wire, on disk and in the proxy. Now a proxy fetches what it lacks: what came along with the answer to its report, the rest by name from any steward, over as many reports as it takes; pieces that came for one root serve the next. It is taken up only whole and at the root that was offered, and made of the policy before by what differs. Over a slow link it asks for less at once. Without the check of the root, and without that of the order, drawn runs convict.

--- a/internal/fleetlink/docs_test.go
+++ b/internal/fleetlink/docs_test.go
@@ -19,6 +19,7 @@
 	"lapisspread/internal/fleetview"
 	"lapisspread/internal/grant"
 	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
 	"lapisspread/internal/policybook"
 	"lapisspread/internal/rollout"
 	"lapisspread/internal/staleness"
@@ -37,7 +38,8 @@
 	steward.FloorsTwice{},
 	staleness.BadSettings{}, staleness.ClaimCannotBeTrue{}, staleness.EdgeBlind{}, staleness.NameTaken{}, staleness.UnknownSource{}, staleness.ViewDoubtful{},
 	namespace.Clash{}, namespace.DelegationCircle{}, namespace.DelegationTooWide{}, namespace.FileError{}, namespace.MinimumsExceedWhole{},
-	namespace.NamespaceHeld{}, namespace.OutsideDomain{}, namespace.UnknownNamespace{}, namespace.VersionTaken{},
+	namespace.NamespaceHeld{}, namespace.OutsideDomain{}, namespace.UnknownNamespace{}, namespace.VersionTaken{}, namespace.WrongItem{},
+	pieces.Incomplete{}, pieces.Malformed{}, pieces.TooLong{}, pieces.Twice{}, pieces.WrongName{}, pieces.WrongPiece{},
 	policybook.BadCommand{}, policybook.EpochGone{}, policybook.NoCharter{}, policybook.TooMuch{},
 	rollout.EpochTwice{}, rollout.OldEpoch{}, rollout.RolloutStopped{}, rollout.WrongContent{},
 }
@@ -78,7 +80,7 @@
 	for _, e := range told {
 		have = append(have, fmt.Sprintf("%T", e))
 	}
-	for _, dir := range []string{"../consensus", "../consensus/store", "../consensus/node", "../fleet", ".", "../fleetview", "../staleness", "../grant", "../steward", "../namespace", "../policybook", "../rollout"} {
+	for _, dir := range []string{"../consensus", "../consensus/store", "../consensus/node", "../fleet", ".", "../fleetview", "../staleness", "../grant", "../steward", "../namespace", "../pieces", "../policybook", "../rollout"} {
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatal(dir, err)
--- /dev/null
+++ b/internal/fleetlink/kept.go
@@ -0,0 +1,196 @@
+package fleetlink
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"iter"
+	"path/filepath"
+	"sync"
+
+	"lapisspread/internal/durable"
+	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
+	"lapisspread/internal/rollout"
+)
+
+// content is a policy that came whole.
+type content struct {
+	offer rollout.Offer
+	hash  string // what it came to: the root, or the SHA-256 of its text where that is what the offer names
+	tree  *pieces.Tree
+}
+
+// keeper keeps a policy for the next process of this name, in pieces: a change appends the pieces that it brought, and now and then all
+// is written anew.
+type keeper struct {
+	mu      sync.Mutex // held over I/O: others don't wait for it
+	journal durable.Journal
+	older   durable.File // in which releases before pieces kept a text
+	offer   rollout.Offer
+	tree    *pieces.Tree // that the journal has; nil is not known
+}
+
+// The kinds of records, by their first byte.
+const (
+	recordPiece = 'p'
+	recordOffer = 'o' // a keptOffer in JSON; the pieces that it needs stand before it
+)
+
+// keptOffer says what the pieces before it come to.
+type keptOffer struct {
+	Offer rollout.Offer
+	Root  string // the offer's hash, unless the policy came as a text
+}
+
+type keptText struct {
+	Offer rollout.Offer
+	Text  []byte
+}
+
+// keptSlack is by how many bytes the journal may be more than twice as long as what is kept.
+const keptSlack = 64 << 10
+
+func newKeeper(dir, name string) *keeper {
+	return &keeper{
+		journal: durable.Journal{Path: filepath.Join(dir, "pieces-"+name), Kind: "lapisspread-pieces", Form: 1},
+		older:   durable.File{Path: filepath.Join(dir, "policy-"+name), Kind: "lapisspread-policy", Form: 1},
+	}
+}
+
+// load gives what the process before has kept: the newest that is whole, and the pieces that can be read besides. Without any the error
+// is fs.ErrNotExist; an error may come with what could be read all the same.
+func (k *keeper) load() (c content, loose [][]byte, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c, loose, err = k.read()
+	if c.tree != nil {
+		k.offer, k.tree = c.offer, c.tree
+	}
+	var old keptText
+	if k.older.Load(&old) == nil && old.Offer.After(c.offer) { // an older release has run here since, or this is the first that keeps pieces
+		if t, wrong := contentOf(old.Offer, old.Text); wrong == nil {
+			return t, loose, nil
+		} else if errors.Is(err, fs.ErrNotExist) {
+			err = wrong
+		}
+	}
+	return c, loose, err
+}
+
+// read reads the journal.
+func (k *keeper) read() (c content, loose [][]byte, err error) {
+	records, lost, err := k.journal.Load()
+	if err != nil {
+		return c, nil, err
+	}
+	all := map[pieces.Name][]byte{}
+	var offers []keptOffer
+	for _, r := range records {
+		switch {
+		case len(r) > 1 && r[0] == recordPiece:
+			all[pieces.NameOf(r[1:])] = r[1:]
+		case len(r) > 1 && r[0] == recordOffer:
+			var o keptOffer
+			if json.Unmarshal(r[1:], &o) == nil {
+				offers = append(offers, o)
+			}
+		}
+	}
+	for i := len(offers) - 1; i >= 0 && c.tree == nil; i-- {
+		root, wrong := pieces.ParseName(offers[i].Root)
+		if wrong != nil {
+			continue
+		}
+		a := pieces.Assemble(root, nil)
+		for names := a.Wants(len(all)); len(names) > 0; names = a.Wants(len(all)) {
+			added := false
+			for _, n := range names {
+				if piece, there := all[n]; there && a.Add(piece) == nil {
+					added = true
+				}
+			}
+			if !added {
+				break
+			}
+		}
+		if t, wrong := a.Tree(); wrong == nil {
+			// The text whose hash the offer names was checked before it was kept.
+			c = content{offers[i].Offer, offers[i].Offer.Hash, t}
+		}
+	}
+	if lost > 0 || c.tree == nil {
+		for _, piece := range all {
+			loose = append(loose, piece)
+		}
+		err = fmt.Errorf("%s: %d bytes of it can't be read: %w", k.journal.Path, lost, durable.ErrDamaged)
+	}
+	return c, loose, err
+}
+
+// contentOf is what a text comes to. Errors are rollout.WrongContent, and those of package namespace.
+func contentOf(o rollout.Offer, text []byte) (content, error) {
+	if err := rollout.NewHolder(rollout.Offer{}).Take(o, text); err != nil {
+		return content{}, err
+	}
+	p, err := namespace.Decode(text)
+	if err != nil {
+		return content{}, err
+	}
+	t, err := p.Tree()
+	return content{o, o.Hash, t}, err
+}
+
+var errKeeps = errors.New("a duty before is still writing")
+
+// save has the next process begin with it, unless another of this name has kept a newer one. It costs what changed, in the mean.
+func (k *keeper) save(c content) error {
+	if !k.mu.TryLock() {
+		return errKeeps
+	}
+	defer k.mu.Unlock()
+	if k.offer == c.offer && k.tree != nil {
+		return nil
+	}
+	mark, err := json.Marshal(keptOffer{c.offer, c.tree.Root().String()})
+	if err != nil {
+		return err
+	}
+	mark = append([]byte{recordOffer}, mark...)
+	record := func(piece []byte) []byte { return append([]byte{recordPiece}, piece...) }
+	if k.tree != nil && k.journal.Size() < int64(2*c.tree.Size()+keptSlack) {
+		var records [][]byte
+		for _, piece := range c.tree.Lacks(k.tree) {
+			records = append(records, record(piece))
+		}
+		err := k.journal.Append(append(records, mark)...)
+		if err == nil {
+			k.offer, k.tree = c.offer, c.tree
+			return nil
+		}
+		if !errors.Is(err, durable.ErrOther) {
+			return err
+		}
+	}
+	if !k.journal.Same() { // it may be another's
+		if had, _, _ := k.read(); had.tree != nil && !c.offer.After(had.offer) {
+			k.offer, k.tree = had.offer, had.tree
+			return nil
+		}
+	}
+	var all iter.Seq[[]byte] = func(yield func([]byte) bool) {
+		for _, piece := range c.tree.Pieces() {
+			if !yield(record(piece)) {
+				return
+			}
+		}
+		yield(mark)
+	}
+	k.tree = nil
+	if err := k.journal.Rewrite(all); err != nil {
+		return err
+	}
+	k.offer, k.tree = c.offer, c.tree
+	return nil
+}
--- /dev/null
+++ b/internal/fleetlink/pieces_test.go
@@ -0,0 +1,711 @@
+package fleetlink
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lapisspread/internal/advice"
+	"lapisspread/internal/fleet"
+	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
+	"lapisspread/internal/rollout"
+	"lapisspread/internal/shelf"
+)
+
+// routes is a policy of so many routes of one team, each with a path.
+func routes(n int, number uint64, path func(i int) string) *namespace.Policy {
+	weight := 1.0
+	p := &namespace.Policy{Form: 1, Services: []namespace.PolicyService{{Service: namespace.Service{Name: "s"},
+		From: []namespace.Source{{Namespace: "a", Number: number, Rule: "service s"}}}}}
+	for i := range n {
+		name := fmt.Sprintf("r%05d", i)
+		p.Routes = append(p.Routes, namespace.PolicyRoute{
+			Route: namespace.Route{Name: "a/" + name, Match: namespace.Match{Host: "x.org", PathPrefix: path(i)}, To: []namespace.Target{{Service: "s", Weight: &weight}}},
+			From:  namespace.Source{Namespace: "a", Number: number, Rule: "route " + name}})
+	}
+	return p
+}
+
+// version is a policy of n routes, of which one changes with each version.
+func version(n int, v uint64) *namespace.Policy {
+	return routes(n, v, func(i int) string {
+		if uint64(i) >= v-1 {
+			return fmt.Sprintf("/%d", i)
+		}
+		return fmt.Sprintf("/%d/changed", i)
+	})
+}
+
+func treeOf(t testing.TB, p *namespace.Policy) *pieces.Tree {
+	t.Helper()
+	tree, err := p.Tree()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tree
+}
+
+// hub stands for the stewards, without a network: it tells and gives what its shelf has.
+type hub struct {
+	t     testing.TB
+	begun time.Time
+	shelf *shelf.Shelf
+	delay func(path string, bytes int) time.Duration // of an answer; nil is none
+	bend  func(r *http.Request, reply any)           // changes an answer on its way
+
+	mu      sync.Mutex
+	down    bool
+	older   bool // it knows whole texts alone
+	offer   rollout.Offer
+	text    []byte
+	trees   map[string]bool // roots that were ever offered
+	reports []time.Time
+	bytes   int // of answers
+}
+
+func newHub(t testing.TB) *hub {
+	return &hub{t: t, begun: time.Now(), shelf: shelf.New(shelf.Defaults()), trees: map[string]bool{}}
+}
+
+// offers has all shall have a policy from now on.
+func (h *hub) offers(order, epoch uint64, p *namespace.Policy) rollout.Offer {
+	h.t.Helper()
+	tree := treeOf(h.t, p)
+	h.has().Keep([]*pieces.Tree{tree})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.offer = rollout.Offer{Order: order, Epoch: epoch, Hash: tree.Root().String()}
+	if h.older {
+		h.text = p.Encode()
+		h.offer.Hash = p.Hash()
+	}
+	h.trees[h.offer.Hash] = true
+	return h.offer
+}
+
+func (h *hub) forget() { h.set(func() { h.shelf = shelf.New(shelf.Defaults()) }) }
+
+func (h *hub) has() *shelf.Shelf {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.shelf
+}
+
+func (h *hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var reply any
+	switch r.URL.Path {
+	case fleet.PathReport:
+		var in fleet.PolicyReport
+		if err := fleet.Read(r.Body, &in); err != nil || !in.Pieces {
+			h.t.Errorf("a report that does not take pieces: %v", err)
+		}
+		h.mu.Lock()
+		h.reports = append(h.reports, time.Now())
+		out := fleet.PolicyReply{Fleet: "north", Offer: h.offer}
+		wants := out.Offer.After(in.Has) && out.Offer != in.Refused
+		if h.older && wants {
+			out.Text = h.text
+		}
+		out.InPieces = !h.older
+		h.mu.Unlock()
+		if out.InPieces && wants {
+			most := in.Most
+			if most == 0 {
+				most = fleet.MostPieces
+			}
+			out.Pieces = h.has().Along(in.Has.Hash, out.Offer.Hash, most)
+		}
+		reply = &out
+	case fleet.PathPieces:
+		var in fleet.PiecesRequest
+		if err := fleet.Read(r.Body, &in); err != nil || len(in.Names) > fleet.MostNames {
+			h.t.Errorf("a request for %d pieces: %v", len(in.Names), err)
+		}
+		var out fleet.PiecesReply
+		var later time.Duration
+		out.Pieces, out.Lacks, later = h.has().Named(time.Since(h.begun), in.Proxy, in.Root, in.Names)
+		out.Later = int64(later)
+		reply = &out
+	}
+	if h.bend != nil {
+		h.bend(r, reply)
+	}
+	fleet.Write(w, http.StatusOK, reply)
+}
+
+// RoundTrip has a call answered in the caller's goroutine, after the delay.
+func (h *hub) RoundTrip(r *http.Request) (*http.Response, error) {
+	h.mu.Lock()
+	down := h.down
+	h.mu.Unlock()
+	if down {
+		return nil, errors.New("cut off")
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	h.mu.Lock()
+	h.bytes += w.Body.Len()
+	h.mu.Unlock()
+	if h.delay != nil {
+		select {
+		case <-time.After(h.delay(r.URL.Path, w.Body.Len())):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+	return w.Result(), nil
+}
+
+func (h *hub) set(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// edge is a proxy that follows a hub, and a judge of what it takes up: only what was offered, whole, and nothing older.
+type edge struct {
+	*Policies
+	h         *hub
+	installed int
+	diffs     int
+	last      rollout.Offer
+	first     rollout.Offer // that was kept
+	crimes    []string
+	cancel    func()
+	done      chan struct{}
+}
+
+func (h *hub) edge(state string, change func(*Policies)) *edge {
+	e := &edge{h: h, done: make(chan struct{})}
+	f := file(state, "s1.test:1", "s2.test:1", "s3.test:1")
+	e.Policies = NewPolicies(Settings{File: f, Name: "p1", Via: h, Clock: func() time.Duration { return time.Since(h.begun) }}, e.judge)
+	if change != nil {
+		change(e.Policies)
+	}
+	e.Recall()
+	e.first = e.Now().Offer
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go func() { defer close(e.done); e.Run(ctx) }()
+	return e
+}
+
+func (e *edge) judge(t *Taken) error {
+	say := func(wrong bool, format string, args ...any) {
+		if wrong {
+			e.crimes = append(e.crimes, fmt.Sprintf(format, args...))
+		}
+	}
+	e.installed++
+	if t.Diff != nil {
+		e.diffs++
+	}
+	again, err := t.Policy.Tree()
+	root := ""
+	if err == nil {
+		root = again.Root().String()
+	}
+	text := t.Policy.Hash()
+	e.h.mu.Lock()
+	known := e.h.trees[t.Offer.Hash]
+	e.h.mu.Unlock()
+	say(!known, "%+v was never offered", t.Offer)
+	say(root != t.Offer.Hash && text != t.Offer.Hash, "%+v was taken up with the content %.12s", t.Offer, root)
+	say(!t.Offer.After(e.last), "%+v was taken up after %+v", t.Offer, e.last)
+	e.last = t.Offer
+	return nil
+}
+
+// end ends the process; what it has kept stays.
+func (e *edge) end() {
+	e.cancel()
+	<-e.done
+}
+
+func (e *edge) fair(t *testing.T) {
+	t.Helper()
+	for _, c := range e.crimes {
+		t.Error(c)
+	}
+}
+
+// has waits for what must come at last.
+func (e *edge) has(t *testing.T, what string, o rollout.Offer) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Minute); e.Now().Offer != o; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			e.end()
+			t.Fatalf("in vain: %s: %+v", what, e.PolicyReport())
+		}
+	}
+}
+
+// A change costs what changed, also to one that was away for many, or whose kept copy is of a root that nobody has any more.
+func TestOnlyWhatChangedIsFetched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, dir := newHub(t), t.TempDir()
+		e := h.edge(dir, nil)
+		v := uint64(1)
+		offer := func() rollout.Offer { v++; return h.offers(1, v, version(1000, v)) }
+		e.has(t, "the first, whole", offer())
+		whole := e.got.Load()
+		for range 5 {
+			before, sent := e.got.Load(), 0
+			h.set(func() { sent = h.bytes })
+			e.has(t, "a change", offer())
+			if n := e.got.Load() - before; n == 0 || n > 8 {
+				t.Errorf("a changed route took %d pieces; all are %d", n, whole)
+			}
+			h.set(func() { sent = h.bytes - sent })
+			if sent > 16<<10 {
+				t.Errorf("a changed route took %d bytes", sent)
+			}
+		}
+		if e.diffs != 5 {
+			t.Errorf("%d of 5 changes were made of what was there", e.diffs)
+		}
+		before := e.got.Load()
+		h.set(func() { h.down = true })
+		for range 20 {
+			offer()
+		}
+		last := offer()
+		h.set(func() { h.down = false })
+		e.has(t, "the last of 21 changes", last)
+		if n := e.got.Load() - before; n > whole/2 {
+			t.Errorf("21 changes took %d pieces; all are %d", n, whole)
+		}
+		e.end()
+		for range 3 {
+			last = offer()
+		}
+		h.forget()
+		last = offer()
+		next := h.edge(dir, nil)
+		if next.first.Epoch == 0 {
+			t.Error("nothing was kept")
+		}
+		next.has(t, "what is offered now", last)
+		if n := next.got.Load(); n > whole/4 || next.diffs != 1 {
+			t.Errorf("what is kept of a root that nobody knows was no base: %d pieces; all are %d", n, whole)
+		}
+		next.end()
+		e.fair(t)
+		next.fair(t)
+	})
+}
+
+// Pieces that are damaged on their way are refused and fetched again, and answers that are cut change nothing.
+func TestADamagedPieceIsFetchedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub(t)
+		rng := rand.New(rand.NewPCG(1, 2))
+		h.bend = func(_ *http.Request, reply any) {
+			var all *[][]byte
+			switch r := reply.(type) {
+			case *fleet.PolicyReply:
+				all = &r.Pieces
+			case *fleet.PiecesReply:
+				all = &r.Pieces
+			}
+			if len(*all) == 0 || rng.IntN(2) == 0 {
+				return
+			}
+			*all = slices.Clone(*all)
+			at := rng.IntN(len(*all))
+			switch rng.IntN(4) {
+			case 0:
+				(*all)[at] = bytes.Clone((*all)[at])
+				(*all)[at][rng.IntN(len((*all)[at]))] ^= 1 << rng.IntN(8)
+			case 1:
+				(*all)[at] = (*all)[at][:len((*all)[at])-1]
+			case 2:
+				*all = (*all)[:at]
+			case 3:
+				(*all)[at] = make([]byte, pieces.MostPiece+1)
+			}
+		}
+		e := h.edge(t.TempDir(), nil)
+		e.has(t, "the first", h.offers(1, 1, version(300, 1)))
+		for v := uint64(2); v < 12; v++ {
+			e.has(t, "a change", h.offers(1, v, version(300, v)))
+		}
+		if e.PolicyReport().Wrong == 0 {
+			t.Error("nothing was damaged: it proves nothing")
+		}
+		e.end()
+		e.fair(t)
+	})
+}
+
+// Over a link on which an answer takes longer than there is between two changes, what came for one serves the next, and reports go on.
+func TestSlowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub(t)
+		h.delay = func(_ string, n int) time.Duration {
+			return 300*time.Millisecond + time.Duration(n)*time.Second/(20<<10)
+		} // 20 KB a second
+		e := h.edge("", nil)
+		v := uint64(1)
+		end := time.Now().Add(2 * time.Minute)
+		for ; time.Now().Before(end); v++ {
+			h.offers(1, v, version(1000, v))
+			time.Sleep(5 * time.Second)
+		}
+		if e.installed == 0 {
+			t.Errorf("nothing got through while it changed: %d pieces", e.got.Load())
+		}
+		e.has(t, "the last", h.offers(1, v, version(1000, v)))
+		e.end()
+		e.fair(t)
+		for i := 1; i < len(h.reports); i++ {
+			if gap := h.reports[i].Sub(h.reports[i-1]); gap > rollout.Defaults().Silent {
+				t.Errorf("no report for %v", gap)
+			}
+		}
+	})
+}
+
+// One that is told to come back later does, not before, and goes on reporting.
+func TestComesBackWhenTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub(t)
+		until, early, told := map[string]time.Time{}, 0, 0
+		h.bend = func(q *http.Request, reply any) {
+			r, ok := reply.(*fleet.PiecesReply)
+			if !ok || told >= 12 {
+				return
+			}
+			if time.Now().Before(until[q.URL.Host]) {
+				early++
+			}
+			told++
+			*r = fleet.PiecesReply{Later: int64(3 * time.Second)}
+			until[q.URL.Host] = time.Now().Add(3 * time.Second)
+		}
+		e := h.edge("", nil)
+		e.has(t, "the first", h.offers(1, 1, version(300, 1)))
+		e.end()
+		e.fair(t)
+		if early > 0 || told < 12 {
+			t.Errorf("it came back %d times too early, told %d times", early, told)
+		}
+		if n := len(h.reports); n < 8 {
+			t.Errorf("%d reports meanwhile", n)
+		}
+	})
+}
+
+// What the stewards offer that is no policy, or that names itself wrong, is refused without being fetched again and again; the next is taken.
+func TestWhatCantBeReadIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub(t)
+		e := h.edge(t.TempDir(), nil)
+		first := h.offers(1, 1, version(300, 1))
+		e.has(t, "the first", first)
+		bad, err := e.Now().Tree.With([]pieces.Item{{Key: "route a/r00001", Value: []byte("{}")}}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.has().Keep([]*pieces.Tree{bad})
+		h.set(func() { h.offer = rollout.Offer{Order: 1, Epoch: 2, Hash: bad.Root().String()} })
+		before := e.got.Load()
+		time.Sleep(time.Minute)
+		if e.Now().Offer != first {
+			t.Fatalf("%+v was taken up", e.Now().Offer)
+		}
+		if n := e.got.Load() - before; n == 0 || n > 40 {
+			t.Errorf("%d pieces came in a minute", n)
+		}
+		if r := e.PolicyReport(); len(r.Troubles) == 0 || r.Troubles[0].Advice == "" {
+			t.Errorf("nobody is told: %+v", r)
+		}
+		h.set(func() { h.offer = rollout.Offer{Order: 1, Epoch: 3, Hash: "no root"} })
+		time.Sleep(10 * time.Second)
+		e.has(t, "the next", h.offers(1, 4, version(300, 4)))
+		e.end()
+		e.fair(t)
+	})
+}
+
+// A proxy takes whole texts from an older steward and pieces from a newer one, in whatever order they come to lead; a founding anew goes
+// before all that is held.
+func TestMixedStewards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, dir := newHub(t), t.TempDir()
+		e := h.edge(dir, nil)
+		for v := uint64(1); v <= 8; v++ {
+			h.set(func() { h.older = v%4 >= 2 })
+			e.has(t, "a change", h.offers(1, v, version(200, v)))
+		}
+		h.set(func() { h.older = true })
+		last := h.offers(1, 9, version(200, 9))
+		e.has(t, "a text", last)
+		e.end()
+		next := h.edge(dir, nil)
+		if next.first != last {
+			t.Errorf("the next process begins with %+v", next.first)
+		}
+		h.set(func() { h.older = false })
+		next.has(t, "of a founding anew", h.offers(1<<32, 1, version(200, 3)))
+		next.has(t, "a change after", h.offers(1<<32, 2, version(200, 4)))
+		next.end()
+		e.fair(t)
+		next.fair(t)
+	})
+}
+
+// What a release before pieces has kept is taken up, and is the base of what comes.
+func TestTheTextThatWasKeptIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, dir := newHub(t), t.TempDir()
+		p := version(1000, 3)
+		old := newKeeper(dir, "p1").older
+		had := rollout.Offer{Order: 1, Epoch: 3, Hash: p.Hash()}
+		if err := old.Save(keptText{had, p.Encode()}); err != nil {
+			t.Fatal(err)
+		}
+		h.trees[had.Hash] = true
+		e := h.edge(dir, nil)
+		if e.first != had {
+			t.Fatalf("it begins with %+v", e.first)
+		}
+		e.has(t, "the next", h.offers(1, 4, version(1000, 4)))
+		if n := e.got.Load(); n > 100 {
+			t.Errorf("%d pieces: what was kept was no base", n)
+		}
+		e.end()
+		e.fair(t)
+		next := h.edge(dir, nil)
+		if next.first.Epoch != 4 {
+			t.Errorf("the next process begins with %+v", next.first)
+		}
+		next.end()
+	})
+}
+
+// The journal costs what changed, in the mean; cut or damaged anywhere it gives what was held once, or pieces that need not be fetched again.
+func TestWhatIsKept(t *testing.T) {
+	h, dir := newHub(t), t.TempDir()
+	k := newKeeper(dir, "p1")
+	var last content
+	size, written := int64(0), int64(0)
+	for v := uint64(1); v <= 400; v++ {
+		p := version(400, v)
+		tree := treeOf(t, p)
+		last = content{rollout.Offer{Order: 1, Epoch: v, Hash: tree.Root().String()}, tree.Root().String(), tree}
+		h.trees[last.hash] = true
+		if err := k.save(last); err != nil {
+			t.Fatal(err)
+		}
+		now := k.journal.Size()
+		if now > size {
+			written += now - size
+		} else {
+			written += now
+		}
+		size = now
+		if size > int64(2*tree.Size()+keptSlack+16<<10) {
+			t.Fatalf("%d bytes for %d", size, tree.Size())
+		}
+	}
+	if mean := written / 400; mean > int64(last.tree.Size()/10) {
+		t.Errorf("%d bytes were written for each change, of %d", mean, last.tree.Size())
+	}
+	if err := k.save(last); err != nil || k.journal.Size() != size {
+		t.Errorf("what is kept was written again: %v", err)
+	}
+	other := newKeeper(dir, "p1") // another process of this name, as at an upgrade
+	if c, _, err := other.load(); err != nil || c.offer != last.offer {
+		t.Fatal(c.offer, err)
+	}
+	next := last
+	next.offer.Epoch++
+	if err := other.save(next); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.save(content{rollout.Offer{Order: 1, Epoch: 400, Hash: "x"}, "x", last.tree}); err != nil {
+		t.Fatal(err)
+	}
+	if c, _, err := newKeeper(dir, "p1").load(); err != nil || c.offer != next.offer {
+		t.Errorf("an older one took the place of a newer: %+v, %v", c.offer, err)
+	}
+	whole, err := os.ReadFile(k.journal.Path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 60 {
+		text := bytes.Clone(whole)
+		if rng.IntN(2) == 0 {
+			text = text[:rng.IntN(len(text))]
+		} else {
+			text[rng.IntN(len(text))] ^= 1 << rng.IntN(8)
+		}
+		if err := os.WriteFile(k.journal.Path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, loose, err := newKeeper(dir, "p1").load()
+		if c.tree != nil && (c.tree.Root().String() != c.hash || !h.trees[c.hash]) {
+			t.Fatalf("%+v came of damage", c.offer)
+		}
+		if c.tree == nil && err == nil {
+			t.Error("there is nothing, and nobody is told")
+		}
+		if len(text) == len(whole) && c.tree == nil && bytes.Count(text[:64], []byte("\n")) > 0 && bytes.HasPrefix(text, []byte("lapisspread-pieces 1\n")) && len(loose) < 100 {
+			t.Errorf("one flipped bit cost all but %d pieces", len(loose))
+		}
+	}
+}
+
+// takes takes whatever piece comes, and gives what there is before all is there: a receiver without its guards.
+type takes struct {
+	assembly
+	has *pieces.Tree
+	n   int
+}
+
+func (a *takes) Tree() (*pieces.Tree, error) {
+	if t, err := a.assembly.Tree(); err == nil && a.n%2 == 0 {
+		return t, nil
+	}
+	return a.has, nil
+}
+
+func (a *takes) Wants(most int) []pieces.Name {
+	if a.n++; a.has != nil && a.n > 1 {
+		return nil // half of it will do
+	}
+	return a.assembly.Wants(most)
+}
+
+// Drawn runs: the offer changes, goes back, is founded anew; links are cut, slow, damage pieces and answer late; the process is killed and
+// begins anew on what it has kept. Never is anything taken up that was not offered, and nothing old but by a higher order; at last it has
+// the newest. Without the root's check, and without the order's, the judge convicts.
+func TestDrawnRunsOfTheLink(t *testing.T) {
+	run := func(seed uint64, out guards, early bool) (crimes []string, got bool) {
+		synctest.Test(t, func(t *testing.T) {
+			h, dir := newHub(t), t.TempDir()
+			rng, links := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))
+			var stale []fleet.PolicyReply
+			calm := false
+			h.delay = func(string, int) time.Duration {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if calm {
+					return 0
+				}
+				return time.Duration(links.IntN(700)) * time.Millisecond
+			}
+			h.bend = func(_ *http.Request, reply any) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if calm {
+					return
+				}
+				switch r := reply.(type) {
+				case *fleet.PolicyReply:
+					stale = append(stale, *r)
+					if links.IntN(4) == 0 {
+						*r = stale[links.IntN(len(stale))] // late, or of a steward that was asleep
+					}
+					if links.IntN(3) == 0 {
+						r.Pieces = r.Pieces[:links.IntN(len(r.Pieces)+1)]
+					}
+				case *fleet.PiecesReply:
+					if n := len(r.Pieces); n > 0 && links.IntN(3) == 0 {
+						r.Pieces = slices.Clone(r.Pieces)
+						r.Pieces[links.IntN(n)] = []byte("damaged")
+					}
+				}
+			}
+			change := func(p *Policies) {
+				p.out = out
+				if early {
+					p.wants = func(root pieces.Name, has *pieces.Tree) assembly { return &takes{pieces.Assemble(root, has), has, 0} }
+				}
+			}
+			order, epoch := uint64(1), uint64(1)
+			e := h.edge(dir, change)
+			offer := func() rollout.Offer { return h.offers(order, epoch, version(40, 1+rng.Uint64N(30))) }
+			offer()
+			for range 60 {
+				time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
+				switch rng.IntN(8) {
+				case 0, 1, 2:
+					epoch++
+					offer()
+				case 3:
+					order, epoch = order+1, 1+rng.Uint64N(epoch)
+					offer()
+				case 4:
+					h.set(func() { h.down = true })
+				case 5:
+					h.set(func() { h.down = false })
+				case 6:
+					h.forget()
+					h.has().Keep([]*pieces.Tree{})
+					epoch++
+					offer()
+				case 7:
+					e.end()
+					crimes = append(crimes, e.crimes...)
+					last := e.last
+					e = h.edge(dir, change)
+					if out == (guards{}) && !early && last != e.first {
+						crimes = append(crimes, fmt.Sprintf("the next process begins with %+v, the one before had %+v", e.first, last))
+					}
+				}
+			}
+			h.set(func() { h.down, calm = false, true })
+			epoch++
+			last := offer()
+			for end := time.Now().Add(time.Minute); e.Now().Offer != last && time.Now().Before(end); {
+				time.Sleep(time.Second)
+			}
+			got = e.Now().Offer == last
+			e.end()
+			crimes = append(crimes, e.crimes...)
+		})
+		return crimes, got
+	}
+	root, order := 0, 0
+	for seed := range uint64(12) {
+		if crimes, got := run(seed, guards{}, false); len(crimes) > 0 || !got {
+			t.Errorf("seed %d: %v; it has the last: %v", seed, crimes, got)
+		}
+		if crimes, _ := run(seed, guards{}, true); len(crimes) > 0 {
+			t.Errorf("seed %d: content that is not whole got past the root's check: %v", seed, crimes)
+		}
+		if crimes, _ := run(seed, guards{root: true}, true); len(crimes) > 0 {
+			root++
+		}
+		if crimes, _ := run(seed, guards{order: true}, false); len(crimes) > 0 {
+			order++
+		}
+	}
+	if root == 0 || order == 0 {
+		t.Errorf("not convicted: %d runs without the root's check, %d without the order's", root, order)
+	}
+}
+
+// Errors on the way tell what can be done.
+func TestErrorsOfTheWayHaveAdvice(t *testing.T) {
+	for _, err := range []error{PolicyNotTaken{1, pieces.WrongPiece{}}, pieces.Malformed{}, pieces.Incomplete{}} {
+		if advice.Of(err) == "" || strings.TrimSpace(err.Error()) == "" {
+			t.Errorf("%T", err)
+		}
+	}
+}
--- a/internal/fleetlink/policy.go
+++ b/internal/fleetlink/policy.go
@@ -7,16 +7,15 @@
 	"io/fs"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"lapisspread/internal/durable"
 	"lapisspread/internal/duty"
 	"lapisspread/internal/fleet"
 	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
 	"lapisspread/internal/rollout"
 )
 
@@ -24,6 +23,8 @@
 	leastReport = 50 * time.Millisecond // between two reports
 	mostReport  = time.Second
 	reportTime  = 2 * time.Second // for one call
+
+	unreadableRest = 30 * time.Second // until content that can't be read is fetched again
 )
 
 // Taken is a policy that was taken up whole. It never changes but for its counts.
@@ -31,6 +32,10 @@
 	Offer  rollout.Offer
 	Policy *namespace.Policy // nil of none
 	Epoch  string            // as attempts carry it; empty of none
+	Tree   *pieces.Tree      // its content; nil of none
+
+	Before rollout.Offer   // that it was made of by Diff
+	Diff   *namespace.Diff // what is not as in Before; nil where it was not made of it
 
 	good, bad atomic.Int64
 }
@@ -51,18 +56,31 @@
 type Policies struct {
 	*Link   // of no budgets: it watches the duty
 	install func(*Taken) error
-	file    *durable.File // nil without a folder
+	keeper  *keeper // nil without a folder
 
 	now    atomic.Pointer[Taken]
 	taking sync.Mutex // a duty that is stuck in there holds up the next one, and no request
 	holder *rollout.Holder
 	number atomic.Uint64
-	refuse atomic.Pointer[fleet.PolicyReply] // that came whole and can't be installed yet: it need not come again
+	refuse atomic.Pointer[refused]
+	loose  bag
+	got    atomic.Int64 // pieces that were taken
+	wrong  atomic.Int64 // pieces that were not what they should be
+	wants  func(root pieces.Name, has *pieces.Tree) assembly
+	out    guards
+}
+
+// guards are those taken out, to see that the tests convict.
+type guards struct {
+	root  bool // content is taken whatever it comes to
+	order bool // and whatever is held
 }
 
-type keptPolicy struct {
-	Offer rollout.Offer
-	Text  []byte
+// refused is a policy that came and can't be taken up yet: it need not come again. It is tried again by itself.
+type refused struct {
+	content               // without a tree it can't be read at all
+	why     error         // of one without a tree
+	until   time.Duration // for which one without a tree is not fetched again
 }
 
 // NewPolicies makes one. Install is handed each policy that is to be taken up, and has the process decide by it, or changes nothing
@@ -72,12 +90,13 @@
 	dir := file.State
 	file.State, file.Budgets = "", nil
 	set.File = &file
-	p := &Policies{Link: New(set), install: install, holder: rollout.NewHolder(rollout.Offer{})}
+	p := &Policies{Link: New(set), install: install, holder: rollout.NewHolder(rollout.Offer{}),
+		wants: func(root pieces.Name, has *pieces.Tree) assembly { return pieces.Assemble(root, has) }}
 	p.number.Store(uint64(time.Now().UnixNano())) // rises over restarts too
 	p.now.Store(&Taken{})
 	if dir != "" {
 		_ = os.MkdirAll(dir, 0o700) // if it can't be, keeping says so
-		p.file = &durable.File{Path: filepath.Join(dir, "policy-"+set.Name), Kind: "lapisspread-policy", Form: 1}
+		p.keeper = newKeeper(dir, set.Name)
 	}
 	p.duty.Body = p.follow
 	return p
@@ -86,61 +105,76 @@
 // Now is what requests are decided under.
 func (p *Policies) Now() *Taken { return p.now.Load() }
 
-// Recall takes up what the process before has kept. Without it the stewards tell it anew.
+// Recall takes up what the process before has kept. Without it the stewards tell it anew, and what could be read is not fetched again.
 func (p *Policies) Recall() {
-	if p.file == nil {
+	if p.keeper == nil {
 		return
 	}
-	var k keptPolicy
-	err := p.file.Load(&k)
-	if err == nil {
-		err = p.take(k.Offer, k.Text, func() bool { return true })
+	c, loose, err := p.keeper.load()
+	for _, piece := range loose {
+		p.loose.put(piece)
+	}
+	if c.tree != nil {
+		if wrong := p.take(c, func() bool { return true }); wrong != nil {
+			err = wrong
+			for _, piece := range c.tree.Pieces() {
+				p.loose.put(piece)
+			}
+		}
 	}
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		p.trouble(PolicyNotTaken{k.Offer.Epoch, err})
+		p.trouble(PolicyNotTaken{c.offer.Epoch, err})
 	}
 }
 
 // take takes a policy up, if may says so yet.
-func (p *Policies) take(o rollout.Offer, text []byte, may func() bool) error {
+func (p *Policies) take(c content, may func() bool) error {
 	p.taking.Lock()
 	defer p.taking.Unlock()
 	if !may() {
 		return nil
 	}
 	before := p.holder.Has()
-	if o == before {
+	if c.offer == before {
 		return nil
 	}
 	next := rollout.NewHolder(before) // so that one that can't be installed is not had
-	if err := next.Take(o, text); err != nil {
-		return err
+	if p.out.root {
+		c.hash = c.offer.Hash
+	}
+	if p.out.order {
+		next = rollout.NewHolder(rollout.Offer{})
 	}
-	policy, err := namespace.Decode(text)
-	if err != nil {
+	if err := next.TakeRoot(c.offer, c.hash); err != nil {
 		return err
 	}
-	t := &Taken{Offer: o, Policy: policy, Epoch: strconv.FormatUint(o.Epoch, 10)}
+	was := p.now.Load()
+	t := &Taken{Offer: c.offer, Epoch: strconv.FormatUint(c.offer.Epoch, 10), Tree: c.tree}
+	if was.Policy != nil {
+		if policy, diff, err := was.Policy.With(pieces.Changes(was.Tree, c.tree)); err == nil {
+			t.Policy, t.Diff, t.Before = policy, diff, was.Offer
+		}
+	}
+	if t.Policy == nil { // there is none before, or it can't be made of it: it is read anew, whole
+		policy, err := namespace.FromTree(c.tree)
+		if err != nil {
+			return unreadable{err}
+		}
+		t.Policy = policy
+	}
 	if err := p.install(t); err != nil {
 		return err
 	}
 	p.holder = next
 	p.now.Store(t)
-	p.set.Log.Info("a policy was taken up", "epoch", o.Epoch, "hash", o.Hash)
+	p.set.Log.Info("a policy was taken up", "epoch", c.offer.Epoch, "hash", c.offer.Hash)
 	return nil
 }
 
-// keep has the next process begin with it, unless another of this name has kept a newer one.
-func (p *Policies) keep(o rollout.Offer, text []byte) error {
-	if p.file == nil {
-		return nil
-	}
-	var had keptPolicy
-	if p.file.Load(&had) == nil && !o.After(had.Offer) {
-		return nil
-	}
-	return p.file.Save(keptPolicy{o, text})
-}
+// unreadable is content that is whole and no policy.
+type unreadable struct{ error }
+
+func (e unreadable) Unwrap() error { return e.error }
 
 func (p *Policies) follow(ctx context.Context, generation uint64) {
 	current := func() bool {
@@ -152,20 +186,23 @@
 	stewards := p.set.File.Stewards
 	at := rand.IntN(len(stewards))
 	address := stewards[at].Address
+	f := newFetching(p)
 	var waits *fleet.PolicyReport // it goes again until it is answered: twice it counts once
 	for ctx.Err() == nil {
 		p.duty.Beat()
 		if waits == nil {
 			t := p.now.Load()
-			waits = &fleet.PolicyReport{Fleet: p.set.File.Fleet, Proxy: p.set.Name, Number: p.number.Add(1), Has: t.Offer, Good: t.good.Swap(0), Bad: t.bad.Swap(0)}
+			waits = &fleet.PolicyReport{Fleet: p.set.File.Fleet, Proxy: p.set.Name, Number: p.number.Add(1), Has: t.Offer, Good: t.good.Swap(0), Bad: t.bad.Swap(0), Pieces: true}
 			if not := p.refuse.Load(); not != nil {
-				waits.Refused = not.Offer
+				waits.Refused = not.offer
 			}
 		}
+		waits.Most = f.along
 		var reply fleet.PolicyReply
 		p.counts.asks.Add(1)
 		inner, cancel := context.WithTimeout(ctx, reportTime)
 		err := fleet.Call(inner, p.client, address, fleet.PathReport, waits, &reply)
+		slow := inner.Err() != nil
 		cancel()
 		var problem fleet.Problem
 		switch {
@@ -177,7 +214,8 @@
 			p.leader = address
 			p.mu.Unlock()
 			waits = nil
-			if err := p.taken(reply, current); err != nil {
+			f.pace(false)
+			if err := p.taken(ctx, f, reply, current); err != nil {
 				p.trouble(PolicyNotTaken{reply.Offer.Epoch, err})
 			}
 		case errors.As(err, &problem) && problem.Leader != "" && problem.Leader != address:
@@ -186,6 +224,7 @@
 		default:
 			p.counts.failed.Add(1)
 			p.trouble(err)
+			f.pace(slow)
 			at++
 			address = stewards[at%len(stewards)].Address
 		}
@@ -193,27 +232,58 @@
 	}
 }
 
-func (p *Policies) taken(r fleet.PolicyReply, current func() bool) error {
+// taken takes up what a steward offers, once all of it is there.
+func (p *Policies) taken(ctx context.Context, f *fetching, r fleet.PolicyReply, current func() bool) error {
 	if r.Fleet != p.set.File.Fleet {
 		return fmt.Errorf("a steward answers for fleet %q", r.Fleet)
 	}
-	if !r.Offer.After(p.now.Load().Offer) {
+	if !r.Offer.After(p.now.Load().Offer) && !p.out.order {
 		return nil // a steward that has just begun to lead offers the one before
 	}
-	if not := p.refuse.Load(); not != nil && not.Offer == r.Offer && len(r.Text) == 0 {
-		r.Text = not.Text
-	}
-	if err := p.take(r.Offer, r.Text, current); err != nil {
-		if rollout.NewHolder(rollout.Offer{}).Take(r.Offer, r.Text) == nil {
-			p.refuse.Store(&r)
+	var c content
+	var err error
+	if not := p.refuse.Load(); not != nil && not.offer == r.Offer && (not.tree != nil || p.clock() < not.until) {
+		if not.tree == nil {
+			return not.why
+		}
+		c = not.content
+	} else if r.InPieces {
+		c.offer = r.Offer
+		c.tree, err = f.fetch(ctx, r)
+		if c.tree != nil {
+			c.hash = c.tree.Root().String()
 		}
+	} else {
+		c, err = contentOf(r.Offer, r.Text)
+	}
+	if err == nil && c.tree == nil {
+		return nil // it is on its way
+	}
+	if err == nil {
+		err = p.take(c, current)
+	}
+	var malformed pieces.Malformed
+	var no unreadable
+	switch {
+	case errors.As(err, &malformed) || errors.As(err, &no): // of the root that was offered: what the stewards have is so
+		p.refuse.Store(&refused{content{offer: r.Offer}, err, p.clock() + unreadableRest})
+		f.anew()
+		return err
+	case err != nil && c.tree != nil && c.hash == c.offer.Hash:
+		p.refuse.Store(&refused{content: c})
+		return err
+	case err != nil:
 		return err
 	}
 	p.refuse.Store(nil)
 	if p.now.Load().Offer != r.Offer {
 		return nil // another duty has taken over: nothing that does not hold is kept
 	}
-	if err := p.keep(r.Offer, r.Text); err != nil {
+	f.anew()
+	if p.keeper == nil {
+		return nil
+	}
+	if err := p.keeper.save(c); err != nil {
 		return fmt.Errorf("it holds, but is not kept for the next process: %w", err)
 	}
 	return nil
@@ -230,13 +300,15 @@
 	Failed   int64     `json:"failed"`
 	Died     int64     `json:"duties_died"`
 	Stuck    int64     `json:"duties_stuck"`
+	Pieces   int64     `json:"pieces"`       // that came and were wanted
+	Wrong    int64     `json:"pieces_wrong"` // that came and were not what they should be
 	Troubles []Trouble `json:"troubles,omitempty"`
 }
 
 // PolicyReport tells how it stands. It waits for nobody.
 func (p *Policies) PolicyReport() PolicyReport {
 	r, o := p.Link.Report(), p.now.Load().Offer
-	return PolicyReport{o.Epoch, o.Order, o.Hash, r.Steward, r.Asks, r.Answered, r.Failed, r.Died, r.Stuck, r.Troubles}
+	return PolicyReport{o.Epoch, o.Order, o.Hash, r.Steward, r.Asks, r.Answered, r.Failed, r.Died, r.Stuck, p.got.Load(), p.wrong.Load(), r.Troubles}
 }
 
 // PolicyNotTaken is a policy that this proxy was offered and could not take up: it goes on with the one before.
--- a/internal/fleetlink/policy_test.go
+++ b/internal/fleetlink/policy_test.go
@@ -53,8 +53,9 @@
 		return nil
 	}
 	p := NewPolicies(set, install)
+	f := newFetching(p)
 	reply := func(o rollout.Offer, text []byte) error {
-		return p.taken(fleet.PolicyReply{Fleet: "north", Offer: o, Text: text}, yes)
+		return p.taken(t.Context(), f, fleet.PolicyReply{Fleet: "north", Offer: o, Text: text}, yes)
 	}
 	first, second := offerOf(1, 1, one), offerOf(1, 2, two)
 	for _, k := range []struct {
@@ -83,10 +84,10 @@
 	if installed != 3 {
 		t.Errorf("installed %d times", installed)
 	}
-	if err := p.taken(fleet.PolicyReply{Fleet: "south", Offer: offerOf(9, 9, two), Text: two}, yes); err == nil || p.Now().Offer.Order == 9 {
+	if err := p.taken(t.Context(), f, fleet.PolicyReply{Fleet: "south", Offer: offerOf(9, 9, two), Text: two}, yes); err == nil || p.Now().Offer.Order == 9 {
 		t.Error("another fleet's policy was taken up")
 	}
-	if _ = p.taken(fleet.PolicyReply{Fleet: "north", Offer: offerOf(9, 9, two), Text: two}, func() bool { return false }); p.Now().Offer.Order == 9 {
+	if _ = p.taken(t.Context(), f, fleet.PolicyReply{Fleet: "north", Offer: offerOf(9, 9, two), Text: two}, func() bool { return false }); p.Now().Offer.Order == 9 {
 		t.Error("a duty that was given up took a policy up")
 	}
 	next := NewPolicies(set, install)
