Give nodes sixteen children again, and the group of a key one byte of its place

Four children a node made the way from the root 13 pieces long, and fetching by name over a slow link a round for each. The proxy takes up what changed where the policy follows on the one that holds.

--- a/internal/pieces/pieces.go
+++ b/internal/pieces/pieces.go
@@ -47,7 +47,7 @@
 
 // The tree's shape: each node looks at so many bits of a place, a byte being cut into whole digits.
 const (
-	digitBits = 2
+	digitBits = 4
 	fanOut    = 1 << digitBits
 	perByte   = 8 / digitBits
 	mostDepth = sha256.Size * perByte // digits of a place
@@ -88,7 +88,7 @@
 }
 
 // groupBytes is how much of a place comes from its key's group.
-const groupBytes = 2
+const groupBytes = 1
 
 // place is where a key belongs: what its group hashes to, then what it hashes to itself. Its group is what stands before the first
 // slash, or all of it: what changes together lies together, and has most of its way from the root in common.
--- a/internal/proxy/policy.go
+++ b/internal/proxy/policy.go
@@ -28,13 +28,22 @@
 	return nil
 }
 
-// decideBy sets the policy, and where routes come from it the routes. An error leaves something half done: n is thrown away then.
+// decideBy sets the policy, and where routes come from it the routes. What did not change since the policy before is taken over, if
+// the services are the same. An error leaves something half done: n is thrown away then.
 func (n *installed) decideBy(t *fleetlink.Taken, routes bool) error {
+	before, was := n.policyRoutes, n.policy
 	n.policy = t
 	if !routes || n.only != nil || t == nil || t.Policy == nil {
 		return nil
 	}
-	next, err := policyroutes.Build(t.Policy, n.otherwise, func(service string) bool { return n.byName[service] != nil })
+	has := func(service string) bool { return n.byName[service] != nil }
+	var next *policyroutes.Routes
+	var err error
+	if before != nil && t.Diff != nil && was != nil && was.Policy != nil && was.Offer == t.Before {
+		next, err = before.With(t.Policy, t.Diff, has)
+	} else {
+		next, err = policyroutes.Build(t.Policy, n.otherwise, has)
+	}
 	if err != nil {
 		return err
 	}
