--- a/internal/pieces/assembly.go
+++ b/internal/pieces/assembly.go
@@ -270,7 +270,7 @@
 		return nil, err
 	}
 	t := treeOf(top)
-	if t.Root() != a.root && a.flaws == 0 {
+	if t.Root() != a.root && a.flaws == 0 { // no other guard hangs on it
 		return nil, Malformed{a.root, "what came together has another root"}
 	}
 	a.done = t
@@ -372,5 +372,5 @@
 	for rest := piece[3:]; len(rest) > 0; rest = rest[sha256.Size:] {
 		names = append(names, Name(rest))
 	}
-	return there, names, bits.OnesCount16(there) == len(names) && there>>fanOut == 0
+	return there, names, bits.OnesCount16(there) == len(names) && int(there)>>fanOut == 0
 }
--- /dev/null
+++ b/internal/pieces/assembly_test.go
@@ -0,0 +1,409 @@
+package pieces
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// bend gives a subtree with one part of it bent, as one who makes content wrong would; nil if there is nothing to bend there.
+type bend func(d drawer, n *node, depth int) *node
+
+// bent bends a tree somewhere, and names what is above it anew; nil if that can't be done.
+func (d drawer) bent(n *node, depth int, b bend) *node {
+	if n.kids == nil || d.IntN(4) == 0 {
+		return b(d, n, depth)
+	}
+	at := d.IntN(fanOut)
+	for i := range fanOut {
+		k := (at + i) % fanOut
+		if n.kids[k] == nil {
+			continue
+		}
+		if other := d.bent(n.kids[k], depth+1, b); other != nil {
+			kids := *n.kids
+			kids[k] = other
+			return nodeOf(&kids)
+		}
+	}
+	return b(d, n, depth)
+}
+
+// bends are ways to make content wrong, each with the guard that alone is against it.
+var bends = map[string]struct {
+	guard flaw
+	bend  bend
+}{
+	"children that change places": {noPlace, func(d drawer, n *node, _ int) *node {
+		if n.kids == nil {
+			return nil
+		}
+		i, j := d.IntN(fanOut), d.IntN(fanOut)
+		if n.kids[i] == n.kids[j] {
+			return nil
+		}
+		kids := *n.kids
+		kids[i], kids[j] = kids[j], kids[i]
+		return nodeOf(&kids)
+	}},
+	"a leaf out of order": {noPlace, func(_ drawer, n *node, _ int) *node {
+		if len(n.items) < 2 {
+			return nil
+		}
+		items := slices.Clone(n.items)
+		slices.Reverse(items)
+		return leafOf(items)
+	}},
+	"a leaf with an item twice": {noPlace, func(_ drawer, n *node, _ int) *node {
+		if len(n.items) == 0 || 2*n.bytes > LeafBytes {
+			return nil
+		}
+		return leafOf([]item{n.items[0], n.items[0]})
+	}},
+	"a node that should be a leaf": {noSplit, func(_ drawer, n *node, depth int) *node {
+		if len(n.items) == 0 {
+			return nil
+		}
+		at := place(n.items[0].key)
+		for i := range n.items {
+			if p := place(n.items[i].key); p.digit(depth) != at.digit(depth) {
+				return nil
+			}
+		}
+		kids := new([fanOut]*node)
+		kids[at.digit(depth)] = n
+		return nodeOf(kids)
+	}},
+	"a leaf that should be a node": {noSplit, func(_ drawer, n *node, _ int) *node {
+		if n.kids == nil || n.bytes > MostPiece/2 {
+			return nil
+		}
+		var items []item
+		n.each(func(i *item) bool { items = append(items, *i); return true })
+		return leafOf(items)
+	}},
+	"a value that is cut elsewhere": {noSplit, func(_ drawer, n *node, _ int) *node {
+		for i := range n.items {
+			l := n.items[i].long
+			if l == nil {
+				continue
+			}
+			value := l.value()
+			names := []byte{}
+			cutting := &long{total: l.total, pieces: []namedPiece{{}}}
+			for rest := value; len(rest) > 0; {
+				p := pieceOf(kindChunk, rest[:min(len(rest), 999)])
+				rest = rest[len(p.piece)-1:]
+				names = append(names, p.name[:]...)
+				cutting.pieces = append(cutting.pieces, p)
+			}
+			cutting.pieces[0] = pieceOf(kindList, names)
+			cutting.top = cutting.pieces[0].name
+			items := slices.Clone(n.items)
+			items[i].long = cutting
+			return leafOf(items)
+		}
+		return nil
+	}},
+	"a value that is shorter than told": {0, func(_ drawer, n *node, _ int) *node {
+		for i := range n.items {
+			if l := n.items[i].long; l != nil {
+				other := *l
+				other.total++
+				items := slices.Clone(n.items)
+				items[i].long = &other
+				return leafOf(items)
+			}
+		}
+		return nil
+	}},
+	"an empty leaf below the root": {0, func(_ drawer, n *node, _ int) *node {
+		if n.kids == nil {
+			return nil
+		}
+		kids := *n.kids
+		for i, k := range kids {
+			if k == nil {
+				kids[i] = empty
+				return nodeOf(&kids)
+			}
+		}
+		return nil
+	}},
+}
+
+// play has one proxy put content together out of what several send, some of it damaged, cut off, foreign or made wrong, and gives all
+// that must never happen.
+func play(seed uint64, flaws flaw) (crimes []string, wrong, whole int) {
+	say := func(is bool, format string, args ...any) {
+		if is {
+			crimes = append(crimes, fmt.Sprintf("seed %d: ", seed)+fmt.Sprintf(format, args...))
+		}
+	}
+	d := draw(seed)
+	content := map[string][]byte{}
+	for len(content) < 40+d.IntN(80) {
+		content[d.key()] = d.value()
+	}
+	must := func(t *Tree, err error) *Tree {
+		if err != nil {
+			panic(err)
+		}
+		return t
+	}
+	was := must(Build(d.items(content)))
+	other := maps.Clone(content)
+	for range 1 + d.IntN(3) {
+		d.change(content)
+		d.change(other)
+	}
+	is, foreign := must(Build(d.items(content))), must(Build(d.items(other)))
+	kind := ""
+	if names := slices.Sorted(maps.Keys(bends)); d.IntN(2) == 0 {
+		kind = names[d.IntN(len(names))]
+		top := d.bent(is.top, 0, bends[kind].bend)
+		if top == nil || top.name == is.top.name {
+			kind = ""
+		} else {
+			is = &Tree{top: top}
+		}
+	}
+	has := []*Tree{nil, was, foreign}[d.IntN(3)]
+	a := Assemble(is.Root(), has)
+	a.flaws = flaws
+	all := maps.Collect(is.Pieces())
+	strangers := slices.SortedFunc(maps.Values(maps.Collect(foreign.Pieces())), bytes.Compare)
+	for range 100_000 {
+		wants := a.Wants(1 + d.IntN(8))
+		t, err := a.Tree()
+		switch missing := (Incomplete{}); {
+		case err == nil:
+			whole++
+			built, err := Build(slices.Collect(t.Items()))
+			say(len(wants) > 0, "a tree while %d pieces are missing", len(wants))
+			say(kind != "", "taken: %s", kind)
+			say(t.Root() != is.Root(), "a tree of another root")
+			say(err != nil || built.Root() != is.Root(), "content of another root")
+			if kind == "" {
+				bad := holds(t, content)
+				say(bad != "", "%s", bad)
+			}
+			return crimes, wrong, whole
+		case errors.As(err, &missing):
+			say(len(wants) == 0 || missing.Missing < len(wants), "%v, and %d are wanted", err, len(wants))
+		default:
+			say(kind == "", "well made content is refused: %v", err)
+			return crimes, wrong, whole
+		}
+		if len(crimes) > 0 {
+			return crimes, wrong, whole
+		}
+		right := all[wants[d.IntN(len(wants))]]
+		piece := right
+		switch d.IntN(8) {
+		case 0:
+			piece = bytes.Clone(right)
+			piece[d.IntN(len(piece))] ^= 1 << d.IntN(8)
+		case 1:
+			piece = right[:d.IntN(len(right))]
+		case 2:
+			piece = strangers[d.IntN(len(strangers))]
+		case 3:
+			piece = append(bytes.Clone(right), 0)
+		case 4:
+			piece = make([]byte, d.IntN(2*MostPiece))
+		}
+		wanted := slices.Contains(a.Wants(1<<30), NameOf(piece))
+		before := len(a.Wants(1 << 30))
+		err = a.Add(bytes.Clone(piece))
+		malformed := Malformed{}
+		say(err == nil && !wanted, "a piece was taken that nothing wanted")
+		say(errors.As(err, new(WrongPiece)) && wanted, "a piece was refused that was wanted: %v", err)
+		say(err != nil && len(a.Wants(1<<30)) != before, "a piece that was refused changed what is wanted")
+		if errors.As(err, &malformed) {
+			say(kind == "", "well made content is refused: %v", err)
+			return crimes, wrong, whole
+		}
+		if err != nil {
+			wrong++
+		}
+		if len(crimes) > 0 {
+			return crimes, wrong, whole
+		}
+	}
+	say(true, "it never ends")
+	return crimes, wrong, whole
+}
+
+const plays = 300
+
+func TestDrawnAssemblies(t *testing.T) {
+	wrong, whole := 0, 0
+	for seed := range uint64(plays) {
+		crimes, w, n := play(seed, 0)
+		wrong, whole = wrong+w, whole+n
+		for _, c := range crimes {
+			t.Error(c)
+		}
+	}
+	t.Logf("%d plays, %d came whole, %d pieces refused", plays, whole, wrong)
+	if whole < plays/3 || plays-whole < plays/5 || wrong < plays {
+		t.Error("the draw is too tame")
+	}
+}
+
+// The check of the drawn plays convicts each guard that is taken out.
+func TestEachGuardOfAnAssemblyIsNeeded(t *testing.T) {
+	for name, flaws := range map[string]flaw{"no hash": noHash, "no place": noPlace, "no split": noSplit, "not whole": noWhole} {
+		convicted := 0
+		var first string
+		for seed := range uint64(plays) {
+			if crimes, _, _ := play(seed, flaws); len(crimes) > 0 {
+				if convicted++; first == "" {
+					first = crimes[0]
+				}
+			}
+		}
+		t.Logf("%s: %d of %d plays, the first: %s", name, convicted, plays, first)
+		if convicted == 0 {
+			t.Errorf("%s: not convicted", name)
+		}
+	}
+}
+
+// Each way to make content wrong is met, and refused even where only its own guard is there against it.
+func TestContentThatIsMadeWrongIsRefused(t *testing.T) {
+	for name, b := range bends {
+		met, taken := 0, 0
+		for seed := range uint64(60) {
+			d := draw(seed + 1000)
+			content := map[string][]byte{}
+			for len(content) < 60 {
+				content[d.key()] = d.value()
+			}
+			good, err := Build(d.items(content))
+			if err != nil {
+				t.Fatal(err)
+			}
+			top := d.bent(good.top, 0, b.bend)
+			if top == nil || top.name == good.top.name {
+				continue
+			}
+			met++
+			for _, flaws := range []flaw{0, b.guard} {
+				a := Assemble(top.name, nil)
+				a.flaws = flaws
+				var refused error
+				for _, piece := range (&Tree{top: top}).Pieces() {
+					if err := a.Add(piece); err != nil && refused == nil {
+						refused = err
+					}
+				}
+				if _, err := a.Tree(); refused == nil {
+					refused = err
+				}
+				switch {
+				case refused == nil && flaws == 0:
+					t.Errorf("%s, seed %d: taken", name, seed)
+				case refused == nil:
+					taken++
+				}
+			}
+		}
+		t.Logf("%s: met %d times, taken without its guard %d times", name, met, taken)
+		if met < 5 || b.guard != 0 && taken == 0 {
+			t.Errorf("%s: met %d times, and taken without its guard %d times", name, met, taken)
+		}
+	}
+}
+
+// Whatever stands in a key or a value, no piece is over its bound, and it comes back.
+func TestNoPieceIsTooLong(t *testing.T) {
+	d := draw(7)
+	random := make([]byte, 3<<20)
+	for i := range random {
+		random[i] = byte(d.Uint32())
+	}
+	never := make([]byte, MostValue) // a value in which no chunk ends by itself
+	if n := chunkEnd(never); n != chunkMost {
+		t.Fatalf("a chunk of zeros ends at %d", n)
+	}
+	var small []byte // one in which each chunk ends as early as it may
+	for len(small) < 200<<10 {
+		ends := make([]byte, chunkLeast)
+		for chunkEnd(append(slices.Clone(ends), 0)) != chunkLeast {
+			for i := range 8 {
+				ends[len(ends)-1-i] = byte(d.Uint32())
+			}
+		}
+		small = append(small, ends...)
+	}
+	content := map[string][]byte{"random": random, "never": never, "small": small, "none": nil}
+	for i := range 20 {
+		key := make([]byte, MostKey-i)
+		for k := range key {
+			key[k] = byte(d.Uint32())
+		}
+		content[string(key)] = random[:mostInline-i%2]
+		content[fmt.Sprint("inline ", i)] = random[:mostInline-10+i]
+	}
+	tree, err := Build(d.items(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if wrong := holds(tree, content); wrong != "" {
+		t.Fatal(wrong)
+	}
+	a := Assemble(tree.Root(), nil)
+	for _, piece := range tree.Pieces() {
+		if err := a.Add(piece); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := a.Tree()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if wrong := holds(got, content); wrong != "" {
+		t.Fatal(wrong)
+	}
+	longest := 0
+	for _, piece := range tree.Pieces() {
+		longest = max(longest, len(piece))
+	}
+	t.Logf("the longest of all pieces is %d bytes", longest)
+}
+
+// A change within a long value costs the chunks about it, wherever it is.
+func TestAChangeWithinALongValue(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 30))
+	value := make([]byte, 1<<20)
+	for i := range value {
+		value[i] = byte(rng.Uint32())
+	}
+	was, err := Build([]Item{{"long", value}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	most := 0
+	for range 30 {
+		at := rng.IntN(len(value))
+		is, err := was.With([]Item{{"long", slices.Concat(value[:at], []byte("tenant"), value[at:])}}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := 0
+		for _, piece := range is.Lacks(was) {
+			sum += len(piece)
+		}
+		most = max(most, sum)
+	}
+	t.Logf("at most %d bytes of %d", most, was.Size())
+	if most > 4*MostPiece {
+		t.Errorf("a change within took %d bytes of %d", most, was.Size())
+	}
+}
