--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -21,7 +21,7 @@
 	Margin float64       // how much more of its requests may go bad, 0 to 1: less is no matter
 	Gross  float64       // where more than half of those that have it do worse by this, a step stops, whatever the test can tell
 	Error  float64       // chance at most that a policy which does no harm is stopped, in a fleet in which a draw can be as unlikely
-	Small  float64       // the same in a smaller one: as near to Error as its draws allow, and no more than this
+	Small  float64       // the same in a smaller one, under 32 or so: as near to Error as its draws allow, and no more than this
 	Silent time.Duration // after which a proxy that says nothing counts as failed, if a step is not shorter
 }
 
@@ -391,16 +391,22 @@
 }
 
 // spend is how many looks each step of a fleet of n gets, and at what error rate of all. There is only one look if the rate divided over
-// more would be less than the chance of the unlikeliest draw, so that nothing could stop it; and where one is too many still, the rate is
-// what the unlikeliest draw needs.
+// more would be less than the chance of the unlikeliest draw, so that nothing could stop it. Where draws are so few that one look at the
+// set rate could tell nothing short of the worst, the rate is higher: such fleets have fewer trains too.
 func (r *Rollout) spend(n int) (looks int, errs float64) {
-	needs := func(looks int) float64 { return spare * float64(max(1, len(r.set.Steps)-1)*looks) / draws(n, n/2) }
-	if needs(r.set.Looks) <= r.set.Error {
-		return r.set.Looks, r.set.Error
+	needs := func(times float64, looks int) float64 {
+		return times * float64(max(1, len(r.set.Steps)-1)*looks) / draws(n, n/2)
 	}
-	return 1, min(r.set.Small, max(r.set.Error, needs(1)))
+	looks = 1
+	if needs(spare, r.set.Looks) <= r.set.Error {
+		looks = r.set.Looks
+	}
+	return looks, min(r.set.Small, max(r.set.Error, needs(room, 1)))
 }
 
+// room is by how many times the draws of a small fleet are more than its level needs: with 1 only the worst of all draws would tell.
+const room = 1000
+
 // Report takes in what a proxy tells. Requests under anything but what it is to have now are of no step, and don't count.
 func (r *Rollout) Report(now time.Duration, t Report) {
 	p := r.proxies[t.Proxy]
@@ -456,16 +462,26 @@
 	if (counts[0] < r.set.Enough || counts[1] < r.set.Enough) && r.flaws&noEnough == 0 {
 		return
 	}
-	have, others := r.figures(now)
+	told, all, silent := r.figures(now)
 	r.looked++
-	a, b := mean(have), mean(others)
 	if r.flaws&noTest == 0 {
-		stop := RolloutStopped{Epoch: r.next.Epoch, Step: r.step, Have: a, Others: b}
-		if middle(have)-b > r.set.Gross {
+		stop := RolloutStopped{Epoch: r.next.Epoch, Step: r.step, Have: mean(all.have), Others: mean(all.others)}
+		if middle(all.have)-stop.Others > r.set.Gross {
 			r.state, r.stopped = Stopped, stop
 			return
 		}
-		if stop.Chance = r.chance(have, others, counts); stop.Chance <= r.level() {
+		// Danger: a few that are silent, and have failed all, hide what the policy does to the others. So those that told of
+		// requests are compared by themselves too; whether anybody is silent hangs on no draw, so the rate may be parted by it.
+		level := r.level()
+		if silent && r.flaws&oneTest == 0 {
+			level /= 2
+			if stop.Chance = r.chance(told, counts, level); stop.Chance <= level {
+				stop.Have, stop.Others = mean(told.have), mean(told.others)
+				r.state, r.stopped = Stopped, stop
+				return
+			}
+		}
+		if stop.Chance = r.chance(all, counts, level); stop.Chance <= level {
 			r.state, r.stopped = Stopped, stop
 			return
 		}
@@ -509,13 +525,15 @@
 	others, silent, have, yet := 0, 0, 0, 0
 	r.compared(func(p *proxy) {
 		side := 1
-		if p.has {
+		switch {
+		case p.has:
 			side = 0
 			have++
 			if !p.under && !r.silent(p, now) {
 				yet++
 			}
-		} else {
+		case p.gone: // we know that it is
+		default:
 			others++
 			if r.silent(p, now) {
 				silent++
@@ -527,22 +545,35 @@
 	return counts, 4*silent <= others && 2*yet <= have
 }
 
-// figures are the shares of both sides, in the order of the draw.
-func (r *Rollout) figures(now time.Duration) (have, others []float64) {
-	all := make([]*proxy, 0, len(r.proxies)+len(r.missing))
-	r.compared(func(p *proxy) { all = append(all, p) })
-	slices.SortFunc(all, byDraw)
-	for _, p := range all {
+// sides are the shares of bad requests of those that have the new policy, and of the others, in the order of the draw.
+type sides struct{ have, others []float64 }
+
+func (s *sides) add(has bool, share float64) {
+	if has {
+		s.have = append(s.have, share)
+	} else {
+		s.others = append(s.others, share)
+	}
+}
+
+// figures are the shares of those that told of requests, and of all with the silent ones.
+func (r *Rollout) figures(now time.Duration) (told, all sides, silent bool) {
+	list := make([]*proxy, 0, len(r.proxies)+len(r.missing))
+	r.compared(func(p *proxy) { list = append(list, p) })
+	slices.SortFunc(list, byDraw)
+	for _, p := range list {
 		share, n := r.share(p, now)
-		switch {
-		case n == 0:
-		case p.has:
-			have = append(have, share)
-		default:
-			others = append(others, share)
+		if n == 0 {
+			continue
+		}
+		all.add(p.has, share)
+		if !r.silent(p, now) {
+			told.add(p.has, share)
+		} else {
+			silent = true
 		}
 	}
-	return have, others
+	return told, all, silent
 }
 
 // chance is the p-value of "those that have it do worse by no more than the margin", from a randomisation test on the means of
@@ -551,7 +582,8 @@
 // sampled; the estimate counts the draw that was, which keeps it valid however few there are (Phipson and Smyth 2010): as many
 // are made as the level needs. In a large fleet proxies that follow each other in the draw are taken as one: cells that were drawn by
 // chance can be drawn anew like proxies, and the mean of all is the same.
-func (r *Rollout) chance(have, others []float64, counts [2]int64) float64 {
+func (r *Rollout) chance(s sides, counts [2]int64, level float64) float64 {
+	have, others := s.have, s.others
 	if len(have) == 0 || len(others) == 0 {
 		return 1
 	}
@@ -582,7 +614,6 @@
 	if small != k {
 		least = sum - was
 	}
-	level := r.level()
 	times := int(math.Ceil(1 / level))
 	rng := rand.New(rand.NewPCG(r.seed, uint64(r.step)<<32|uint64(r.looked)))
 	worse := 0
