--- a/internal/namespace/policy.go
+++ b/internal/namespace/policy.go
@@ -61,7 +61,8 @@
 	Orders    []PolicyOrder     `json:"orders"`
 	Staleness []PolicyStaleness `json:"staleness"`
 
-	table *route.Table // of the routes, where the policy was read; nothing changes it then
+	table *route.Table      // of the routes, where the policy was read; nothing changes it then
+	files map[string]origin // that rules come from, likewise
 }
 
 // PolicyService is a service that routes may lead to.
