Add lapislab capacity: a fleet's control with real stewards and many hollow proxies

Need: what control costs and how soon a change of the policy holds was known from benchmarks of parts alone; no run had hundreds of proxies.

Change: lapislab capacity starts three stewards, some real proxies with clients before stand-in backends, and hollow proxies, many to a process. These run the control code of serve for policy and budgets on connections of their own, counted at the socket, and hold their own copy of what they take up. A change counts as in force once every living proxy was seen to decide a request of its route by it. What a proxy decides is held against the content of the epoch that it says it has.

--- a/cmd/lapislab/main_test.go
+++ b/cmd/lapislab/main_test.go
@@ -43,6 +43,8 @@
 		{"flood-client --targets 192.0.2.7:80", "", "loopback", 1},
 		{"overload calm", "", "it has no sweep", 1},
 		{"comeback calm", "", "it has no fault to come back from", 1},
+		{"capacity --proxies 1", "", "proxies: 1 is not within", 2},
+		{"capacity --proxy /nowhere/lapisspread --proxies 9000 --each 10", "", "too many processes", 1},
 		{"comeback --seeds ten", "", `"ten"`, 2},
 		{"run --policy best", "", `no policy "best"`, 1},
 		{"run --proxy /nowhere/lapisspread --duration 1s", "", "/nowhere/lapisspread", 1},
