Take processor time from the threads' own counts, and tell what stewards take at rest

Need: /proc's ticks of 10 ms are a fifth of what a proxy's control takes in half a minute. Change: schedstat of all threads in their place; the leading steward's share before the first change beside that under changes.

--- a/internal/lab/capacity/child.go
+++ b/internal/lab/capacity/child.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -355,22 +356,18 @@
 	return kb << 10
 }
 
-// cpuOf is the processor time of a process; 0 if it has ended.
+// cpuOf is the processor time of a process, of the threads that it has; 0 if it has ended. Go lets none end but those that were locked.
 func cpuOf(pid int) time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	var sum int64
+	for _, path := range tasks {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has just ended
+		}
+		var ns int64
+		fmt.Sscan(string(text), &ns)
+		sum += ns
 	}
-	var user, system int64
-	fmt.Sscan(fields[11], &user)
-	fmt.Sscan(fields[12], &system)
-	return time.Duration(user+system) * (time.Second / ticks)
+	return time.Duration(sum)
 }
-
-// ticks are a second's in /proc on Linux.
-const ticks = 100
--- a/internal/lab/capacity/play.go
+++ b/internal/lab/capacity/play.go
@@ -412,9 +412,7 @@
 
 	length := (last.at - first.at).Seconds()
 	res.Length = length
-	var restRig float64
-	res.BytesRest, _, res.CPURest, restRig = r.spent(rest0, first)
-	_ = restRig
+	res.BytesRest, _, res.CPURest, _ = r.spent(rest0, first)
 	res.BytesPolicy, res.BytesBudget, res.CPU, res.CPURig = r.spent(first, last)
 	res.BytesProxy = res.BytesPolicy + res.BytesBudget
 	res.BytesChange = (res.BytesPolicy - res.BytesRest) * length / float64(max(1, len(r.changes)))
@@ -443,6 +441,9 @@
 		spent = append(spent, 100*(last.stewards[i]-first.stewards[i]).Seconds()/length)
 	}
 	slices.Sort(spent)
+	for i := range first.stewards {
+		res.StewardRest = max(res.StewardRest, 100*(first.stewards[i]-rest0.stewards[i]).Seconds()/(first.at-rest0.at).Seconds())
+	}
 	res.StewardCPU, res.StewardMB = spent[len(spent)-1], last.stewardMB
 	for _, x := range spent[:len(spent)-1] {
 		res.StewardOthers += x / float64(len(spent)-1)
--- a/internal/lab/capacity/result.go
+++ b/internal/lab/capacity/result.go
@@ -39,6 +39,7 @@
 
 	StewardCPU    float64 `json:"steward_cpu_percent"` // of the one that takes most
 	StewardOthers float64 `json:"steward_others_cpu_percent"`
+	StewardRest   float64 `json:"steward_rest_cpu_percent"` // of the one that takes most, before the first change
 	StewardMB     float64 `json:"steward_memory_mb"`
 
 	LeftBehind  int `json:"left_behind"`   // proxies that do not decide by the newest at the end
@@ -110,7 +111,7 @@
 	fmt.Fprintf(w, "a proxy: %.0f bytes/s (policy %.0f, at rest %.0f; budgets %.0f), %.0f bytes a change; %.3f%% of a core (at rest %.3f%%; the rig %.3f%%), %.1f MB (%.1f alive)\n",
 		r.BytesProxy, r.BytesPolicy, r.BytesRest, r.BytesBudget, r.BytesChange, r.CPU, r.CPURest, r.CPURig, r.Memory, r.Live)
 	fmt.Fprintf(w, "a real proxy's control: %.3f%% of a core, %.1f MB; %d requests, %d unanswered\n", r.RealCPU, r.RealMB, r.Requests, r.NoAnswer)
-	fmt.Fprintf(w, "a steward: %.1f%% of a core (others %.1f%%), %.0f MB\n", r.StewardCPU, r.StewardOthers, r.StewardMB)
+	fmt.Fprintf(w, "a steward: %.1f%% of a core (others %.1f%%, at rest %.1f%%), %.0f MB\n", r.StewardCPU, r.StewardOthers, r.StewardRest, r.StewardMB)
 	for why, n := range r.Unanswered {
 		fmt.Fprintf(w, "  unanswered, %d times: %s\n", n, why)
 	}
