--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -16,7 +16,7 @@
 type Offer struct {
 	Order uint64 // how often an operator has told the fleet to go back
 	Epoch uint64 // of the policy; each new one is higher
-	Hash  string // of the policy's encoding: SHA-256 in hexadecimal
+	Hash  string // of the policy's content: the root of its tree of pieces (package pieces) in hexadecimal
 }
 
 // After tells whether an offer goes before another.
@@ -77,9 +77,16 @@
 // Has is what is held.
 func (h *Holder) Has() Offer { return h.has }
 
-// Take takes a policy up, whole or not at all. Nil is taken, or had already. Errors are OldEpoch, EpochTwice and WrongContent;
-// they change nothing.
+// Take takes a policy up that came as a whole text, as older stewards send it: the offer's hash is the text's SHA-256 then.
+// See TakeRoot.
 func (h *Holder) Take(o Offer, text []byte) error {
+	sum := sha256.Sum256(text)
+	return h.TakeRoot(o, hex.EncodeToString(sum[:]))
+}
+
+// TakeRoot takes a policy up whose content came to a root, whole or not at all. Nil is taken, or had already. Errors are OldEpoch,
+// EpochTwice and WrongContent; they change nothing.
+func (h *Holder) TakeRoot(o Offer, root string) error {
 	if o == h.has {
 		return nil
 	}
@@ -89,23 +96,26 @@
 	if !o.After(h.has) && h.flaws&noFence == 0 {
 		return OldEpoch{o, h.has}
 	}
-	sum := sha256.Sum256(text)
-	if got := hex.EncodeToString(sum[:]); got != o.Hash && h.flaws&noHash == 0 {
-		return WrongContent{o.Hash, got}
+	if root != o.Hash && h.flaws&noHash == 0 {
+		return WrongContent{o.Hash, root}
 	}
 	h.has = o
 	return nil
 }
 
 // flaw is a guard taken out, to see that the tests convict.
-type flaw uint8
+type flaw uint16
 
 const (
-	noFence  flaw = 1 << iota // older epochs are taken
-	noHash                    // any content is taken
-	noTest                    // nothing stops a roll-out
-	noSpend                   // each look has the whole error rate
-	pooled                    // requests count as drawn apart from each other, whichever proxy they came by
-	noSilent                  // a proxy that falls silent is left out
-	noEnough                  // looks are taken without enough requests
+	noFence   flaw = 1 << iota // older epochs are taken
+	noHash                     // any content is taken
+	noTest                     // nothing stops a roll-out
+	noSpend                    // each look has the whole error rate
+	pooled                     // requests count as drawn apart from each other, whichever proxy they came by
+	noSilent                   // a proxy that falls silent is left out
+	noEnough                   // looks are taken without enough requests
+	sameDraw                   // those that have a policy that was stopped are compared as if they were drawn
+	countLate                  // those that come after the draw are compared with those that were in it
+	noDeaf                     // looks are taken while most others are silent
+	noCells                    // proxies of a large fleet are drawn one by one
 )
