Have hollow proxies make their routes as the real one does, from what changed

Need: policies come in pieces under one root now, and a proxy's routes are made by a package of their own. Change: hollow proxies use it; the size that a run needs is measured on a proxy that has fetched all; contents are known by their root.

--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -109,7 +109,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		d, err := decideBy(nil, takenOf(p), nil)
+		taken, err := takenOf(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, err := decideBy(nil, taken, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/capacity/decides.go
+++ b/internal/lab/capacity/decides.go
@@ -1,69 +1,67 @@
 package capacity
 
 import (
-	"fmt"
-	"slices"
+	"bytes"
 	"strings"
 
 	"lapisspread/internal/fleetlink"
 	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
+	"lapisspread/internal/policyroutes"
 	"lapisspread/internal/route"
 )
 
 // decides is what a hollow proxy decides by: made of a policy as the real one makes it.
 type decides struct {
 	taken  *fleetlink.Taken
-	table  *route.Table
-	sticky map[string]string
-	blocks *route.Table
+	routes *policyroutes.Routes // nil of none
 }
 
-func takenOf(p *namespace.Policy) *fleetlink.Taken { return &fleetlink.Taken{Policy: p, Epoch: "1"} }
-
-// decideBy makes it; has tells which services there are, nil is all.
-func decideBy(_ *decides, t *fleetlink.Taken, has map[string]bool) (*decides, error) {
-	out := &decides{taken: t, sticky: map[string]string{}}
-	if t.Policy == nil {
-		return out, nil
-	}
-	var missing []string
-	for _, r := range t.Policy.Routes {
-		out.sticky[r.Name] = r.Sticky
-		for _, to := range r.To {
-			if has != nil && !has[to.Service] && !slices.Contains(missing, to.Service) {
-				missing = append(missing, to.Service)
-			}
-		}
+// takenOf is a policy as a proxy has it that has fetched all of it: it shares nothing.
+func takenOf(p *namespace.Policy) (*fleetlink.Taken, error) {
+	from, err := p.Tree()
+	if err != nil {
+		return nil, err
 	}
-	if len(missing) > 0 {
-		return nil, fmt.Errorf("there are no services %s", strings.Join(missing, ", "))
+	var items []pieces.Item
+	for item := range from.Items() {
+		items = append(items, pieces.Item{Key: strings.Clone(item.Key), Value: bytes.Clone(item.Value)})
 	}
-	var err error
-	if out.table, err = route.Compile(t.Policy.Rules(), ""); err != nil {
+	t := &fleetlink.Taken{Epoch: "1"}
+	if t.Tree, err = pieces.Build(items); err != nil {
 		return nil, err
 	}
-	var rules []route.Rule
-	for _, b := range t.Policy.Blocks {
-		rules = append(rules, route.Rule{Name: b.Name, Host: b.Host, Path: b.Path, PathPrefix: b.PathPrefix, Methods: b.Methods, Classes: b.Classes,
-			Tenants: b.Tenants, To: []route.Target{{Service: "blocked", Weight: 1}}})
+	t.Policy, err = namespace.FromTree(t.Tree)
+	return t, err
+}
+
+// decideBy makes it of what was taken up, and of the one before; has tells which services there are, nil is all.
+func decideBy(was *decides, t *fleetlink.Taken, has map[string]bool) (*decides, error) {
+	out := &decides{taken: t}
+	if t.Policy == nil {
+		return out, nil
 	}
-	if len(rules) > 0 {
-		out.blocks, err = route.Compile(rules, "")
+	there := func(service string) bool { return has == nil || has[service] }
+	var err error
+	if was != nil && was.routes != nil && t.Diff != nil && was.taken.Offer == t.Before {
+		out.routes, err = was.routes.With(t.Policy, t.Diff, there)
+	} else {
+		out.routes, err = policyroutes.Build(t.Policy, "", there)
 	}
 	return out, err
 }
 
 // service is how a request is decided; empty is by no route.
 func (d *decides) service(q *route.Request) string {
-	if d == nil || d.table == nil {
+	if d == nil || d.routes == nil {
 		return ""
 	}
-	if d.blocks != nil {
-		if _, v := d.blocks.Lookup(q); v == route.Found {
+	if d.routes.Blocks != nil {
+		if _, v := d.routes.Blocks.Lookup(q); v == route.Found {
 			return "blocked"
 		}
 	}
-	r, v := d.table.Lookup(q)
+	r, v := d.routes.Table.Lookup(q)
 	if v != route.Found {
 		return ""
 	}
--- a/internal/lab/capacity/hollow.go
+++ b/internal/lab/capacity/hollow.go
@@ -112,7 +112,7 @@
 		case FlawNothing:
 			return errors.New("it takes nothing up")
 		case FlawLies:
-			if old != nil && old.table != nil {
+			if old != nil && old.routes != nil {
 				return nil
 			}
 		case FlawLate:
@@ -143,8 +143,10 @@
 			rules[i].To = []route.Target{{Service: rules[(i+1)%len(rules)].To[0].Service + "-not", Weight: 1}}
 		}
 	}
-	var err error
-	d.table, err = route.Compile(rules, "")
+	table, err := route.Compile(rules, "")
+	routes := *d.routes
+	routes.Table = table
+	d.routes = &routes
 	return err
 }
 
--- a/internal/lab/capacity/play.go
+++ b/internal/lab/capacity/play.go
@@ -387,7 +387,11 @@
 	if err != nil {
 		return "", err
 	}
-	return p.Hash(), nil
+	tree, err := p.Tree()
+	if err != nil {
+		return "", err
+	}
+	return tree.Root().String(), nil
 }
 
 func (r *run) sum(res *Result, rest0, first, last, alive reading) {
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -358,6 +358,9 @@
 
 // newest is what all that was offered has come to.
 func newest(st policybook.Standing) rollout.Offer {
+	if st.Head.Epoch > 0 {
+		return st.Head
+	}
 	if st.Next.Epoch > 0 {
 		return st.Next
 	}
@@ -371,6 +374,9 @@
 	for _, h := range st.Held {
 		r.held[h.Namespace+": "+h.Why] = true
 	}
+	for _, f := range st.Faults {
+		r.held[fmt.Sprintf("%s/%d, taken out: %s", f.Namespace, f.Number, f.Why)] = true
+	}
 	o := newest(st)
 	if o.Epoch == 0 {
 		return
--- a/internal/lab/capacity/settings.go
+++ b/internal/lab/capacity/settings.go
@@ -158,16 +158,17 @@
 	before := heap()
 	held := make([]*decides, 2)
 	for i := range held {
-		q, err := namespace.Decode(text)
+		t, err := takenOf(p)
 		if err != nil {
 			return n, err
 		}
-		if held[i], err = decideBy(nil, takenOf(q), nil); err != nil {
+		if held[i], err = decideBy(nil, t, nil); err != nil {
 			return n, err
 		}
 	}
 	n.EachMB = max(0, heap()-before) / float64(len(held)) / 1e6
 	runtime.KeepAlive(held)
+	runtime.KeepAlive(p)
 	// Headroom: what is taken up stands beside what it replaces, and the collector lets garbage stand. A steward keeps four policies with
 	// their files, encoded and parsed. All texts kept in memory-backed folders count too.
 	mb := float64(len(text)) / 1e6
