--- /dev/null
+++ b/cmd/lapislab/measures.go
@@ -0,0 +1,1104 @@
+package main
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"lapisspread/decision"
+	backrules "lapisspread/internal/comeback"
+	"lapisspread/internal/engine"
+	"lapisspread/internal/fleet"
+	"lapisspread/internal/lab/budgets"
+	"lapisspread/internal/lab/live"
+	"lapisspread/internal/lab/world"
+	"lapisspread/internal/namespace"
+	"lapisspread/internal/policybook"
+	"lapisspread/internal/proxy"
+	"lapisspread/internal/quota"
+	"lapisspread/internal/register"
+	"lapisspread/internal/rollout"
+	"lapisspread/internal/route"
+	"lapisspread/internal/services"
+	"lapisspread/internal/staleness"
+)
+
+// The size that the measures work out: docs/CAPACITY.md.
+const (
+	targetProxies  = 4700
+	targetBackends = 53_000
+	targetServices = 1400
+	targetRoutes   = 13_000
+	targetTenants  = 150_000
+	targetRate     = 750_000 // requests a second
+	perService     = (targetBackends + targetServices - 1) / targetServices
+	zoneBackends   = 2400
+	someBudgets    = 50
+	connectTimeout = 250 * time.Millisecond // assumed: regions are far apart
+)
+
+// measure is what is measured at several sizes.
+type measure struct {
+	name, what, axis string
+	sizes            []int
+	target           float64
+	of               func(ctx context.Context, r *rig, size int) ([]is, error)
+}
+
+// is is one value.
+type is struct {
+	name, unit string
+	is         float64
+}
+
+// rig is what all measures share.
+type rig struct {
+	times   int
+	program string
+}
+
+var measures = []measure{
+	{"policy", "a policy of teams with 100 routes each, with their tenants", "routes", []int{1000, 2000, 4000, 8000, targetRoutes, 17_000}, targetRoutes, policyOf},
+	{"tenants", "a policy of 13,000 routes", "tenants", []int{20_000, 50_000, 100_000, targetTenants, 190_000}, targetTenants, tenantsOf},
+	{"book", "one offer at the stewards' book, within its bounds", "routes", []int{200, 400, 800, 1200}, targetRoutes, bookOf},
+	{"lookup", "a request's route", "routes", []int{1000, 4000, targetRoutes, 2 * targetRoutes, 100_000}, targetRoutes, lookupOf},
+	{"rollout", "one policy that goes out alone, by the rules", "proxies", []int{100, 300, 1000, 2000, targetProxies}, targetProxies, rolloutOf},
+	{"displaced", "of 400 policies to 300 proxies, those that are through before the next", "seconds from one to the next", []int{5, 9, 30, 60, 120, 180, 240, 300}, 9, displacedOf},
+	{"report", "reports to a steward, by HTTP on loopback", "reports", []int{10, 30, 100, 300}, 0, reportOf},
+	{"grants", "50 budgets, in virtual time", "holders", []int{50, 100, 200, 400}, targetProxies, func(_ context.Context, _ *rig, n int) ([]is, error) { return grantsOf(n, someBudgets) }},
+	{"grants-budgets", "100 holders, in virtual time", "budgets", []int{5, 10, 20, 50, 100}, 0, func(_ context.Context, _ *rig, n int) ([]is, error) { return grantsOf(100, n) }},
+	{"modules", "decision modules at rest with 38 backends each", "modules", []int{175, 350, 700, targetServices, 2 * targetServices}, targetServices, modulesOf},
+	{"backends", "one decision module with many", "backends", []int{38, 150, 600, 2400, 10_000}, targetBackends, backendsOf},
+	{"engines", "engines at rest, in real time, with 38 backends each", "engines", []int{175, 350, 700, targetServices}, targetServices, enginesOf},
+	{"hub", "one register that 1,400 services follow", "servers", []int{1000, 2000, 4000, 8000, 16_000}, targetBackends, hubOf},
+	{"guard", "a list before the rules of coming back", "servers", []int{2000, 4000, 8000, 16_000, targetBackends}, targetBackends, guardOf},
+	{"view", "how far a list may be trusted", "servers", []int{1000, 4000, 16_000, targetBackends}, targetBackends, viewOf},
+	{"limits", "a request's share of what the process has", "services", []int{64, 175, 350, 700, targetServices, 2 * targetServices}, targetServices, limitsOf},
+	{"process", "a lapisspread serve at rest, with 38 backends for each service", "services", []int{16, 32, 64, 128, 256}, targetServices, func(ctx context.Context, r *rig, n int) ([]is, error) { return processOf(ctx, r, n, true) }},
+	{"process-unprobed", "the same without probes", "services", []int{16, 32, 64, 128, 256}, targetServices, func(ctx context.Context, r *rig, n int) ([]is, error) { return processOf(ctx, r, n, false) }},
+}
+
+// cpu is the processor time of this process, all threads.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// cost is the least processor time of a call, of several rounds of at least 20 ms.
+func (r *rig) cost(do func()) time.Duration {
+	best := time.Duration(0)
+	for range r.times {
+		runtime.GC()
+		began, n := cpu(), 0
+		for n == 0 || cpu()-began < 20*time.Millisecond {
+			do()
+			n++
+		}
+		if each := (cpu() - began) / time.Duration(n); best == 0 || each < best {
+			best = each
+		}
+	}
+	return best
+}
+
+// fine is cost for calls of some nanoseconds, in nanoseconds.
+func (r *rig) fine(do func()) float64 {
+	return float64(r.cost(func() {
+		for range 1000 {
+			do()
+		}
+	})) / 1000
+}
+
+// heapOf is how many bytes of heap what it makes keeps.
+func heapOf(make func() any) float64 {
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	v := make()
+	after := heap()
+	runtime.KeepAlive(v)
+	return float64(max(after, before) - before)
+}
+
+// allocated is how many bytes were allocated since the start.
+func allocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// ---- policies ----
+
+// teams are a charter and the files of teams with a hundred routes and eleven services each; tenants are spread over all routes.
+func teams(routes, tenants int) (charter string, files []string) {
+	var c strings.Builder
+	c.WriteString("version = 1\n")
+	for t := 0; t*100 < routes; t++ {
+		fmt.Fprintf(&c, "[[namespace]]\nname = \"t%d\"\nowner = \"o\"\nhosts = [\"t%d.example.org\"]\nsettings = [\"route\", \"service\"]\n", t, t)
+		files = append(files, teamFile(t, 1, min(100, routes-t*100), routes, tenants))
+	}
+	return c.String(), files
+}
+
+func teamFile(t, number, own, routes, tenants int) string {
+	var f strings.Builder
+	fmt.Fprintf(&f, "version = 1\nnamespace = \"t%d\"\nnumber = %d\n", t, number)
+	for s := range 11 {
+		fmt.Fprintf(&f, "[[service]]\nname = \"s%d-%d\"\n", t, s)
+	}
+	for i := range own {
+		r := t*100 + i
+		fmt.Fprintf(&f, "[[route]]\nname = \"r%d\"\nhost = \"t%d.example.org\"\npath_prefix = \"/api/v%d/p%d\"\n", i, t, i%7, i)
+		if list := tenantsOfRoute(r, routes, tenants); len(list) > 0 {
+			fmt.Fprintf(&f, "tenants = [\"%s\"]\n", strings.Join(list, `", "`))
+		}
+		fmt.Fprintf(&f, "to = [{ service = \"s%d-%d\" }]\n", t, i%11)
+	}
+	return f.String()
+}
+
+func tenantsOfRoute(r, routes, tenants int) (list []string) {
+	for k := r; k < tenants; k += routes {
+		list = append(list, fmt.Sprintf("tenant-%06d", k))
+	}
+	return list
+}
+
+func policyOf(_ context.Context, r *rig, routes int) ([]is, error) {
+	return policy(r, routes, routes*targetTenants/targetRoutes)
+}
+
+func tenantsOf(_ context.Context, r *rig, tenants int) ([]is, error) {
+	return policy(r, targetRoutes, tenants)
+}
+
+func policy(r *rig, routes, tenants int) ([]is, error) {
+	charter, files := teams(routes, tenants)
+	c, err := namespace.ParseCharter("charter", []byte(charter))
+	if err != nil {
+		return nil, err
+	}
+	total := 0
+	var all []*namespace.Namespace
+	parse := func() {
+		all = all[:0]
+		for i, text := range files {
+			n, bad := namespace.Parse(fmt.Sprint("t", i), []byte(text))
+			if bad != nil {
+				err = bad
+				return
+			}
+			all = append(all, n)
+		}
+	}
+	for _, text := range files {
+		total += len(text)
+	}
+	parsed := r.cost(parse)
+	if err != nil {
+		return nil, err
+	}
+	out := namespace.Merge(c, nil, all)
+	if len(out.Held) > 0 || len(out.Policy.Routes) != routes {
+		return nil, fmt.Errorf("%d held, %d routes", len(out.Held), len(out.Policy.Routes))
+	}
+	next, err := namespace.Parse("t0", []byte(teamFile(0, 2, min(100, routes), routes, tenants)))
+	if err != nil {
+		return nil, err
+	}
+	merged := r.cost(func() { namespace.Merge(c, out.Good, []*namespace.Namespace{next}) })
+	text := out.Policy.Encode()
+	encoded := r.cost(func() { out.Policy.Encode() })
+	decoded := r.cost(func() { _, err = namespace.Decode(text) })
+	if err != nil {
+		return nil, err
+	}
+	compiled := r.cost(func() { _, err = out.Policy.Table() })
+	if err != nil {
+		return nil, err
+	}
+	kept := heapOf(func() any { p, _ := namespace.Decode(text); return p })
+	table := heapOf(func() any { t, _ := out.Policy.Table(); return t })
+	before := allocated()
+	taken, err := namespace.Decode(text)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = taken.Table(); err != nil {
+		return nil, err
+	}
+	garbage := float64(allocated() - before)
+	runtime.KeepAlive(out)
+	// What the book keeps: its good files, and four policies with theirs.
+	snapshot := func() []byte {
+		type kept struct {
+			Files []string
+			Text  string
+		}
+		var s struct {
+			Good []string
+			Kept [4]kept
+		}
+		s.Good = files
+		for i := range s.Kept {
+			s.Kept[i] = kept{files, string(text)}
+		}
+		b, _ := json.Marshal(s)
+		return b
+	}
+	size := len(snapshot())
+	wrote := r.cost(func() { snapshot() })
+	return []is{{"files", "KB", float64(total) / 1000}, {"charter", "KB", float64(len(charter)) / 1000}, {"encoded", "KB", float64(len(text)) / 1000},
+		{"a second, one each 9.1 s", "KB", float64(len(text)) / 1000 / 9.1}, {"parse all files", "ms", millis(parsed)}, {"merge one changed", "ms", millis(merged)},
+		{"encode and hash", "ms", millis(encoded)}, {"offer: parse, merge, encode", "ms", millis(parsed + merged + encoded)}, {"snapshot, four kept", "KB", float64(size) / 1000},
+		{"write a snapshot", "ms", millis(wrote)}, {"decode", "ms", millis(decoded)}, {"compile the table", "ms", millis(compiled)},
+		{"take up, one each 9.1 s", "% core", float64(decoded+compiled) / 9.1e7}, {"policy held", "MB", kept / 1e6}, {"table held", "MB", table / 1e6}, {"allocated to take it up", "MB", garbage / 1e6}}, nil
+}
+
+func bookOf(_ context.Context, r *rig, routes int) ([]is, error) {
+	tenants := routes * targetTenants / targetRoutes
+	charter, files := teams(routes, tenants)
+	b := policybook.New(0)
+	if err := b.Apply(policybook.Command{Charter: &policybook.Charter{Text: charter}}); err != nil {
+		return nil, err
+	}
+	for _, text := range files {
+		if err := b.Apply(policybook.Command{Offer: &policybook.Offer{Text: text}}); err != nil {
+			return nil, err
+		}
+	}
+	number := 1
+	var err error
+	offer := func() {
+		number++
+		if bad := b.Apply(policybook.Command{Offer: &policybook.Offer{Text: teamFile(0, number, min(100, routes), routes, tenants)}}); bad != nil {
+			err = bad
+		}
+	}
+	for range policybook.MostKept {
+		offer()
+	}
+	took := r.cost(offer)
+	if err != nil {
+		return nil, err
+	}
+	s, err := b.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	wrote := r.cost(func() { _, _ = b.Snapshot() })
+	return []is{{"one offer", "ms", millis(took)}, {"snapshot", "KB", float64(len(s)) / 1000}, {"write a snapshot", "ms", millis(wrote)}}, nil
+}
+
+func lookupOf(_ context.Context, r *rig, routes int) ([]is, error) {
+	tenants := routes * targetTenants / targetRoutes
+	var rules []route.Rule
+	for i := range routes {
+		t := i / 100
+		rules = append(rules, route.Rule{Name: fmt.Sprint("t", t, "/r", i%100), Host: fmt.Sprintf("t%d.example.org", t), PathPrefix: fmt.Sprintf("/api/v%d/p%d", i%7, i%100),
+			Tenants: tenantsOfRoute(i, routes, tenants), To: []route.Target{{Service: "s", Weight: 1}}})
+	}
+	table, err := route.Compile(rules, "rest")
+	if err != nil {
+		return nil, err
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	ask := make([]route.Request, 4096)
+	for i := range ask {
+		k := rng.IntN(routes)
+		ask[i] = route.Request{Host: rules[k].Host, Path: rules[k].PathPrefix + "/x", Method: "POST", Class: "c", Tenant: rules[k].Tenants[0]}
+	}
+	n := 0
+	took := r.fine(func() {
+		n++
+		if _, v := table.Lookup(&ask[n%len(ask)]); v != route.Found {
+			err = fmt.Errorf("%+v: %v", ask[n%len(ask)], v)
+		}
+	})
+	return []is{{"lookup", "ns", took}}, err
+}
+
+// ---- roll-outs ----
+
+// rolling is a fleet whose proxies report each second what a proxy answers, all of it well.
+type rolling struct {
+	rule   *rollout.Rollout
+	names  []string
+	number uint64
+}
+
+func newRolling(proxies int) (*rolling, error) {
+	rule, err := rollout.New(rollout.Defaults(), rollout.Offer{Order: 1, Epoch: 1, Hash: "1"})
+	if err != nil {
+		return nil, err
+	}
+	f := &rolling{rule: rule}
+	for i := range proxies {
+		f.names = append(f.names, fmt.Sprint("p", i))
+	}
+	rule.Members(0, f.names)
+	return f, nil
+}
+
+func (f *rolling) reports(now time.Duration) {
+	f.number++
+	for _, name := range f.names {
+		f.rule.Report(now, rollout.Report{Proxy: name, Number: f.number, Has: f.rule.Offer(name), Good: targetRate / targetProxies})
+	}
+}
+
+func rolloutOf(_ context.Context, r *rig, proxies int) ([]is, error) {
+	f, err := newRolling(proxies)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.rule.Begin(0, 2, "2", 2); err != nil {
+		return nil, err
+	}
+	now, state := time.Duration(0), rollout.Rolling
+	for state == rollout.Rolling && now < time.Hour {
+		now += time.Second
+		f.reports(now)
+		f.rule.Tick(now)
+		f.rule.Tick(now)
+		state, _ = f.rule.State()
+	}
+	if state != rollout.Done {
+		return nil, fmt.Errorf("%v after an hour", state)
+	}
+	g, err := newRolling(proxies)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.rule.Begin(0, 2, "2", 2); err != nil {
+		return nil, err
+	}
+	members := r.cost(func() { g.rule.Members(0, g.names) })
+	reports := r.cost(func() { g.reports(0) })
+	return []is{{"until all have it, alone", "s", now.Seconds()}, {"Members, ten a second", "ms", millis(members)},
+		{"the rules, Members ten a second and a report of each", "% core", (10*millis(members) + millis(reports)) / 10}}, nil
+}
+
+func displacedOf(_ context.Context, _ *rig, gap int) ([]is, error) {
+	f, err := newRolling(300)
+	if err != nil {
+		return nil, err
+	}
+	through, epoch, now := 0, uint64(1), time.Duration(0)
+	for range 400 {
+		epoch++
+		if err := f.rule.Begin(now, epoch, strconv.FormatUint(epoch, 10), epoch); err != nil {
+			return nil, err
+		}
+		done := false
+		for range gap {
+			now += time.Second
+			f.reports(now)
+			f.rule.Tick(now)
+			f.rule.Tick(now)
+			state, _ := f.rule.State()
+			done = done || state == rollout.Done
+		}
+		if done {
+			through++
+		}
+	}
+	return []is{{"through, of 400", "policies", float64(through)}}, nil
+}
+
+// ---- talk ----
+
+// counted is a connection whose bytes are counted, both ways.
+type counted struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+func reportOf(ctx context.Context, _ *rig, reports int) ([]is, error) {
+	offer := rollout.Offer{Order: 1 << 32, Epoch: 123456, Hash: strings.Repeat("0a", 32)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var in fleet.PolicyReport
+		if err := fleet.Read(r.Body, &in); err != nil {
+			fleet.Write(w, http.StatusBadRequest, fleet.ProblemOf(err))
+			return
+		}
+		fleet.Write(w, http.StatusOK, fleet.PolicyReply{Fleet: in.Fleet, Offer: offer})
+	})}
+	ended := make(chan struct{})
+	go func() { _ = server.Serve(l); close(ended) }()
+	defer func() { _ = server.Close(); <-ended }()
+	var in, out atomic.Int64
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return counted{c, &in, &out}, err
+	}}}
+	defer client.CloseIdleConnections()
+	began := cpu()
+	for i := range reports {
+		inner, cancel := context.WithTimeout(ctx, 5*time.Second)
+		var reply fleet.PolicyReply
+		err := fleet.Call(inner, client, l.Addr().String(), fleet.PathReport, fleet.PolicyReport{Fleet: "dispatch-eu", Proxy: fmt.Sprintf("proxy-r3-z11-%04d", i),
+			Number: uint64(1<<60 + i), Has: offer, Good: 160, Bad: 1}, &reply)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+	}
+	took := cpu() - began
+	return []is{{"a report, both ways with heads", "B", float64(in.Load()+out.Load()) / float64(reports)}, {"both sides of it", "us", float64(took) / 1000 / float64(reports)}}, nil
+}
+
+func grantsOf(holders, names int) ([]is, error) {
+	const length = 10 * time.Second
+	res, err := budgets.Play(budgets.Settings{Policy: budgets.Grants, Holders: holders, Budgets: names, Played: 1, Seed: 1, Length: length, Lease: 3 * time.Second, Rate: 20,
+		Falls: 1. / 3, Load: .9, Moves: 5 * time.Second, Cost: time.Microsecond})
+	if err != nil {
+		return nil, err
+	}
+	each := float64(holders)
+	return []is{{"a proxy's talk, bodies", "KB/s", (res.BytesIn + res.BytesOut) / each / 1000}, {"the leader's talk, bodies", "KB/s", (res.BytesIn + res.BytesOut) / 1000},
+		{"log, to each other steward", "KB/s", res.LogBytes / 1000}, {"entries", "1/s", res.Entries}, {"the leader's plans", "ms/s", millis(res.Computed) / length.Seconds()}}, nil
+}
+
+// ---- decision modules ----
+
+// settings are a proxy's of the fleet at the target, as the platform tells them.
+func settings(kinds int, probed bool) (map[string]any, error) {
+	spec := world.Default()
+	spec.Proxies = targetProxies
+	m := live.Settings(&spec, 0)
+	var names []string
+	for i := range kinds {
+		names = append(names, fmt.Sprint("k", i))
+	}
+	m["Kinds"] = names
+	caps, ok := m["Caps"].(map[string]any)
+	if !ok {
+		return nil, fmt.Errorf("the settings have no caps")
+	}
+	caps["Probes"] = probed
+	caps["ConnectTimeout"] = float64(connectTimeout.Milliseconds()) // the module's spans are in these
+	return m, nil
+}
+
+// writeConfig writes a proxy's configuration.
+func writeConfig(dir, discovery string, kinds int, probed bool) (string, error) {
+	set, err := settings(kinds, probed)
+	if err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 2.0, "memory_mb": 1024, "sockets": 8192}, "settings": set})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "config.json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+func moduleConfig() (decision.Config, error) {
+	dir, err := os.MkdirTemp("", "lapislab-slopes")
+	if err != nil {
+		return decision.Config{}, err
+	}
+	defer os.RemoveAll(dir)
+	path, err := writeConfig(dir, "127.0.0.1:1", 1, true)
+	if err != nil {
+		return decision.Config{}, err
+	}
+	c, err := proxy.CheckConfig(path, func(string) string { return "" })
+	return c.Module, err
+}
+
+// alarm is a module's timer.
+type alarm struct {
+	at    time.Duration
+	seq   int
+	of    *atRest
+	token uint64
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int { return len(a) }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)   { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// resting are modules in virtual time that nobody asks for anything. Probes pass at once.
+type resting struct {
+	now    time.Duration
+	seq    int
+	alarms alarms
+	probes int
+	timers int
+	all    []*atRest
+}
+
+// atRest is one of them, and its host.
+type atRest struct {
+	of     *resting
+	module *decision.Balancer
+	probed []decision.BackendID
+}
+
+func (h *atRest) Send(decision.RequestID, decision.BackendID, time.Duration) {}
+func (h *atRest) Refuse(decision.RequestID, time.Duration)                   {}
+func (h *atRest) Fail(decision.RequestID)                                    {}
+func (h *atRest) Cancel(decision.RequestID, int)                             {}
+func (h *atRest) Probe(b decision.BackendID)                                 { h.of.probes++; h.probed = append(h.probed, b) }
+func (h *atRest) Release(decision.BackendID)                                 {}
+func (h *atRest) Watch(bool)                                                 {}
+func (h *atRest) Fetch()                                                     {}
+func (h *atRest) Tell(uint32, []byte)                                        {}
+func (h *atRest) Log(string)                                                 {}
+func (h *atRest) After(d time.Duration, token uint64) {
+	h.of.seq++
+	heap.Push(&h.of.alarms, alarm{h.of.now + max(d, 0), h.of.seq, h, token})
+}
+
+func backendList(first, n int) []decision.Backend {
+	list := make([]decision.Backend, n)
+	for i := range list {
+		list[i] = decision.Backend{ID: decision.BackendID(first + i + 1), Zone: i % 2, Cell: i % 3, State: decision.Ready, Weight: 1}
+	}
+	return list
+}
+
+func newResting(modules, backends int) (*resting, error) {
+	cfg, err := moduleConfig()
+	if err != nil {
+		return nil, err
+	}
+	r := &resting{now: time.Second}
+	for i := range modules {
+		h := &atRest{of: r}
+		if h.module, err = decision.New(cfg, uint64(i+1), h); err != nil {
+			return nil, err
+		}
+		r.all = append(r.all, h)
+		h.module.Start(r.now)
+		h.module.Membership(r.now, decision.Membership{Kind: decision.ListFull, Version: 1, Backends: backendList(i*backends, backends)})
+	}
+	return r, nil
+}
+
+// run plays on.
+func (r *resting) run(length time.Duration) {
+	for end := r.now + length; len(r.alarms) > 0 && r.alarms[0].at <= end; {
+		a := heap.Pop(&r.alarms).(alarm)
+		r.now = a.at
+		r.timers++
+		a.of.module.Timer(r.now, a.token)
+		for _, b := range a.of.probed {
+			a.of.module.Probed(r.now, decision.ProbeResult{Backend: b, Result: decision.OK, Took: time.Millisecond})
+		}
+		a.of.probed = a.of.probed[:0]
+	}
+}
+
+func modulesOf(_ context.Context, g *rig, modules int) ([]is, error) {
+	var r *resting
+	var err error
+	bytes := heapOf(func() any { r, err = newResting(modules, perService); return r })
+	if err != nil {
+		return nil, err
+	}
+	r.run(10 * time.Second)
+	best, probes, timers := time.Duration(0), 0, 0
+	const span = 4 * time.Second
+	for range g.times {
+		r.probes, r.timers = 0, 0
+		began := cpu()
+		r.run(span)
+		if took := cpu() - began; best == 0 || took < best {
+			best = took
+		}
+		probes, timers = r.probes, r.timers
+	}
+	return []is{{"held", "MB", bytes / 1e6}, {"timers", "1/s", float64(timers) / span.Seconds()}, {"their computing", "% core", 100 * best.Seconds() / span.Seconds()},
+		{"probes", "1/s", float64(probes) / span.Seconds()}, {"probes at a backend, of all proxies", "1/s", float64(probes) / span.Seconds() * targetProxies / float64(modules*perService)}}, nil
+}
+
+func backendsOf(_ context.Context, g *rig, backends int) ([]is, error) {
+	var r *resting
+	var err error
+	bytes := heapOf(func() any { r, err = newResting(1, backends); return r })
+	if err != nil {
+		return nil, err
+	}
+	r.run(10 * time.Second)
+	m := r.all[0].module
+	list := backendList(0, backends)
+	full := g.cost(func() { m.Membership(r.now, decision.Membership{Kind: decision.ListFull, Version: 2, Backends: list}) })
+	change := g.cost(func() {
+		m.Membership(r.now, decision.Membership{Kind: decision.ListDelta, Version: 2, Backends: list[:1]})
+	})
+	timers, began := r.timers, cpu()
+	for cpu()-began < 20*time.Millisecond {
+		r.run(time.Second)
+	}
+	sweep := (cpu() - began) / time.Duration(max(1, r.timers-timers))
+	return []is{{"held, each", "B", bytes / float64(backends)}, {"one timer", "us", float64(sweep) / 1000}, {"the whole list again", "ms", millis(full)}, {"one change", "us", float64(change) / 1000}}, nil
+}
+
+// ---- engines and lists ----
+
+// nowhere is an upstream whose probes pass at once, and a source that has nothing to tell.
+type nowhere struct{ probes *atomic.Int64 }
+
+func (n nowhere) Update(engine.List)                    {}
+func (n nowhere) Find(decision.BackendID) engine.Peer   { return n }
+func (n nowhere) Release(decision.BackendID)            {}
+func (n nowhere) Probe(context.Context) decision.Result { n.probes.Add(1); return decision.OK }
+func (n nowhere) Addr() string                          { return "nowhere" }
+func (n nowhere) Close()                                {}
+func (n nowhere) Exchange(context.Context, engine.Attempt) (decision.Result, any) {
+	return decision.Moot, nil
+}
+func (n nowhere) Fetch(ctx context.Context) (engine.List, error) {
+	<-ctx.Done()
+	return engine.List{}, ctx.Err()
+}
+func (n nowhere) Watch(ctx context.Context, _ uint32, _ func(engine.List)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func members(first, n int, kind string) []engine.Member {
+	list := make([]engine.Member, n)
+	for i := range list {
+		k := first + i
+		list[i] = engine.Member{ID: fmt.Sprintf("dispatch-r%d-z%02d-%05d", k%7, k%22, k), Addr: fmt.Sprintf("10.%d.%d.%d:8080", k>>16&255, k>>8&255, k&255), Zone: "nyarugenge",
+			Kind: kind, Cell: k % 40, State: decision.Ready, Weight: 1}
+	}
+	return list
+}
+
+func enginesOf(ctx context.Context, g *rig, engines int) ([]is, error) {
+	cfg, err := moduleConfig()
+	if err != nil {
+		return nil, err
+	}
+	var probes atomic.Int64
+	inner, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	before := runtime.NumGoroutine()
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	was := memory.HeapAlloc + memory.StackInuse
+	for i := range engines {
+		up := nowhere{&probes}
+		e, err := engine.New(engine.Options{Module: cfg, Seed: uint64(i + 1), Known: engine.List{Version: 1, Full: true, Members: members(i*perService, perService, "std-1")},
+			Zones: []string{"nyarugenge"}, Kinds: []string{"std-1"}, Upstream: up, Source: up})
+		if err != nil {
+			return nil, err
+		}
+		running.Go(func() { e.Run(inner) })
+	}
+	pause := func(d time.Duration) error {
+		select {
+		case <-time.After(d):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if err := pause(4 * time.Second); err != nil { // the first probes of all fall into it
+		return nil, err
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	holds := memory.HeapAlloc + memory.StackInuse
+	goroutines := runtime.NumGoroutine() - before
+	best, first, since := 0.0, probes.Load(), time.Now()
+	for range g.times {
+		began, at := cpu(), time.Now()
+		if err := pause(1500 * time.Millisecond); err != nil {
+			return nil, err
+		}
+		if share := float64(cpu()-began) / float64(time.Since(at)); best == 0 || share < best {
+			best = share
+		}
+	}
+	n := float64(probes.Load()-first) / time.Since(since).Seconds()
+	return []is{{"their computing", "% core", 100 * best}, {"heap and stacks", "MB", float64(holds-min(was, holds)) / 1e6}, {"goroutines", "each", float64(goroutines) / float64(engines)}, {"probes", "1/s", n}}, nil
+}
+
+// told is a register that tells what a test hands it.
+type told struct{ lists chan engine.List }
+
+func (t *told) Addr() string { return "register" }
+func (t *told) Close()       {}
+func (t *told) Fetch(ctx context.Context) (engine.List, error) {
+	<-ctx.Done()
+	return engine.List{}, ctx.Err()
+}
+func (t *told) Watch(ctx context.Context, _ uint32, tell func(engine.List)) error {
+	for {
+		select {
+		case l := <-t.lists:
+			tell(l)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func hubOf(ctx context.Context, g *rig, servers int) ([]is, error) {
+	source := &told{make(chan engine.List)}
+	hubs := register.NewHubs(time.Second, func(string) engine.Source { return source })
+	all := members(0, servers, "std-1")
+	ctx, cancel := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	defer watching.Wait()
+	defer cancel()
+	heard := make(chan uint32, targetServices)
+	known := engine.List{Version: 1, Full: true, Members: all}
+	began := cpu()
+	for range targetServices {
+		f := hubs.Join("register", known)
+		if _, ok := f.List(); !ok {
+			return nil, fmt.Errorf("the hub does not know its list")
+		}
+		watching.Go(func() {
+			defer f.Close()
+			_ = f.Watch(ctx, 1, func(l engine.List) { heard <- l.Version })
+		})
+	}
+	wait := func(version uint32) error {
+		for n := 0; n < targetServices; {
+			select {
+			case v := <-heard:
+				if v == version {
+					n++
+				}
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		return nil
+	}
+	if err := wait(1); err != nil {
+		return nil, err
+	}
+	joined := cpu() - began
+	version, full, change, zone := uint32(1), time.Duration(0), time.Duration(0), time.Duration(0)
+	var draining []engine.Member // here and there in the list
+	for i := 0; i < servers; i += targetBackends / zoneBackends {
+		m := all[i]
+		m.State = decision.Draining
+		draining = append(draining, m)
+	}
+	for range g.times {
+		for _, k := range []struct {
+			whole   bool
+			members []engine.Member
+			best    *time.Duration
+		}{{true, all, &full}, {false, all[:1], &change}, {false, draining, &zone}} {
+			version++
+			l, best := engine.List{Version: version, Full: k.whole, Members: k.members}, k.best
+			began := cpu()
+			select {
+			case source.lists <- l:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			if err := wait(version); err != nil {
+				return nil, err
+			}
+			if took := cpu() - began; *best == 0 || took < *best {
+				*best = took
+			}
+		}
+	}
+	return []is{{"1,400 join", "ms", millis(joined)}, {"the whole list told", "ms", millis(full)}, {"one change told", "ms", millis(change)}, {"a zone of it drains", "ms", millis(zone)}}, nil
+}
+
+func guardOf(_ context.Context, g *rig, servers int) ([]is, error) {
+	all := members(0, servers, "std-1")
+	whole := engine.List{Version: 1, Full: true, Members: all}
+	set := backrules.GuardSettings{Shrink: .3, Least: 2, Hold: 30 * time.Second}
+	gone := servers * zoneBackends / targetBackends
+	var err error
+	make := func() (guard *backrules.Guard) {
+		guard, bad := backrules.NewGuard(set, whole)
+		if bad != nil {
+			err = bad
+		}
+		return guard
+	}
+	bytes := heapOf(func() any { return make() })
+	guard := make()
+	same := g.cost(func() { guard.Take(time.Second, whole) })
+	best := time.Duration(0)
+	for range g.times {
+		guard := make()
+		began := cpu()
+		guard.Take(time.Second, engine.List{Version: 2, Full: true, Members: all[gone:]})
+		if took := cpu() - began; best == 0 || took < best {
+			best = took
+		}
+	}
+	return []is{{"held", "MB", bytes / 1e6}, {"the same list again", "ms", millis(same)}, {"a list without a zone", "ms", millis(best)}}, err
+}
+
+func viewOf(_ context.Context, g *rig, servers int) ([]is, error) {
+	changes := make([]staleness.Change, servers)
+	for i := range changes {
+		changes[i] = staleness.Change{Entry: staleness.Entry{Name: fmt.Sprintf("dispatch-%05d", i), Kind: "std-1", Route: fmt.Sprint("s", i%max(1, servers/perService)), Start: 1}}
+	}
+	var v *staleness.View
+	var err error
+	now := time.Second
+	bytes := heapOf(func() any {
+		if v, err = staleness.New((&fleet.View{}).Settings(time.Second)); err == nil {
+			err = v.Heard(now, fleet.Source, staleness.News{Version: 1, Whole: true, Changed: changes})
+		}
+		return v
+	})
+	if err != nil {
+		return nil, err
+	}
+	tick := g.cost(func() {
+		now += 100 * time.Millisecond
+		_ = v.Quiet(now, fleet.Source)
+		v.Tick(now)
+	})
+	return []is{{"held, each", "B", bytes / float64(servers)}, {"a tick", "ms", millis(tick)}, {"ten ticks a second", "% core", millis(tick)}}, nil
+}
+
+func limitsOf(_ context.Context, g *rig, n int) ([]is, error) {
+	f := &services.File{Version: 1, Limits: services.Limits{Lend: .75, Recall: services.Span(3 * time.Second)}}
+	for i := range n {
+		f.Services = append(f.Services, services.Service{Name: fmt.Sprint("s", i), Share: services.Share{Min: .5 / float64(n), Cap: 1, Weight: 1}})
+	}
+	clock := engine.NewClock()
+	l := quota.New(clock.Now)
+	if err := l.Change(f, quota.Totals{Requests: 100_000, Bytes: 1 << 32, Conns: 100_000, Attempts: 1e6}, nil); err != nil {
+		return nil, err
+	}
+	var err error
+	k := 0
+	took := g.cost(func() {
+		k++
+		ask := quota.Ask{Service: f.Services[k%n].Name, Bytes: 1000}
+		if why, _ := l.Take(ask); why != "" {
+			err = fmt.Errorf("refused: %s", why)
+		}
+		if !l.TakeConn(ask.Service) {
+			err = fmt.Errorf("no connection")
+		}
+		l.GiveConn(ask.Service)
+		l.Give(ask)
+	})
+	return []is{{"take and give, a request with a connection", "us", float64(took) / 1000}, {"at a proxy's rate", "% core", 100 * took.Seconds() * targetRate / targetProxies}}, err
+}
+
+// ---- a whole process ----
+
+func processOf(ctx context.Context, g *rig, n int, probed bool) ([]is, error) {
+	if g.program == "" {
+		return nil, usageError{fmt.Errorf("--program: the path of lapisspread is needed")}
+	}
+	dir, err := os.MkdirTemp("", "lapislab-slopes")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	var probes atomic.Int64
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	var list strings.Builder
+	list.WriteString(`{"generation":1,"reset":true,"instances":[`)
+	for i := range n * perService {
+		if i > 0 {
+			list.WriteByte(',')
+		}
+		fmt.Fprintf(&list, `{"instanceId":"dispatch-r%d-z%02d-%05d","hostPort":%q,"zone":"nyarugenge","machineType":"k%d","cell":0,"lifecycle":"active","weight":1.0,"startedAtMs":0}`,
+			i%7, i%22, i, backend.Addr().String(), i%n)
+	}
+	list.WriteString("]}")
+	catalogue, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	var serving sync.WaitGroup
+	serve := func(l net.Listener, h http.HandlerFunc) *http.Server {
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+		serving.Go(func() { _ = s.Serve(l) })
+		return s
+	}
+	ended := make(chan struct{})
+	atBackend := serve(backend, func(w http.ResponseWriter, _ *http.Request) { probes.Add(1); w.WriteHeader(http.StatusOK) })
+	atCatalogue := serve(catalogue, func(w http.ResponseWriter, r *http.Request) {
+		if from := r.URL.Query().Get("from"); from == "1" {
+			hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
+			select {
+			case <-time.After(time.Duration(hold) * time.Millisecond):
+			case <-r.Context().Done():
+			case <-ended:
+			}
+			_, _ = io.WriteString(w, `{"generation":1,"reset":false,"instances":[]}`)
+			return
+		}
+		_, _ = io.WriteString(w, list.String())
+	})
+	defer func() { close(ended); _ = atBackend.Close(); _ = atCatalogue.Close(); serving.Wait() }()
+	var file strings.Builder
+	file.WriteString("version = 1\n")
+	for i := range n {
+		fmt.Fprintf(&file, "[[service]]\nname = \"s%d\"\nkinds = [\"k%d\"]\n[[route]]\nname = \"r%d\"\nhost = \"s%d.example.org\"\nto = [{ service = \"s%d\" }]\n", i, i, i, i, i)
+	}
+	at := filepath.Join(dir, "services.toml")
+	if err := os.WriteFile(at, []byte(file.String()), 0o600); err != nil {
+		return nil, err
+	}
+	config, err := writeConfig(dir, catalogue.Addr().String(), n, probed)
+	if err != nil {
+		return nil, err
+	}
+	inner, cancel := context.WithCancel(ctx)
+	c := exec.CommandContext(inner, g.program, "serve", "--services", at)
+	c.Env = append(os.Environ(), "BALANCER_CONFIG="+config, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=", "BALANCER_CONSOLE=", "BALANCER_PASSED_SOCKET=", "TMPDIR="+dir,
+		"GOMAXPROCS="+strconv.Itoa(runtime.GOMAXPROCS(0)))
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	defer log.Close()
+	c.Stdout, c.Stderr = log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		cancel()
+		return nil, err
+	}
+	over := make(chan error, 1)
+	go func() { over <- c.Wait() }()
+	stopped := false
+	defer func() {
+		cancel()
+		if !stopped {
+			<-over
+		}
+	}()
+	wait := func(d time.Duration) error {
+		select {
+		case err := <-over:
+			stopped = true
+			text, _ := os.ReadFile(log.Name())
+			return fmt.Errorf("it ended: %w: %s", err, text[max(0, len(text)-400):])
+		case <-time.After(d):
+			return nil
+		}
+	}
+	if err := wait(5 * time.Second); err != nil {
+		return nil, err
+	}
+	var best footprint
+	for range g.times {
+		n0, was, err := probes.Load(), footprint{}, error(nil)
+		if was, err = usageOf(c.Process.Pid); err != nil {
+			return nil, err
+		}
+		began := time.Now()
+		if err := wait(4 * time.Second); err != nil {
+			return nil, err
+		}
+		now, err := usageOf(c.Process.Pid)
+		if err != nil {
+			return nil, err
+		}
+		span := time.Since(began).Seconds()
+		got := footprint{cpu: (now.cpu - was.cpu) / span, mb: now.mb, bytes: (now.bytes - was.bytes) / span, probes: float64(probes.Load()-n0) / span}
+		if best.cpu == 0 || got.cpu < best.cpu {
+			best = got
+		}
+	}
+	return []is{{"resident", "MB", best.mb}, {"at rest", "% core", 100 * best.cpu}, {"read and written", "KB/s", best.bytes / 1000}, {"probes", "1/s", best.probes},
+		{"the list", "KB", float64(list.Len()) / 1000}}, nil
+}
+
+// footprint is what a process has used: seconds of the processor, bytes read and written; and its resident memory.
+type footprint struct{ cpu, mb, bytes, probes float64 }
+
+func usageOf(pid int) (u footprint, err error) {
+	read := func(name string) string {
+		text, bad := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, name))
+		if bad != nil {
+			err = bad
+		}
+		return string(text)
+	}
+	stat := read("stat")
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	if err == nil && len(fields) > 22 {
+		const hertz = 100 // USER_HZ of Linux
+		user, _ := strconv.ParseFloat(fields[11], 64)
+		system, _ := strconv.ParseFloat(fields[12], 64)
+		pages, _ := strconv.ParseFloat(fields[21], 64)
+		u.cpu, u.mb = (user+system)/hertz, pages*float64(os.Getpagesize())/1e6
+	}
+	for line := range strings.Lines(read("io")) {
+		if name, v, ok := strings.Cut(strings.TrimSpace(line), ": "); ok && (name == "rchar" || name == "wchar") {
+			n, _ := strconv.ParseFloat(v, 64)
+			u.bytes += n
+		}
+	}
+	return u, err
+}
--- /dev/null
+++ b/internal/proxy/slopes_test.go
@@ -0,0 +1,68 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"lapisspread/internal/engine"
+	config "lapisspread/internal/services"
+)
+
+// listOf is a register's whole list of so many servers, a kind for each 38 of them.
+func listOf(servers int) string {
+	var all []string
+	for i := range servers {
+		text := memberText(fmt.Sprintf("dispatch-r%d-z%02d-%05d", i%7, i%22, i), fmt.Sprintf("10.%d.%d.%d:8080", i>>16&255, i>>8&255, i&255), "active")
+		all = append(all, strings.Replace(text, `"fast-5"`, fmt.Sprintf(`"kind-%04d"`, i/38), 1))
+	}
+	return listText(1, true, all...)
+}
+
+// BenchmarkList is a whole list that is read, and then looked through by the services that take a kind of it each. list-B is its length.
+func BenchmarkList(b *testing.B) {
+	for _, servers := range []int{1000, 4000, 13_000, 26_000, 53_000} {
+		b.Run(fmt.Sprintf("read=%d", servers), func(b *testing.B) {
+			text := []byte(listOf(servers))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := parseList(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "list-B")
+		})
+	}
+	for _, servers := range []int{1000, 4000, 13_000, 26_000, 53_000} {
+		b.Run(fmt.Sprintf("picked=%d", servers), func(b *testing.B) {
+			list, err := parseList([]byte(listOf(servers)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			part := selected{nil, config.Service{Kinds: []string{"kind-0007"}}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if got := part.pick(list); len(got.Members) != 38 {
+					b.Fatal(len(got.Members))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkUpdate is what a service's connections do with a whole list.
+func BenchmarkUpdate(b *testing.B) {
+	for _, servers := range []int{38, 150, 600, 2400} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			list, err := parseList([]byte(listOf(servers)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			p := newPool(1000, 1, 1)
+			var up engine.Upstream = p
+			for b.Loop() {
+				up.Update(list)
+			}
+		})
+	}
+}
