--- a/cmd/lapislab/measures.go
+++ b/cmd/lapislab/measures.go
@@ -285,16 +285,7 @@
 
 func bookOf(_ context.Context, r *rig, routes int) ([]is, error) {
 	tenants := routes * targetTenants / targetRoutes
-	charter, files := teams(routes, tenants)
-	b := policybook.New(0)
-	if err := b.Apply(policybook.Command{Charter: &policybook.Charter{Text: charter}}); err != nil {
-		return nil, err
-	}
-	for _, text := range files {
-		if err := b.Apply(policybook.Command{Offer: &policybook.Offer{Text: text}}); err != nil {
-			return nil, err
-		}
-	}
+	var b *policybook.Book
 	number := 1
 	var err error
 	offer := func() {
@@ -303,8 +294,24 @@
 			err = bad
 		}
 	}
-	for range policybook.MostKept {
-		offer()
+	bytes := heapOf(func() any {
+		charter, files := teams(routes, tenants)
+		b = policybook.New(0)
+		err = b.Apply(policybook.Command{Charter: &policybook.Charter{Text: charter}})
+		for _, text := range files {
+			if err == nil {
+				err = b.Apply(policybook.Command{Offer: &policybook.Offer{Text: text}})
+			}
+		}
+		for range policybook.MostKept {
+			if err == nil {
+				offer()
+			}
+		}
+		return b
+	})
+	if err != nil {
+		return nil, err
 	}
 	took := r.cost(offer)
 	if err != nil {
@@ -315,7 +322,7 @@
 		return nil, err
 	}
 	wrote := r.cost(func() { _, _ = b.Snapshot() })
-	return []is{{"one offer", "ms", millis(took)}, {"snapshot", "KB", float64(len(s)) / 1000}, {"write a snapshot", "ms", millis(wrote)}}, nil
+	return []is{{"held", "MB", bytes / 1e6}, {"one offer", "ms", millis(took)}, {"snapshot", "KB", float64(len(s)) / 1000}, {"write a snapshot", "ms", millis(wrote)}}, nil
 }
 
 func lookupOf(_ context.Context, r *rig, routes int) ([]is, error) {
