Carry entries of before trains out as they were meant

A log may hold offers and judgements of the release before, when the newest took the place of what was on its way. Replayed under trains a judgement of the newest would have been passed over, the book would wait for a train that proxies are past, and never go on. One that judges what never departed as a train now has it go out first. A judgement told again still changes nothing.

--- a/internal/policybook/book.go
+++ b/internal/policybook/book.go
@@ -423,6 +423,13 @@
 }
 
 func (b *Book) judge(j Judge) error {
+	if h := b.s.Head.Offer; h.Epoch == j.Epoch && h.Order == j.Order && h.Hash != "" && !b.s.departed(h.Epoch) {
+		// An entry of before trains, when the newest took the place of what was on its way: it went out, and proxies may have it.
+		s := b.copy()
+		s.Trials = nil
+		s.enter(s.Head)
+		b.s = *s
+	}
 	if b.s.Next < 0 || b.s.Kept[b.s.Next].Offer.Epoch != j.Epoch || b.s.Kept[b.s.Next].Offer.Order != j.Order {
 		return nil // of one that has given way
 	}
--- a/internal/policybook/snapshot_test.go
+++ b/internal/policybook/snapshot_test.go
@@ -56,6 +56,31 @@
 	}
 }
 
+// Entries of before trains, when each offer took the place of the one on its way, come to the policy that they came to then, under its epoch;
+// and a judgement that is told again changes nothing.
+func TestEntriesOfBefore(t *testing.T) {
+	b := New(0)
+	apply(t, b, Command{Charter: &Charter{Text: charter("x.org")}}, word(rules("alpha", 1, "x.org", "/a")), word(rules("beta", 1, "x.org", "/b")),
+		Command{Judge: &Judge{Epoch: 3, Done: true}})
+	if s := b.Standing(); s.Base.Epoch != 3 || s.Next.Epoch != 0 || s.Head != s.Base || routesOf(t, b, s.Base) != "alpha/r/a beta/r/b" {
+		t.Fatalf("%+v", s)
+	}
+	apply(t, b, word(rules("alpha", 2, "x.org", "/a2")), word(rules("beta", 2, "x.org", "/b2")), Command{Judge: &Judge{Epoch: 5, Why: "w", Help: "h"}})
+	s := b.Standing()
+	if s.Base.Epoch != 3 || s.Next.Epoch != 6 || !slices.Equal(names(s.Train), []string{"alpha2"}) {
+		t.Fatalf("%+v", s)
+	}
+	before, _ := b.Snapshot()
+	for epoch := range uint64(6) {
+		for _, done := range []bool{true, false} {
+			apply(t, b, Command{Judge: &Judge{Epoch: epoch, Done: done, Why: "w", Help: "h"}})
+		}
+	}
+	if after, _ := b.Snapshot(); !bytes.Equal(before, after) {
+		t.Errorf("late judgements changed something: %+v, %+v", s, b.Standing())
+	}
+}
+
 // What is at hand of files that were read is no part of the state.
 func TestReadAnewGivesTheSame(t *testing.T) {
 	a, b := begun(t, 0), begun(t, noCache)
--- a/internal/policybook/train.go
+++ b/internal/policybook/train.go
@@ -102,7 +102,7 @@
 			s.settled()
 			return
 		}
-		if s.Head.Offer.Order != s.Order || slices.ContainsFunc(s.Kept, func(k Kept) bool { return k.Offer.Epoch >= s.Head.Offer.Epoch }) {
+		if s.Head.Offer.Order != s.Order || s.departed(s.Head.Offer.Epoch) {
 			s.Epoch++ // others went out after it was merged
 			s.Head.Offer.Order, s.Head.Offer.Epoch = s.Order, s.Epoch
 		}
@@ -110,6 +110,11 @@
 	}
 }
 
+// departed tells whether an epoch, or one after it, has gone out.
+func (s *state) departed(epoch uint64) bool {
+	return slices.ContainsFunc(s.Kept, func(k Kept) bool { return k.Offer.Epoch >= epoch })
+}
+
 // enter has a policy go out. What all have stays until it is through.
 func (s *state) enter(k Kept) {
 	s.Kept = append(s.Kept, k)
