--- a/internal/policybook/train.go
+++ b/internal/policybook/train.go
@@ -217,6 +217,10 @@
 	b.blame(s, all)
 }
 
+// mend is what whoever gave a change that was at fault can do.
+const mend = "It was taken out, and what else was under way goes on without it. Mend it and offer it under a higher number. The few proxies that " +
+	"have it get the next policy first; until there is one, going back to an epoch that is kept takes them along."
+
 // blame takes changes out of Head, and tells why. What their teams have offered since stays. What was held is looked at anew.
 func (b *Book) blame(s *state, all []change) {
 	base, why := s.base(), s.Stopped
@@ -233,7 +237,7 @@
 	}
 	for i, c := range all {
 		if b.flaws&tellOne == 0 || i == 0 {
-			s.fault(Fault{c.Change, c.At, why.Why, why.Help})
+			s.fault(Fault{c.Change, c.At, why.Why, mend})
 		}
 		switch {
 		case !s.Head.has(c):
--- a/internal/steward/trains_test.go
+++ b/internal/steward/trains_test.go
@@ -55,7 +55,7 @@
 	own    float64
 	number uint64
 	coming rollout.Offer // that it is taking up
-	gone   bool
+	gone   bool          // or cut off
 }
 
 // offered is a change.
@@ -499,6 +499,36 @@
 	}
 }
 
+// A zone is cut off through twenty changes: the others go on, also past a harmful one, and joined again it has what they have.
+func TestAZoneIsCutOffThroughTwentyChanges(t *testing.T) {
+	y := newYard(t, 10, 300, 24)
+	y.settle()
+	zone := y.all[:14]
+	cut := func(is bool) {
+		for _, c := range zone {
+			c.gone = is
+		}
+		y.counted = false
+	}
+	y.offer(20, 2, "/first", false)
+	y.run(time.Second)
+	cut(true)
+	for i := range 20 {
+		y.offer(i, 2, fmt.Sprint("/n", i), i == 7)
+		y.run(9 * time.Second)
+	}
+	y.settle()
+	before := y.book.Standing().Base
+	cut(false)
+	y.settle()
+	y.check()
+	for _, c := range y.all {
+		if c.has != before {
+			t.Fatalf("%s has %+v, the others %+v", c.name, c.has, before)
+		}
+	}
+}
+
 func TestFoundedAnew(t *testing.T) {
 	y := newYard(t, 9, 300, 24)
 	y.settle()
