--- a/internal/lab/stewards/stewards_test.go
+++ b/internal/lab/stewards/stewards_test.go
@@ -27,6 +27,10 @@
 		drawer(path, os.Getenv("DRAW_COUNT"))
 		return
 	}
+	if path := os.Getenv("FOLLOW_BY"); path != "" {
+		follower(path, os.Getenv("FOLLOW_COUNT"), os.Getenv("FOLLOW_STATE"))
+		return
+	}
 	built.Main(m)
 }
 
