Don't let a step that can't be looked at keep all others waiting

Nothing displaces a train any more, so one that most proxies can't take up, for a service that their files lack, would have kept all that waits behind it for ever. After three times silent it is stopped and told (RolloutNotTaken), and goes the way of any that stops. And where those that were drawn have hardly any requests while others have, more are drawn, up to half. Without traffic a step waits as before.

--- a/internal/fleetlink/docs_test.go
+++ b/internal/fleetlink/docs_test.go
@@ -41,7 +41,7 @@
 	namespace.NamespaceHeld{}, namespace.OutsideDomain{}, namespace.UnknownNamespace{}, namespace.VersionTaken{}, namespace.WrongItem{},
 	pieces.Incomplete{}, pieces.Malformed{}, pieces.TooLong{}, pieces.Twice{}, pieces.WrongName{}, pieces.WrongPiece{},
 	policybook.BadCommand{}, policybook.EpochGone{}, policybook.NoCharter{}, policybook.TooMuch{},
-	rollout.EpochTwice{}, rollout.OldEpoch{}, rollout.RolloutStopped{}, rollout.WorseAfter{}, rollout.WrongContent{},
+	rollout.EpochTwice{}, rollout.OldEpoch{}, rollout.RolloutNotTaken{}, rollout.RolloutStopped{}, rollout.WorseAfter{}, rollout.WrongContent{},
 }
 
 const (
--- a/internal/rollout/holder.go
+++ b/internal/rollout/holder.go
@@ -107,17 +107,18 @@
 type flaw uint16
 
 const (
-	noFence   flaw = 1 << iota // older epochs are taken
-	noHash                     // any content is taken
-	noTest                     // nothing stops a roll-out
-	noSpend                    // each look has the whole error rate
-	pooled                     // requests count as drawn apart from each other, whichever proxy they came by
-	noSilent                   // a proxy that falls silent is left out
-	noEnough                   // looks are taken without enough requests
-	sameDraw                   // those that have a policy that was stopped are compared as if they were drawn
-	countLate                  // those that come after the draw are compared with those that were in it
-	noDeaf                     // looks are taken while most others are silent
-	oneTest                    // those that told of requests are not compared by themselves
-	anyGross                   // a few that are silent stop a step, though others are silent too
-	noCells                    // proxies of a large fleet are drawn one by one
+	noFence    flaw = 1 << iota // older epochs are taken
+	noHash                      // any content is taken
+	noTest                      // nothing stops a roll-out
+	noSpend                     // each look has the whole error rate
+	pooled                      // requests count as drawn apart from each other, whichever proxy they came by
+	noSilent                    // a proxy that falls silent is left out
+	noEnough                    // looks are taken without enough requests
+	sameDraw                    // those that have a policy that was stopped are compared as if they were drawn
+	countLate                   // those that come after the draw are compared with those that were in it
+	noDeaf                      // looks are taken while most others are silent
+	oneTest                     // those that told of requests are not compared by themselves
+	anyGross                    // a few that are silent stop a step, though others are silent too
+	noPatience                  // a step that can't be looked at waits for ever
+	noCells                     // proxies of a large fleet are drawn one by one
 )
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -102,6 +102,25 @@
 		"which they get first."
 }
 
+// RolloutNotTaken says that most proxies that were to have a policy first can't take it up.
+type RolloutNotTaken struct {
+	Epoch     uint64
+	Step      int
+	Have, Not int // proxies that were to have it, and of them those that report and did not take it up
+	After     time.Duration
+}
+
+func (e RolloutNotTaken) Error() string {
+	return fmt.Sprintf("epoch %d was stopped in step %d: %d of %d proxies that were to have it did not take it up in %v", e.Epoch, e.Step+1, e.Not, e.Have,
+		e.After.Round(time.Second))
+}
+
+// Advice is what an operator can do.
+func (e RolloutNotTaken) Advice() string {
+	return "FLEET on such a proxy's console says why. Mostly its file of services lacks a service that the policy leads to: enter it there, " +
+		"and have the team offer the file again under a higher number."
+}
+
 // Rollout is the stewards' side. Callers see to it that one at a time calls. The same calls give the same state, so a log of
 // the calls is all that must outlive a steward.
 type Rollout struct {
@@ -124,6 +143,7 @@
 
 	pool    int      // proxies that are compared
 	late    int      // those that came after the draw
+	wider   int      // how often a step had to be made wider
 	drawn   int      // of them, those that have the new policy
 	rest    []*proxy // of them, those that have not; some may have left or got it since
 	sorted  bool     // rest is in the order of the draw
@@ -262,7 +282,7 @@
 		}
 	}
 	r.next, r.state, r.stopped, r.seed, r.step = o, Rolling, nil, seed, 0
-	r.fleet = len(r.proxies)
+	r.fleet, r.wider = len(r.proxies), 0
 	r.deal()
 	r.enter(now)
 	return nil
@@ -346,6 +366,9 @@
 // stop the step; in the last step with others to compare with, up to half.
 func (r *Rollout) size(n int) int {
 	k := min(n, int(math.Ceil(r.set.Steps[r.step]*float64(n))))
+	if r.wider > 0 {
+		k = max(k, min(n/2, k<<min(r.wider, 16)))
+	}
 	most := int(math.Ceil(0.1 * float64(n)))
 	if r.step == len(r.set.Steps)-2 {
 		most = n / 2
@@ -455,11 +478,12 @@
 		return
 	}
 	// Danger: a look with few requests tells little and costs its part of the error rate. Without traffic a step does not end.
-	counts, known := r.counts(now)
-	if !known && r.flaws&noDeaf == 0 {
-		return
-	}
-	if (counts[0] < r.set.Enough || counts[1] < r.set.Enough) && r.flaws&noEnough == 0 {
+	c := r.counts(now)
+	counts := c.requests
+	if !c.known() && r.flaws&noDeaf == 0 || (counts[0] < r.set.Enough || counts[1] < r.set.Enough) && r.flaws&noEnough == 0 {
+		if now-r.began > patience*r.set.Silent && r.flaws&noPatience == 0 {
+			r.stuck(now, c)
+		}
 		return
 	}
 	told, all, silent := r.figures(now)
@@ -519,30 +543,58 @@
 	}
 }
 
-// counts are the requests of those that have the new policy, and of the others. It is not known how a step goes while more than a quarter
-// of the others are silent, for then it is us who are deaf, or while most of those that are to have the policy have told of it nothing yet.
-func (r *Rollout) counts(now time.Duration) (counts [2]int64, known bool) {
-	others, silent, have, yet := 0, 0, 0, 0
+// tally is what is known of a step before it is looked at: requests and proxies of those that have the new policy, and of the others.
+type tally struct {
+	requests     [2]int64
+	proxies      [2]int
+	silent, here int // of the others, and those that are not gone
+	yet          int // of those that are to have the policy: they are not silent, and have told nothing of it
+	not          int // of these, those that have reported in the step
+}
+
+// known tells whether a step can be looked at: not while more than a quarter of the others are silent, for then it is us who are deaf, nor
+// while most of those that are to have the policy have told of it nothing yet.
+func (c *tally) known() bool { return 4*c.silent <= c.here && 2*c.yet <= c.proxies[0] }
+
+func (r *Rollout) counts(now time.Duration) (c tally) {
 	r.compared(func(p *proxy) {
 		side := 1
 		switch {
 		case p.has:
 			side = 0
-			have++
 			if !p.under && !r.silent(p, now) {
-				yet++
+				c.yet++
+				if p.last > r.began {
+					c.not++
+				}
 			}
 		case p.gone: // we know that it is
 		default:
-			others++
+			c.here++
 			if r.silent(p, now) {
-				silent++
+				c.silent++
 			}
 		}
 		_, n := r.share(p, now)
-		counts[side] += n
+		c.requests[side] += n
+		c.proxies[side]++
 	})
-	return counts, 4*silent <= others && 2*yet <= have
+	return c
+}
+
+// patience is for how many times Silent a step that can't be looked at is let be.
+const patience = 3
+
+// stuck is a step that can't be looked at for long. Danger: what waits behind it would wait for ever. Without traffic it waits all the same.
+func (r *Rollout) stuck(now time.Duration, c tally) {
+	switch have, others := int64(c.proxies[0]), int64(c.proxies[1]); {
+	case 2*c.not > c.proxies[0]:
+		r.state, r.stopped = Stopped, RolloutNotTaken{r.next.Epoch, r.step, c.proxies[0], c.not, now - r.began}
+	case c.requests[0] < r.set.Enough && c.requests[1]*have >= r.set.Enough*others && 2*r.drawn < r.pool:
+		// Those that were drawn have fewer requests than others: more are drawn, up to half.
+		r.wider++
+		r.enter(now)
+	}
 }
 
 // sides are the shares of bad requests of those that have the new policy, and of the others, in the order of the draw.
--- a/internal/rollout/trains_test.go
+++ b/internal/rollout/trains_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -18,6 +19,8 @@
 	all   []*member
 	share func(m *member) float64 // of its requests that go bad, besides its own
 	deaf  bool                    // no report comes through
+	takes func(m *member) bool    // whether it takes up what it is offered; nil is all do
+	idle  func(m *member) bool    // whether it has no requests; nil is none
 	each  int64                   // requests in a second
 }
 
@@ -75,8 +78,12 @@
 			for i := gap(l.rng, min(1, m.own+l.share(m))); i < l.each; i += 1 + gap(l.rng, min(1, m.own+l.share(m))) {
 				bad++
 			}
-			l.r.Report(l.now, Report{m.name, m.number, m.has, l.each - bad, bad})
-			if o := l.r.Offer(m.name); o.After(m.has) {
+			good := l.each - bad
+			if l.idle != nil && l.idle(m) {
+				good, bad = 0, 0
+			}
+			l.r.Report(l.now, Report{m.name, m.number, m.has, good, bad})
+			if o := l.r.Offer(m.name); o.After(m.has) && (l.takes == nil || l.takes(m)) {
 				m.has = o
 			}
 		}
@@ -367,6 +374,64 @@
 	}
 }
 
+// A policy that most can't take up is stopped and told; where only a few can't, it goes on.
+func TestAPolicyThatCannotBeTakenUp(t *testing.T) {
+	play := func(flaws flaw, each int) (State, error) {
+		l := newLane(t, 1, 300, flaws)
+		n := map[string]int{}
+		for i, m := range l.all {
+			n[m.name] = i
+		}
+		l.takes = func(m *member) bool { return n[m.name]%each == 0 }
+		l.begin(t, 2)
+		l.until(10 * time.Minute)
+		return l.r.State()
+	}
+	var not RolloutNotTaken
+	if state, err := play(0, 5); state != Stopped || !errors.As(err, &not) || advice.Of(err) == "" {
+		t.Errorf("%v %v", state, err)
+	}
+	if state, err := play(0, 1); state != Done {
+		t.Errorf("%v %v", state, err)
+	}
+	if state, _ := play(noPatience, 5); state != Rolling {
+		t.Errorf("not convicted: it waits for ever: %v", state)
+	}
+}
+
+// Where those that were drawn have hardly any requests and others have, more are drawn; where nobody has, it waits as before.
+func TestMostProxiesAreIdle(t *testing.T) {
+	play := func(flaws flaw, busy int, harm float64) (State, int) {
+		l := newLane(t, 2, 300, flaws)
+		n := map[string]int{}
+		for i, m := range l.all {
+			n[m.name] = i
+		}
+		l.idle = func(m *member) bool { return n[m.name] >= busy }
+		l.share = func(m *member) float64 {
+			if m.has.Epoch == 2 {
+				return harm
+			}
+			return 0
+		}
+		l.begin(t, 2)
+		state := l.until(20 * time.Minute)
+		return state, l.have(2)
+	}
+	if state, _ := play(0, 12, 0); state != Done {
+		t.Error(state)
+	}
+	if state, had := play(0, 12, 0.5); state != Stopped || had > 150 {
+		t.Errorf("%v, and %d had it", state, had)
+	}
+	if state, had := play(0, 0, 0); state != Rolling || had > 9 {
+		t.Errorf("without requests: %v, and %d had it", state, had)
+	}
+	if state, _ := play(noPatience, 2, 0); state == Done {
+		t.Error("not convicted: it waits for ever")
+	}
+}
+
 // The error rate of fleets in which the unlikeliest draw is not unlikely enough is as low as it can be, and never over what is set.
 func TestSmallFleetsHaveAHigherRate(t *testing.T) {
 	set := Defaults()
