--- a/internal/steward/trains_test.go
+++ b/internal/steward/trains_test.go
@@ -31,6 +31,7 @@
 
 	changes []*offered
 	harm    map[uint64]bool // epochs that have something harmful
+	never   map[uint64]bool // epochs that proxies can't take up
 	harmHad int             // proxies that had a harmful one at once, at most
 	trains  int
 	stops   int
@@ -63,6 +64,7 @@
 	team, number int
 	at           time.Duration
 	harm         bool
+	never        bool          // proxies can't take it up
 	epoch        uint64        // of the first that was through with it
 	force        time.Duration // when all had it
 }
@@ -70,7 +72,7 @@
 func newYard(t testing.TB, seed uint64, n, teams int) *yard {
 	t.Helper()
 	f := &fleet.File{}
-	y := &yard{t: t, rng: rand.New(rand.NewPCG(seed, 21)), set: f.Rollout(), harm: map[uint64]bool{}}
+	y := &yard{t: t, rng: rand.New(rand.NewPCG(seed, 21)), set: f.Rollout(), harm: map[uint64]bool{}, never: map[uint64]bool{}}
 	y.found(teams)
 	y.join(n)
 	return y
@@ -142,6 +144,13 @@
 	}
 	y.trains++
 	y.harm[s.Next.Epoch] = y.harm[s.Base.Epoch]
+	for _, c := range s.Train {
+		for _, o := range y.changes {
+			if o.never && c.Namespace == fmt.Sprint("t", o.team) && c.Number == uint64(o.number) {
+				y.never[s.Next.Epoch] = true
+			}
+		}
+	}
 	for _, c := range s.Train {
 		for _, o := range y.changes {
 			if o.harm && c.Namespace == fmt.Sprint("t", o.team) && c.Number == uint64(o.number) {
@@ -248,7 +257,7 @@
 	if c.has.After(o) && o.Order > c.has.Order {
 		y.wrong = append(y.wrong, "an offer goes back")
 	}
-	if o.After(c.has) {
+	if o.After(c.has) && !y.never[o.Epoch] {
 		c.coming = o
 		y.taking = append(y.taking, c)
 	}
@@ -499,6 +508,25 @@
 	}
 }
 
+// One that proxies can't take up keeps nobody else waiting for ever.
+func TestOneThatCannotBeTakenUp(t *testing.T) {
+	y := newYard(t, 11, 300, 24)
+	y.settle()
+	y.offer(20, 2, "/first", false)
+	y.run(time.Second)
+	y.changes = append(y.changes, &offered{team: 3, number: 2, never: true}) // known before it departs
+	for i := range 6 {
+		y.offer(i, 2, fmt.Sprint("/n", i), false)
+		y.run(time.Second)
+	}
+	y.settle()
+	y.changes = slices.DeleteFunc(y.changes, func(o *offered) bool { return o.team == 3 })
+	y.check()
+	if f := y.book.Standing().Faults; len(f) != 1 || f[0].Namespace != "t3" || !strings.Contains(f[0].Why, "did not take it up") {
+		t.Errorf("%+v", f)
+	}
+}
+
 // A zone is cut off through twenty changes: the others go on, also past a harmful one, and joined again it has what they have.
 func TestAZoneIsCutOffThroughTwentyChanges(t *testing.T) {
 	y := newYard(t, 10, 300, 24)
