--- a/internal/policybook/train.go
+++ b/internal/policybook/train.go
@@ -102,7 +102,7 @@
 			s.settled()
 			return
 		}
-		if s.Head.Offer.Order != s.Order || slices.ContainsFunc(s.Kept, func(k Kept) bool { return k.Offer.Epoch >= s.Head.Offer.Epoch }) {
+		if s.Head.Offer.Order != s.Order || s.departed(s.Head.Offer.Epoch) {
 			s.Epoch++ // others went out after it was merged
 			s.Head.Offer.Order, s.Head.Offer.Epoch = s.Order, s.Epoch
 		}
@@ -110,6 +110,11 @@
 	}
 }
 
+// departed tells whether an epoch, or one after it, has gone out.
+func (s *state) departed(epoch uint64) bool {
+	return slices.ContainsFunc(s.Kept, func(k Kept) bool { return k.Offer.Epoch >= epoch })
+}
+
 // enter has a policy go out. What all have stays until it is through.
 func (s *state) enter(k Kept) {
 	s.Kept = append(s.Kept, k)
@@ -212,6 +217,10 @@
 	b.blame(s, all)
 }
 
+// mend is what whoever gave a change that was at fault can do.
+const mend = "It was taken out, and what else was under way goes on without it. Mend it and offer it under a higher number. The few proxies that " +
+	"have it get the next policy first; until there is one, going back to an epoch that is kept takes them along."
+
 // blame takes changes out of Head, and tells why. What their teams have offered since stays. What was held is looked at anew.
 func (b *Book) blame(s *state, all []change) {
 	base, why := s.base(), s.Stopped
@@ -228,7 +237,7 @@
 	}
 	for i, c := range all {
 		if b.flaws&tellOne == 0 || i == 0 {
-			s.fault(Fault{c.Change, c.At, why.Why, why.Help})
+			s.fault(Fault{c.Change, c.At, why.Why, mend})
 		}
 		switch {
 		case !s.Head.has(c):
