--- a/internal/proxy/policy_test.go
+++ b/internal/proxy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -11,7 +12,12 @@
 
 	"lapisspread/internal/fleet"
 	"lapisspread/internal/fleetlink"
+	"lapisspread/internal/namespace"
+	"lapisspread/internal/pieces"
 	"lapisspread/internal/policybook"
+	"lapisspread/internal/policyroutes"
+	"lapisspread/internal/rollout"
+	"lapisspread/internal/route"
 )
 
 const policyCharter = `version = 1
@@ -139,3 +145,79 @@
 		}
 	}
 }
+
+// What did not change since the policy before is taken over; with other services, or after another policy, all is looked at anew.
+func TestAPolicyThatFollowsOnAnotherIsNotBuiltAnew(t *testing.T) {
+	weight := 1.0
+	policy := func(number uint64, path, service string) *namespace.Policy {
+		p := &namespace.Policy{Form: 1}
+		for _, name := range []string{"a", "b"} {
+			r := namespace.PolicyRoute{From: namespace.Source{Namespace: "n", Number: number, Rule: "route " + name}}
+			r.Name, r.Path, r.To = "n/"+name, "/"+name, []namespace.Target{{Service: "one", Weight: &weight}}
+			if name == "b" {
+				r.Path, r.To = path, []namespace.Target{{Service: service, Weight: &weight}}
+			}
+			p.Routes = append(p.Routes, r)
+		}
+		b := namespace.PolicyBlock{From: namespace.Source{Namespace: "n", Number: number, Rule: "block c"}}
+		b.Name, b.Path = "n/c", "/c"
+		p.Blocks = append(p.Blocks, b)
+		return p
+	}
+	taken := func(was *fleetlink.Taken, p *namespace.Policy) *fleetlink.Taken {
+		to, err := p.Tree()
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := &fleetlink.Taken{Offer: rollout.Offer{Order: 1, Epoch: p.Routes[0].From.Number, Hash: to.Root().String()}, Policy: p}
+		if was != nil {
+			from, err := was.Policy.Tree()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if next.Policy, next.Diff, err = was.Policy.With(pieces.Changes(from, to)); err != nil {
+				t.Fatal(err)
+			}
+			next.Before = was.Offer
+		}
+		return next
+	}
+	services := map[string]*service{"one": {}, "two": {}}
+	first := taken(nil, policy(1, "/b", "one"))
+	n := installed{byName: services}
+	if err := n.decideBy(first, true); err != nil {
+		t.Fatal(err)
+	}
+	next := n
+	if err := next.decideBy(taken(first, policy(2, "/x", "two")), true); err != nil {
+		t.Fatal(err)
+	}
+	if next.blocks != n.blocks {
+		t.Error("blocks that did not change were built again")
+	}
+	finds := func(n *installed, path string) string {
+		if r, v := n.table.Lookup(&route.Request{Path: path}); v == route.Found {
+			return r.To[0].Service
+		}
+		return ""
+	}
+	if finds(&next, "/x") != "two" || finds(&next, "/b") != "" || finds(&next, "/a") != "one" || finds(&n, "/b") != "one" {
+		t.Error("the routes are not those of the policy")
+	}
+	missing := policyroutes.MissingServices{}
+	again := n
+	if err := again.decideBy(taken(first, policy(2, "/x", "three")), true); !errors.As(err, &missing) || missing.Services[0] != "three" {
+		t.Errorf("a route to a service that is not there: %v", err)
+	}
+	reloaded := installed{byName: map[string]*service{"two": {}}, policy: nil}
+	if err := reloaded.decideBy(next.policy, true); !errors.As(err, &missing) || missing.Services[0] != "one" {
+		t.Errorf("a route that did not change, to a service that is no longer there: %v", err)
+	}
+	// A diff against another policy than the one that holds is none.
+	strange := n
+	odd := taken(first, policy(2, "/x", "two"))
+	odd.Before.Epoch = 7
+	if err := strange.decideBy(odd, true); err != nil || strange.blocks == n.blocks || finds(&strange, "/x") != "two" {
+		t.Errorf("%v: built on what it does not follow on", err)
+	}
+}
