--- a/internal/steward/trains_test.go
+++ b/internal/steward/trains_test.go
@@ -55,7 +55,7 @@
 	own    float64
 	number uint64
 	coming rollout.Offer // that it is taking up
-	gone   bool
+	gone   bool          // or cut off
 }
 
 // offered is a change.
@@ -319,10 +319,10 @@
 	y.settle()
 }
 
-// times are how long changes took until all had them, sorted.
+// times are how long changes that do no harm took until all had them, sorted.
 func (y *yard) times() (all []time.Duration) {
 	for _, o := range y.changes {
-		if o.force > 0 {
+		if o.force > 0 && !o.harm {
 			all = append(all, o.force-o.at)
 		}
 	}
@@ -348,7 +348,9 @@
 	y.settle()
 	y.hour(20*time.Minute, 9*time.Second, 10)
 	y.check()
-	t.Logf("%d changes in %d trains, %d stopped; %d of 300 had something harmful at most", len(y.changes), y.trains, y.stops, y.harmHad)
+	all := y.times()
+	t.Logf("%d changes in %d trains, %d stopped; %d of 300 had something harmful at most; blameless ones, offer to force: p50 %v, p99 %v, max %v",
+		len(y.changes), y.trains, y.stops, y.harmHad, all[len(all)/2], all[len(all)*99/100], all[len(all)-1])
 	if y.harmHad > 100 {
 		t.Errorf("%d of 300 had something harmful", y.harmHad)
 	}
@@ -367,6 +369,8 @@
 		if f := y.book.Standing().Faults; len(f) != 1 || f[0].Namespace != fmt.Sprint("t", bad) {
 			t.Errorf("%+v", f)
 		}
+		all := y.times()
+		t.Logf("the harmful one is %d: %d trains; all blameless ones in force after %v", bad, y.trains, all[len(all)-1])
 	}
 }
 
@@ -495,6 +499,36 @@
 	}
 }
 
+// A zone is cut off through twenty changes: the others go on, also past a harmful one, and joined again it has what they have.
+func TestAZoneIsCutOffThroughTwentyChanges(t *testing.T) {
+	y := newYard(t, 10, 300, 24)
+	y.settle()
+	zone := y.all[:14]
+	cut := func(is bool) {
+		for _, c := range zone {
+			c.gone = is
+		}
+		y.counted = false
+	}
+	y.offer(20, 2, "/first", false)
+	y.run(time.Second)
+	cut(true)
+	for i := range 20 {
+		y.offer(i, 2, fmt.Sprint("/n", i), i == 7)
+		y.run(9 * time.Second)
+	}
+	y.settle()
+	before := y.book.Standing().Base
+	cut(false)
+	y.settle()
+	y.check()
+	for _, c := range y.all {
+		if c.has != before {
+			t.Fatalf("%s has %+v, the others %+v", c.name, c.has, before)
+		}
+	}
+}
+
 func TestFoundedAnew(t *testing.T) {
 	y := newYard(t, 9, 300, 24)
 	y.settle()
