--- a/internal/namespace/conflict.go
+++ b/internal/namespace/conflict.go
@@ -476,7 +476,7 @@
 }
 
 // mostCombinations of methods, classes and tenants may all routes come to. It is well under what package route takes.
-const mostCombinations = 200_000
+const mostCombinations = 400_000
 
 // allRoutes stands for all routes of a namespace in a conflict.
 const allRoutes = "all routes"
