--- a/internal/namespace/items_test.go
+++ b/internal/namespace/items_test.go
@@ -11,6 +11,7 @@
 
 	"lapisspread/internal/advice"
 	"lapisspread/internal/pieces"
+	"lapisspread/internal/route"
 )
 
 func treeOf(tb testing.TB, p *Policy) *pieces.Tree {
@@ -47,6 +48,7 @@
 				t.Fatalf("set %d: the policy before was changed", i)
 			}
 			checkDiff(t, was, out.Policy, diff)
+			checkTable(t, got)
 			changed, gone = changed+len(diff.Routes), gone+len(diff.RoutesGone)
 			first, was = out, out.Policy
 		}
@@ -84,6 +86,29 @@
 	}
 }
 
+// checkTable wants the table that a policy came with to be that of its routes.
+func checkTable(t *testing.T, p *Policy) {
+	t.Helper()
+	want, err := route.Compile(p.Rules(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := p.Table()
+	if err != nil || got.Rules() != want.Rules() || !slices.Equal(got.Services(), want.Services()) {
+		t.Fatalf("%v: a table of %d rules to %v, not of %d to %v", err, got.Rules(), got.Services(), want.Rules(), want.Services())
+	}
+	for i := range p.Routes {
+		for _, spare := range []spare{"x", "y"} {
+			q := spare.fresh(&p.Routes[i].Match)
+			x, v := got.Lookup(&q)
+			y, w := want.Lookup(&q)
+			if v != w || (x == nil) != (y == nil) || x != nil && (x.Name != y.Name || !slices.Equal(x.To, y.To)) {
+				t.Fatalf("%+v: %v %v, compiled %v %v", q, x, v, y, w)
+			}
+		}
+	}
+}
+
 // A new version of a file costs what it says otherwise, not all its rules.
 func TestANewVersionOfAFileIsFewItems(t *testing.T) {
 	c, all, next := fleet(t, 20, 40, 1, false)
