--- a/internal/pieces/assembly_test.go
+++ b/internal/pieces/assembly_test.go
@@ -404,3 +404,58 @@
 		t.Errorf("a change within took %d bytes of %d", most, was.Size())
 	}
 }
+
+// Bytes of any kind under their right name end in a tree of that root, or are refused; nothing else becomes of them.
+func TestPiecesOfAnyBytes(t *testing.T) {
+	d := draw(9)
+	content := map[string][]byte{}
+	for len(content) < 60 {
+		content[d.key()] = d.value()
+	}
+	tree, err := Build(d.items(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := slices.SortedFunc(maps.Values(maps.Collect(tree.Pieces())), bytes.Compare)
+	taken := 0
+	for i := range 30_000 {
+		piece := bytes.Clone(all[d.IntN(len(all))])
+		for range d.IntN(3) {
+			switch at := d.IntN(max(1, min(len(piece), 1<<d.IntN(10)))); {
+			case len(piece) == 0:
+			case d.IntN(2) == 0:
+				piece[at] = byte(d.IntN(256))
+			case d.IntN(2) == 0:
+				piece = piece[:at]
+			default:
+				piece = slices.Insert(piece, at, byte(d.IntN(8)))
+			}
+		}
+		root, pieces := NameOf(piece), [][]byte{piece}
+		if d.IntN(3) == 0 { // as a chunk or a list of a value
+			long := &long{total: mostInline + 1 + d.IntN(5000), top: root}
+			leaf := leafOf([]item{{key: "k", long: long}})
+			root, pieces = leaf.name, [][]byte{leaf.piece, piece}
+		}
+		a := Assemble(root, nil)
+		for _, piece := range pieces {
+			err = a.Add(piece)
+		}
+		got, missing := a.Tree()
+		if err != nil && missing == nil {
+			t.Fatalf("piece %d: %x is refused, and there is a tree: %v", i, piece, err)
+		}
+		if missing != nil {
+			continue
+		}
+		taken++
+		again, err := Build(slices.Collect(got.Items()))
+		if err != nil || again.Root() != root {
+			t.Fatalf("piece %d: %x: a tree of another root: %v", i, piece, err)
+		}
+	}
+	t.Logf("%d taken", taken)
+	if taken < 100 {
+		t.Error("the draw is too wild")
+	}
+}
