--- a/internal/policybook/train.go
+++ b/internal/policybook/train.go
@@ -102,7 +102,7 @@
 			s.settled()
 			return
 		}
-		if s.Head.Offer.Order != s.Order || slices.ContainsFunc(s.Kept, func(k Kept) bool { return k.Offer.Epoch >= s.Head.Offer.Epoch }) {
+		if s.Head.Offer.Order != s.Order || s.departed(s.Head.Offer.Epoch) {
 			s.Epoch++ // others went out after it was merged
 			s.Head.Offer.Order, s.Head.Offer.Epoch = s.Order, s.Epoch
 		}
@@ -110,6 +110,11 @@
 	}
 }
 
+// departed tells whether an epoch, or one after it, has gone out.
+func (s *state) departed(epoch uint64) bool {
+	return slices.ContainsFunc(s.Kept, func(k Kept) bool { return k.Offer.Epoch >= epoch })
+}
+
 // enter has a policy go out. What all have stays until it is through.
 func (s *state) enter(k Kept) {
 	s.Kept = append(s.Kept, k)
@@ -191,12 +196,19 @@
 		return
 	}
 	half := len(all) / 2
+	var parts [][]change
 	for i := range all[1:] {
 		n := half + i // a half or more, then less
 		if n >= len(all) {
 			n = len(all) - 1 - i
 		}
-		if _, came := b.tried(s, all[:n]); len(came) > 0 && len(came) < len(all) {
+		parts = append(parts, all[:n])
+	}
+	for i := range all[1:] { // one may need another that came in with it, and not the other way round
+		parts = append(parts, all[i+1:i+2])
+	}
+	for _, p := range parts {
+		if _, came := b.tried(s, p); len(came) > 0 && len(came) < len(all) {
 			rest := slices.DeleteFunc(slices.Clone(all), func(c change) bool { return slices.Contains(came, c) })
 			s.Trials = slices.Insert(s.Trials, 0, came, rest)
 			return
