Measure hollow proxies once the first policy is through, with collectors that keep within the machine's half

Need: at 13,000 routes and 150,000 tenants a memory limit had the collectors of 298 proxies run without end, and 1.2% of a core was theirs. Change: garbage that may stand is worked out from the room that each has; the changes wait until all that goes out at the beginning is through; attempts under an epoch that is not known yet are looked at once it is.

--- a/internal/lab/capacity/child.go
+++ b/internal/lab/capacity/child.go
@@ -27,8 +27,8 @@
 	Dir      string // of state folders
 	Services []string
 	Proxies  []placed
-	Paper    bool  // they take nothing up, and bear the rig's work alone
-	Limit    int64 // bytes of memory that the collector keeps within; 0 is none
+	Paper    bool // they take nothing up, and bear the rig's work alone
+	Collect  int  // see Need
 }
 
 // placed is one hollow proxy.
@@ -139,8 +139,8 @@
 	if err := json.Unmarshal(lines.Bytes(), &c.place); err != nil {
 		return err
 	}
-	if c.place.Limit > 0 {
-		debug.SetMemoryLimit(c.place.Limit)
+	if c.place.Collect > 0 {
+		debug.SetGCPercent(c.place.Collect)
 	}
 	file, err := fleet.Load(c.place.Fleet)
 	if err != nil {
--- a/internal/lab/capacity/play.go
+++ b/internal/lab/capacity/play.go
@@ -93,6 +93,11 @@
 		return err
 	}
 	r.say("the changes begin")
+	r.mu.Lock()
+	r.served, r.unchecked = 0, 0 // before the first policy there is nothing to answer by
+	clear(r.unserved)
+	r.early = nil
+	r.mu.Unlock()
 	began := duty.Boottime()
 	checks, stopChecks := context.WithCancel(ctx)
 	defer stopChecks()
@@ -349,6 +354,7 @@
 	defer r.mu.Unlock()
 	const most = 40
 	merged := 0
+	defer r.checkEarly()
 	for _, hash := range slices.Sorted(maps.Keys(r.unknown)) {
 		c, there := r.contents[hash]
 		tried := map[string]bool{}
@@ -381,6 +387,17 @@
 	}
 }
 
+// checkEarly holds the attempts that came under epochs that were not known then against what these became known to be. r.mu is held.
+func (r *run) checkEarly() {
+	for _, a := range r.early {
+		if c, there := r.epochs[a.epoch]; there {
+			r.checkAttempt(a, c)
+		} else {
+			r.unchecked++
+		}
+	}
+}
+
 // hashOf is under which hash files' policy is offered.
 func (t *site) hashOf(numbers []int) (string, error) {
 	p, _, err := t.policyOf(numbers)
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -63,6 +63,7 @@
 	faults    []Fault
 	troubled  bool // faults go on
 	held      map[string]bool
+	early     []attempt // under epochs that were not known yet
 	unchecked int
 	served    int
 	unserved  map[string]int // by why
@@ -206,6 +207,18 @@
 	case <-ctx.Done():
 		return fmt.Errorf("%v after the start %d of %d proxies do not decide by the first policy%s", r.set.Start, r.count(w), r.set.Proxies, r.stand(ctx))
 	}
+	if err := again(ctx, "what goes out at the beginning is through", func() error {
+		s, err := r.file.Policies(ctx, r.operator)
+		switch st := s.Standing; {
+		case err != nil:
+			return err
+		case !s.Leads || st.Next.Epoch > 0 || newest(st).Hash != st.Base.Hash || s.Have < s.Proxies-(r.set.Proxies-len(r.able())):
+			return fmt.Errorf("%s: %d of %d proxies have it%s", s.State, s.Have, s.Proxies, r.stand(ctx))
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
 	res.StartMS = ms(time.Since(began))
 	r.say("%v: all proxies decide by the first policy", time.Since(began).Round(time.Millisecond))
 	return nil
@@ -404,8 +417,7 @@
 		all = append(all, placed{No: no, Name: fmt.Sprintf("h%d", no), Flaw: r.set.Flaws[no], Rate: r.set.Rate, Bad: r.set.Bad * 2 * rng.Float64()})
 	}
 	for at := 0; at < len(all); at += r.set.Each {
-		p := place{Fleet: r.fleetPath, Dir: r.folders, Services: r.services, Proxies: all[at:min(at+r.set.Each, len(all))]}
-		p.Limit = int64(1e6 * (20 + res.Need.RoomMB*float64(len(p.Proxies))))
+		p := place{Fleet: r.fleetPath, Dir: r.folders, Services: r.services, Proxies: all[at:min(at+r.set.Each, len(all))], Collect: res.Need.Collect}
 		c, err := r.child(fmt.Sprintf("hollow proxies %d and on", at), p)
 		if err != nil {
 			return err
@@ -576,7 +588,7 @@
 				r.broke("went back", fmt.Sprintf("%s: attempts under epoch %q after %d", p.name, epochs[0], lastEpoch))
 			}
 			lastEpoch = epoch
-			r.attempt(p.name, epoch, route, service)
+			r.attempted(attempt{p.name, epoch, route, service})
 		}
 		if err == nil && w != nil && slices.Contains(w.expect.Services[at], service) {
 			if met[w.expect.ID]++; met[w.expect.ID] == len(w.expect.Requests) {
@@ -619,18 +631,31 @@
 	return words[0], words[1:], nil
 }
 
-// attempt holds one of a real proxy against the policy of its epoch.
-func (r *run) attempt(proxy string, epoch uint64, route int, service string) {
+// attempt is one of a real proxy, as it came to a backend.
+type attempt struct {
+	proxy   string
+	epoch   uint64
+	route   int
+	service string
+}
+
+// attempted holds one against the policy of its epoch, or keeps it until that is known.
+func (r *run) attempted(a attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.served++
-	c, there := r.epochs[epoch]
-	if !there {
+	if c, there := r.epochs[a.epoch]; there {
+		r.checkAttempt(a, c)
+	} else if len(r.early) < 100_000 {
+		r.early = append(r.early, a)
+	} else {
 		r.unchecked++
-		return
 	}
-	if want := r.want(route, c); want != service {
-		r.wrongLocked(proxy, fmt.Sprintf("epoch %d: a request of %s came to %s, not to %s", epoch, r.site.name(route), service, want))
+}
+
+func (r *run) checkAttempt(a attempt, c content) {
+	if want := r.want(a.route, c); want != a.service {
+		r.wrongLocked(a.proxy, fmt.Sprintf("epoch %d: a request of %s came to %s, not to %s", a.epoch, r.site.name(a.route), a.service, want))
 	}
 }
 
--- a/internal/lab/capacity/settings.go
+++ b/internal/lab/capacity/settings.go
@@ -119,6 +119,7 @@
 	FileBytes   int     `json:"file_bytes"`     // the longest of a team
 	EachMB      float64 `json:"hollow_live_mb"` // measured on one: what it holds of the policy
 	RoomMB      float64 `json:"hollow_room_mb"` // what each may hold at most, with garbage
+	Collect     int     `json:"hollow_gogc"`    // so much garbage, in percent of what is alive, stands before a collection
 	Folders     bool    `json:"folders_in_memory"`
 	MemoryMB    float64 `json:"memory_mb"`
 	LimitMB     float64 `json:"limit_mb"` // half of the machine's
@@ -132,7 +133,10 @@
 }
 
 // leastRoom is by how many times what is alive a process's memory must be larger, for its collector to come round.
-const leastRoom = 1.1
+const (
+	leastRoom    = 1.15
+	leastCollect = 10
+)
 
 // TooLarge is a run that does not fit on this machine.
 type TooLarge struct {
@@ -179,16 +183,17 @@
 		return n, err
 	}
 	n.LimitMB = float64(info.Totalram) * float64(info.Unit) / 2e6
-	// A steward keeps policies with their files, as text and parsed. What is left is parted among the hollow ones: the collector of each
-	// process keeps within that.
+	// A steward keeps policies with their files, as text and parsed. What is left is parted among the hollow ones: the collectors of their
+	// processes come round the more often.
 	mb := float64(len(text)) / 1e6
-	others := float64(s.children()+1)*30 + stewards*(60+60*mb) + float64(s.Real+2)*(80+4*n.EachMB+.3*float64(s.Services)) + 200
+	others := float64(s.children()+1)*12 + stewards*(40+50*mb) + float64(s.Real+2)*(60+2.5*n.EachMB+.3*float64(s.Services)) + 150
 	n.MemoryMB = others + float64(s.hollow())*(leastRoom*n.EachMB+.7)
 	n.RoomMB = (n.LimitMB - others) / float64(s.hollow())
 	if folder := 1.5 * mb; n.RoomMB-folder > 1.5*n.EachMB+.7 {
 		n.RoomMB -= folder
 		n.Folders = true
 	}
+	n.Collect = int(min(100, max(leastCollect, 70*((n.RoomMB-.7)/max(.1, n.EachMB)-1)))) // less than there is: memory comes in spans
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		return n, err
