--- a/cmd/lapislab/main.go
+++ b/cmd/lapislab/main.go
@@ -48,10 +48,11 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(runCommand(), simulateCommand(), listCommand(), selfCheckCommand(), plainProxyCommand(), experimentCommand(), compareCommand(), loadCommand(), scaleCommand(), overloadCommand(), floodCommand(), floodClientCommand(),
-		soakCommand(), addressesCommand(), diameterCommand(), payoutsCommand(), comebackCommand(), killsCommand(), grantsCommand(), slopesCommand())
+		soakCommand(), addressesCommand(), diameterCommand(), payoutsCommand(), comebackCommand(), killsCommand(), grantsCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
+	root.AddCommand(slopesCommand())
 	err := root.ExecuteContext(ctx)
 	switch {
 	case err == nil:
