Have a proxy report in time while it fetches, and over slow links

A proxy that fetched for seconds, or whose reports were answered late, looked silent in a step, and the train was stopped for it. Now it fetches for half a second between two reports, and the time of a call is part of the time to the next.

--- a/internal/fleetlink/fetch.go
+++ b/internal/fleetlink/fetch.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	mostLoose = 16 << 20        // bytes of pieces that came and are not taken up yet
-	fetchTime = 2 * time.Second // for fetching between two reports: a proxy that fetches must not fall silent
-	leastAsks = 4               // names that are asked for at once over a link that is slow
-	leastMost = 1 << 10         // bytes of pieces that a report has come along over one
+	mostLoose = 16 << 20               // bytes of pieces that came and are not taken up yet
+	fetchTime = 500 * time.Millisecond // for fetching between two reports: a proxy that fetches must not look silent in a step
+	leastAsks = 4                      // names that are asked for at once over a link that is slow
+	leastMost = 1 << 10                // bytes of pieces that a report has come along over one
 )
 
 // bag holds pieces that came and are not taken up yet, by name: what came for one root serves the next one.
@@ -144,6 +144,9 @@
 	return nil, wrong
 }
 
+// open tells whether something is on its way that a steward may be asked for now.
+func (f *fetching) open() bool { return f.to != nil && f.next() }
+
 // next looks for a steward that may be asked.
 func (f *fetching) next() bool {
 	now := f.clock()
@@ -174,7 +177,7 @@
 	switch {
 	case err != nil:
 		if inner.Err() != nil {
-			f.names = max(f.names/4, leastAsks)
+			f.names = max(f.names/2, leastAsks)
 		}
 		f.rest(mostReport)
 		return err
@@ -184,7 +187,7 @@
 	case len(out.Pieces) == 0 || out.Lacks > 0: // it is behind, or ahead
 		f.rest(mostReport)
 	}
-	f.names = min(2*f.names, fleet.MostNames)
+	f.names = min(f.names+f.names/8+1, fleet.MostNames)
 	if err := f.add(out.Pieces); err != nil {
 		f.rest(mostReport)
 		return fmt.Errorf("steward %s: %w", f.set.File.Stewards[f.at].Name, err)
--- a/internal/fleetlink/policy.go
+++ b/internal/fleetlink/policy.go
@@ -198,6 +198,7 @@
 			}
 		}
 		waits.Most = f.along
+		begun := p.clock()
 		var reply fleet.PolicyReply
 		p.counts.asks.Add(1)
 		inner, cancel := context.WithTimeout(ctx, reportTime)
@@ -228,7 +229,13 @@
 			at++
 			address = stewards[at%len(stewards)].Address
 		}
-		duty.Sleep(ctx, time.Duration(float64(every)*(.8+.4*rand.Float64()))) // a fleet must not report in step
+		// A fleet must not report in step. Over a slow link the time of the call is part of it, else the proxy would look silent; and while
+		// it fetches a report is due between two turns, no more.
+		rest := time.Duration(float64(every)*(.8+.4*rand.Float64())) - (p.clock() - begun)
+		if err == nil && f.open() {
+			rest = 0
+		}
+		duty.Sleep(ctx, max(rest, every/8))
 	}
 }
 
