--- a/internal/fleetlink/pieces_test.go
+++ b/internal/fleetlink/pieces_test.go
@@ -709,3 +709,55 @@
 		}
 	}
 }
+
+// BenchmarkTakeUp is one changed route at a proxy: the pieces that came along are put together, taken up and kept. What the process then
+// routes by is not in it.
+func BenchmarkTakeUp(b *testing.B) {
+	for _, n := range []int{1000, 4000, 13000, 26000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := NewPolicies(Settings{File: file(b.TempDir(), "127.0.0.1:1"), Name: "p1"}, func(*Taken) error { return nil })
+			f := newFetching(p)
+			trees := []*pieces.Tree{treeOf(b, version(n, 2)), treeOf(b, version(n, 3))}
+			var lacks [2][][]byte // of each, one who has the other
+			for i := range 2 {
+				for _, piece := range trees[i].Lacks(trees[1-i]) {
+					lacks[i] = append(lacks[i], piece)
+				}
+			}
+			epoch := uint64(1)
+			offer := func(i int) rollout.Offer {
+				return rollout.Offer{Order: 1, Epoch: epoch, Hash: trees[i].Root().String()}
+			}
+			if err := p.take(content{offer(0), trees[0].Root().String(), trees[0]}, yes); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				epoch++
+				i := int(epoch+1) % 2
+				r := fleet.PolicyReply{Fleet: "north", Offer: offer(i), InPieces: true, Pieces: lacks[i]}
+				if err := p.taken(b.Context(), f, r, yes); err != nil || p.Now().Offer != r.Offer || p.Now().Diff == nil {
+					b.Fatalf("%+v: %v", p.Now().Offer, err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRecall is a start on what the process before has kept.
+func BenchmarkRecall(b *testing.B) {
+	for _, n := range []int{1000, 13000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			dir, tree := b.TempDir(), treeOf(b, version(n, 2))
+			if err := newKeeper(dir, "p1").save(content{rollout.Offer{Order: 1, Epoch: 1, Hash: tree.Root().String()}, tree.Root().String(), tree}); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				p := NewPolicies(Settings{File: file(dir, "127.0.0.1:1"), Name: "p1"}, func(*Taken) error { return nil })
+				if p.Recall(); p.Now().Offer.Epoch != 1 {
+					b.Fatal("nothing was kept")
+				}
+			}
+		})
+	}
+}
