Let garbage stand in hollow proxies' processes while there is room

Need: bringing 300 proxies up with a policy of 13,000 routes took two and a half minutes, most of it collections at the percentage that is needed once all hold it. Change: the percentage follows what is alive, twice a second.

--- a/internal/lab/capacity/child.go
+++ b/internal/lab/capacity/child.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"slices"
 	"strings"
 	"sync"
@@ -27,8 +28,9 @@
 	Dir      string // of state folders
 	Services []string
 	Proxies  []placed
-	Paper    bool // they take nothing up, and bear the rig's work alone
-	Collect  int  // see Need
+	Paper    bool  // they take nothing up, and bear the rig's work alone
+	Collect  int   // see Need
+	Room     int64 // bytes that all of them may hold, with garbage; 0 is no bound
 }
 
 // placed is one hollow proxy.
@@ -113,11 +115,14 @@
 const (
 	watchEvery = 20 * time.Millisecond
 	workEvery  = 100 * time.Millisecond
+
+	collectEvery = 500 * time.Millisecond
 )
 
 type child struct {
 	place   place
 	proxies []*hollow
+	percent int // that the collector goes by; 0 is not set
 	by      map[string]*hollow
 
 	out   sync.Mutex
@@ -139,9 +144,6 @@
 	if err := json.Unmarshal(lines.Bytes(), &c.place); err != nil {
 		return err
 	}
-	if c.place.Collect > 0 {
-		debug.SetGCPercent(c.place.Collect)
-	}
 	file, err := fleet.Load(c.place.Fleet)
 	if err != nil {
 		return err
@@ -161,6 +163,7 @@
 	over := make(chan struct{})
 	var running sync.WaitGroup
 	running.Go(func() { c.every(over, watchEvery, func(time.Duration) { c.watch() }) })
+	running.Go(func() { c.every(over, collectEvery, func(time.Duration) { c.collect() }) })
 	running.Go(func() {
 		c.every(over, workEvery, func(d time.Duration) {
 			for _, h := range c.proxies {
@@ -189,6 +192,26 @@
 	return lines.Err()
 }
 
+// collect has the collector come round as seldom as the room allows: the less is alive, the more garbage may stand.
+func (c *child) collect() {
+	if c.place.Room == 0 {
+		return
+	}
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	next := percentOf(float64(c.place.Room), float64(live[0].Value.Uint64()))
+	next = max(next, c.place.Collect)
+	if c.percent == 0 || next*10 < c.percent*9 || next*9 > c.percent*10 {
+		debug.SetGCPercent(next)
+		c.percent = next
+	}
+}
+
+// percentOf is how much garbage may stand, in percent of what is alive. It is less than there is room for: memory comes in spans.
+func percentOf(room, live float64) int {
+	return int(min(100, max(leastCollect, 70*(room/max(.1, live)-1))))
+}
+
 // every does something until over closes. A process that was stopped does not make up for it: one time is a second at most.
 func (c *child) every(over <-chan struct{}, d time.Duration, do func(since time.Duration)) {
 	tick := time.NewTicker(d)
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -418,6 +418,7 @@
 	}
 	for at := 0; at < len(all); at += r.set.Each {
 		p := place{Fleet: r.fleetPath, Dir: r.folders, Services: r.services, Proxies: all[at:min(at+r.set.Each, len(all))], Collect: res.Need.Collect}
+		p.Room = int64(1e6 * (res.Need.RoomMB - .7) * float64(len(p.Proxies)))
 		c, err := r.child(fmt.Sprintf("hollow proxies %d and on", at), p)
 		if err != nil {
 			return err
--- a/internal/lab/capacity/settings.go
+++ b/internal/lab/capacity/settings.go
@@ -193,7 +193,7 @@
 		n.RoomMB -= folder
 		n.Folders = true
 	}
-	n.Collect = int(min(100, max(leastCollect, 70*((n.RoomMB-.7)/max(.1, n.EachMB)-1)))) // less than there is: memory comes in spans
+	n.Collect = percentOf(n.RoomMB-.7, max(.1, n.EachMB))
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
 		return n, err
