--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -62,6 +62,7 @@
 }
 
 func TestFaultsEndAndAllCatchUp(t *testing.T) {
+	t.Parallel()
 	s := small(t)
 	s.Faults, s.Duration = true, 15*time.Second
 	r, err := Play(t.Context(), s)
