Have a proxy's policies go by TLS where the fleet's file asks for it

Seen by reading: joinFleet gave the budgets' link a transport with the file's keys and the policies' none, so with [tls] each report went in the clear and was answered with 400: no policy ever came. The test has a steward with certificates; without the change its policy reports fail 31 of 31 (budgets' asks are answered), with it both are answered.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -14,10 +14,11 @@
 	"lapisspread/internal/fleet"
 	"lapisspread/internal/fleetlink"
 	"lapisspread/internal/steward"
+	"lapisspread/internal/tlskeys/tlstest"
 )
 
-// oneSteward has a steward divide a budget, and gives the fleet's file and what ends the steward.
-func oneSteward(t *testing.T, whole, burst float64) (path string, end func()) {
+// oneSteward has a steward divide a budget, and gives the fleet's file, with more at its end, and what ends the steward.
+func oneSteward(t *testing.T, whole, burst float64, more ...string) (path string, end func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -26,7 +27,7 @@
 	path = filepath.Join(dir, "fleet.toml")
 	text := fmt.Sprintf("version = 1\nfleet = \"north\"\nlongest = \"1s\"\nstate = %q\n[[stewards]]\nname = \"s1\"\nnumber = 1\naddress = %q\n"+
 		"[[budgets]]\nname = \"attempts\"\nof = { counts = \"attempts\" }\nwhole = %f\nburst = %f\nlease = \"1s\"\n",
-		filepath.Join(dir, "proxy"), l.Addr().String(), whole, burst)
+		filepath.Join(dir, "proxy"), l.Addr().String(), whole, burst) + strings.Join(more, "")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +50,11 @@
 		ended <- nil
 	}
 	t.Cleanup(end)
-	client := &http.Client{Transport: &http.Transport{}}
+	keys, err := f.Keys()
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: fleet.Transport(keys)}
 	defer client.CloseIdleConnections()
 	if err := f.Found(ctx, client, 1); err != nil {
 		t.Fatal(err)
@@ -117,3 +122,20 @@
 		t.Errorf("the console says %v", err)
 	}
 }
+
+// Where the fleet's file asks for TLS, budgets and policies both go by it.
+func TestTheFleetGoesByTLS(t *testing.T) {
+	files := tlstest.NewCA(t).Issue(t, "steward", time.Hour)
+	path, _ := oneSteward(t, 20, 2, fmt.Sprintf("[tls]\ncertificate = %q\nkey = %q\nca = %q\n", files.Certificate, files.Key, files.CA))
+	p := startProxy(t, listText(1, true, memberText("a", countingBackend(t, make(chan *http.Request, 1)), "active")), newCatalog(t), func(c *Config) { c.Fleet = path })
+	for by := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		r, err := operator{p.proxy}.Fleet() // an error until the proxy has joined it
+		report, _ := r.(fleetlink.Report)
+		if report.Answered > 0 && report.Policy != nil && report.Policy.Answered > 0 {
+			return
+		}
+		if time.Now().After(by) {
+			t.Fatalf("a steward never answers: %v, %+v, policy %+v", err, report, report.Policy)
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -223,7 +223,7 @@
 		p.view.Store(view)
 	}
 	p.services.policyRoutes = file.Policy.Routes // nothing runs yet
-	p.policies.Store(fleetlink.NewPolicies(fleetlink.Settings{File: file, Name: p.cfg.Name, Log: p.log}, p.services.takeUp))
+	p.policies.Store(fleetlink.NewPolicies(fleetlink.Settings{File: file, Name: p.cfg.Name, Log: p.log, Via: fleet.Transport(keys)}, p.services.takeUp))
 	return func() { cancel(); running.Wait() }, nil
 }
 
