Tell in the log whether a client took bytes while a write to it timed out

Cause: the line "streamed response broke off" showed only "i/o timeout". A client that reads slowly and one that has stalled could not be told apart. Change: rawsocket.Unacknowledged reads the bytes in a socket's send queue (SIOCOUTQ). The error of a timed-out write to a client says how long the write waited and how many bytes the client acknowledged meanwhile.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -202,9 +203,31 @@
 	c.mu.Lock()
 	c.responseStarted = true
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	startedAt := time.Now()
+	before, known := rawsocket.Unacknowledged(c.Conn)
+	n, err := c.Conn.Write(p)
+	if known && isTimeout(err) {
+		after, _ := rawsocket.Unacknowledged(c.Conn)
+		return n, &writeTimeoutError{waited: time.Since(startedAt), acknowledged: before + n - after, err: err}
+	}
+	return n, err
+}
+
+// writeTimeoutError is the error of a write to a client whose deadline passed. It tells whether the client took
+// something meanwhile.
+type writeTimeoutError struct {
+	waited       time.Duration
+	acknowledged int // bytes, also of earlier writes, that the client acknowledged during the write
+	err          error
 }
 
+func (e *writeTimeoutError) Error() string {
+	return fmt.Sprintf("%v after %v, in which the client acknowledged %d bytes",
+		e.err, e.waited.Round(time.Millisecond), e.acknowledged)
+}
+
+func (e *writeTimeoutError) Unwrap() error { return e.err }
+
 // nextFraming returns the framing of the request that net/http is handling, or false if it is unknown. It may be called
 // once per request.
 func (c *clientConn) nextFraming() (httpframe.Framing, bool) {
--- a/internal/proxy/rawsocket/rawsocket.go
+++ b/internal/proxy/rawsocket/rawsocket.go
@@ -1,5 +1,5 @@
-// Package rawsocket accesses the socket below a net.Conn: it shows what has arrived without reading it, and reads
-// without blocking. All functions may be called while another goroutine reads from the connection.
+// Package rawsocket accesses the socket below a net.Conn: it shows what has arrived without reading it and how much of
+// what was written the peer has not acknowledged, and reads without blocking. All functions may be called while another goroutine reads from the connection.
 package rawsocket
 
 import (
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn returns the socket of a connection, or an error if the connection has none, as with net.Pipe or TLS.
@@ -56,3 +58,16 @@
 		}
 	}
 }
+
+// Unacknowledged returns how many bytes were written to the socket and not yet acknowledged by the peer, and whether
+// the system tells. See SIOCOUTQ in tcp(7), which has the value of TIOCOUTQ.
+func Unacknowledged(nc net.Conn) (bytes int, known bool) {
+	raw, err := Conn(nc)
+	if err != nil {
+		return 0, false
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		bytes, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+	})
+	return bytes, controlErr == nil && err == nil
+}
--- a/internal/proxy/rawsocket/rawsocket_test.go
+++ b/internal/proxy/rawsocket/rawsocket_test.go
@@ -64,6 +64,50 @@
 	}
 }
 
+// What a peer's system has no room for stays unacknowledged until the peer reads.
+func TestUnacknowledged(t *testing.T) {
+	near, far := connect(t)
+	if n, known := Unacknowledged(near); n != 0 || !known {
+		t.Fatalf("new connection: Unacknowledged() = %d, %v, want 0, true", n, known)
+	}
+	written := fillSendBuffer(t, near)
+	before, known := Unacknowledged(near)
+	if before == 0 || before > written || !known {
+		t.Fatalf("Unacknowledged() = %d, %v after %d bytes that nobody reads, want a part of them, true", before, known, written)
+	}
+	if _, err := io.ReadFull(far, make([]byte, written-before)); err != nil {
+		t.Fatalf("reading at the peer: %v", err)
+	}
+	eventually(t, "Unacknowledged() did not decrease after the peer read all that its system held", func() bool {
+		n, _ := Unacknowledged(near)
+		return n < before
+	})
+}
+
+// fillSendBuffer writes until the socket takes no more, and returns the number of bytes.
+func fillSendBuffer(t *testing.T, nc net.Conn) int {
+	t.Helper()
+	raw, err := Conn(nc)
+	if err != nil {
+		t.Fatalf("Conn(): %v", err)
+	}
+	written := 0
+	chunk := make([]byte, 64<<10)
+	writeErr := raw.Write(func(fd uintptr) bool {
+		for {
+			n, err := syscall.Write(int(fd), chunk)
+			if err != nil {
+				return true
+			}
+			written += n
+		}
+	})
+	if writeErr != nil {
+		t.Fatalf("writing to the socket: %v", writeErr)
+	}
+	return written
+}
+
 func TestReadDoesNotWait(t *testing.T) {
 	near, _ := connect(t)
 	raw, err := Conn(near)
