Go by what a client takes, not by how long one write to it lasts

Non-idempotent requests had run. Cause: each write of an answer's chunk had a deadline of 10 s. Once a send buffer is full the system calls the socket writable again only after about a third of it was acknowledged, and it grows to 4 MB: one write blocks for 13 to 18 s while the client takes 95 kB every 1.2 s. Evidence: with the line added before, the case's proxy logged four times "i/o timeout after 10.001s, in which the client acknowledged 793133 bytes" (to 800768). A probe of the two sockets alone showed the same. Ruled out: the read deadline to the backend (the error is one of the write), the request's own time-out (1 s, long over), a client whose window stays shut for 10 s (it opened every 1.2 s; every 4 to 5 s at 20 kB/s or after a fast start). Change: internal/slowpeer writes until the peer has acknowledged less than 32 KiB in 10 s, checked every 0.5 s. All that is written to a client goes through it, also answers that net/http makes itself, which had no deadline. The bound for a client that takes nothing stays 10 s.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -14,6 +13,7 @@
 	"lapisspread/internal/admission"
 	"lapisspread/internal/proxy/httpframe"
 	"lapisspread/internal/proxy/rawsocket"
+	"lapisspread/internal/slowpeer"
 )
 
 const (
@@ -198,36 +198,15 @@
 	return n, err
 }
 
-// Write sends part of a response.
+// Write sends part of a response. It fails with a slowpeer.StalledError if the client takes less of it than the
+// registry's write limit.
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.responseStarted = true
 	c.mu.Unlock()
-	startedAt := time.Now()
-	before, known := rawsocket.Unacknowledged(c.Conn)
-	n, err := c.Conn.Write(p)
-	if known && isTimeout(err) {
-		after, _ := rawsocket.Unacknowledged(c.Conn)
-		return n, &writeTimeoutError{waited: time.Since(startedAt), acknowledged: before + n - after, err: err}
-	}
-	return n, err
-}
-
-// writeTimeoutError is the error of a write to a client whose deadline passed. It tells whether the client took
-// something meanwhile.
-type writeTimeoutError struct {
-	waited       time.Duration
-	acknowledged int // bytes, also of earlier writes, that the client acknowledged during the write
-	err          error
+	return slowpeer.Write(slowpeer.Socket{Conn: c.Conn}, p, c.registry.writeLimit)
 }
 
-func (e *writeTimeoutError) Error() string {
-	return fmt.Sprintf("%v after %v, in which the client acknowledged %d bytes",
-		e.err, e.waited.Round(time.Millisecond), e.acknowledged)
-}
-
-func (e *writeTimeoutError) Unwrap() error { return e.err }
-
 // nextFraming returns the framing of the request that net/http is handling, or false if it is unknown. It may be called
 // once per request.
 func (c *clientConn) nextFraming() (httpframe.Framing, bool) {
--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lapisspread/internal/listener"
+	"lapisspread/internal/slowpeer"
 )
 
 const (
@@ -21,9 +22,10 @@
 type clientConns struct {
 	mu            sync.Mutex
 	open          map[*clientConn]bool
-	maxOpen       int           // limit on the number of open connections
-	shared        bool          // another process of this proxy has client connections too
-	lingerTimeout time.Duration // how long a closed connection with unread bytes stays open for its last response
+	maxOpen       int            // limit on the number of open connections
+	shared        bool           // another process of this proxy has client connections too
+	lingerTimeout time.Duration  // how long a closed connection with unread bytes stays open for its last response
+	writeLimit    slowpeer.Limit // the least that a client must take of what is written to it
 
 	draining           bool          // the process is ending
 	lateAfter          time.Duration // front end's clock; requests that arrive later are late
@@ -38,7 +40,12 @@
 
 // newClientConns returns an empty registry of at most maxOpen connections.
 func newClientConns(maxOpen int) *clientConns {
-	return &clientConns{open: map[*clientConn]bool{}, maxOpen: maxOpen, lingerTimeout: rejectReadTimeout}
+	return &clientConns{
+		open:          map[*clientConn]bool{},
+		maxOpen:       maxOpen,
+		lingerTimeout: rejectReadTimeout,
+		writeLimit:    slowpeer.Limit{Interval: writeStallTimeout, Bytes: copyChunkBytes},
+	}
 }
 
 // admit registers a connection, or returns nil if the limit is reached. Without admission control a full registry
--- a/internal/proxy/clientresponse.go
+++ b/internal/proxy/clientresponse.go
@@ -52,16 +52,14 @@
 // midway, so that net/http closes the connection and the client detects that the response is incomplete.
 func (f *httpFrontend) writeResult(w http.ResponseWriter, req *request, result engine.Result) {
 	f.closeIfDraining(w)
-	c := http.NewResponseController(w)
 	if upload := req.message.upload; upload != nil && !upload.stop() { // the rest of the body is not needed
 		w.Header().Set("Connection", "close")
-		_ = c.SetReadDeadline(time.Now().Add(rejectReadTimeout))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectReadTimeout))
 	}
 	stream, streamed := result.Stream.(*download)
 	if !streamed {
 		resp := responseFor(result)
 		req.countOutcome(outcomeForStatus(resp.status))
-		_ = c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
 		writeResponse(w, resp)
 		return
 	}
@@ -72,7 +70,7 @@
 		writeResponse(w, response{status: http.StatusBadGateway})
 		return
 	}
-	err := streamResponse(w, stream, f.writeTimeout)
+	err := streamResponse(w, stream)
 	stream.End(err)
 	if err != nil {
 		req.countOutcome(metrics.Failed)
@@ -105,7 +103,6 @@
 	c := http.NewResponseController(w)
 	_ = c.EnableFullDuplex()
 	_ = c.SetReadDeadline(time.Now().Add(rejectReadTimeout))
-	_ = c.SetWriteDeadline(time.Now().Add(f.writeTimeout))
 	if caps := &f.cfg.Decision.Capabilities; status == http.StatusServiceUnavailable && caps.RetryAfter {
 		setRetryAfter(w.Header(), min(retryAfter, caps.MaxRetryAfter))
 	}
@@ -137,9 +134,9 @@
 	_, _ = w.Write(resp.body)
 }
 
-// streamResponse copies a long response to the client as it arrives. timeout is for the writing of each chunk. An error
-// means that the client did not get the complete response.
-func streamResponse(w http.ResponseWriter, d *download, timeout time.Duration) error {
+// streamResponse copies a long response to the client as it arrives. An error means that the client did not get the
+// complete response.
+func streamResponse(w http.ResponseWriter, d *download) error {
 	h := w.Header()
 	h.Set("Content-Type", "application/octet-stream")
 	if d.length >= 0 {
@@ -150,7 +147,6 @@
 	chunk := make([]byte, copyChunkBytes)
 	for left := d.length; ; {
 		n, err := d.body.Read(chunk)
-		_ = c.SetWriteDeadline(time.Now().Add(timeout))
 		if n > 0 {
 			if _, writeErr := w.Write(chunk[:n]); writeErr != nil {
 				return fmt.Errorf("writing the response to the client: %w", writeErr)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -17,7 +17,7 @@
 	bodyTimeout       = 2800 * time.Millisecond // for the head and the first byte of the body, from the same start
 	idleTimeout       = 4 * time.Second         // after which the server closes an idle client connection
 	rejectReadTimeout = 250 * time.Millisecond  // for the rest of a rejected request, so that its client gets the response
-	writeTimeout      = 10 * time.Second        // for writing a response, or each chunk of a streamed one
+	writeStallTimeout = 10 * time.Second        // in which a client must take copyChunkBytes of a response
 	maxHeaderBytes    = 16 << 10                // limit on a request's head
 
 	drainAcceptPeriod = 600 * time.Millisecond // after SIGTERM: new connections still arrive for up to 400 ms
@@ -44,8 +44,7 @@
 	reservedBytes    int64           // memory reserved for the bodies of the requests in flight
 	maxReservedBytes int64           // limit on reservedBytes
 
-	bodyTimeout  time.Duration // the constant of that name; tests set less
-	writeTimeout time.Duration // the constant of that name; tests set less
+	bodyTimeout time.Duration // the constant of that name; tests set less
 }
 
 // newFrontend returns a front end for the services of s. It accepts no connections before serve.
@@ -59,10 +58,9 @@
 		openIDs:          map[string]bool{},
 		maxReservedBytes: bodyMemoryLimit(cfg),
 		bodyTimeout:      bodyTimeout,
-		writeTimeout:     writeTimeout,
 	}
 	// ReadTimeout and WriteTimeout are not set: they would also run while a request waits for its backend, and end it
-	// as if its client had closed the connection. ServeHTTP sets its own deadlines.
+	// as if its client had closed the connection. ServeHTTP sets its own read deadlines, and clientConn limits writes.
 	f.server = &http.Server{
 		Handler:                      f,
 		ReadHeaderTimeout:            headerTimeout,
@@ -245,7 +243,6 @@
 		// net/http sends an empty 200 for a handler that writes nothing, and a client that closed only its write side
 		// would read it.
 		w.Header().Set("Connection", "close")
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.writeTimeout))
 		writeResponse(w, response{status: http.StatusBadGateway})
 	}
 }
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -245,7 +245,7 @@
 	}
 }
 
-// bodyTimeout and writeTimeout do not run while a request waits for its backend, which may take longer. A request whose
+// bodyTimeout and the write limit do not run while a request waits for its backend, which may take longer. A request whose
 // body does not arrive within bodyTimeout is rejected with status 408.
 func TestServerTimeouts(t *testing.T) {
 	const short = 100 * time.Millisecond
@@ -271,8 +271,10 @@
 	if err != nil {
 		t.Fatalf("listening: %v", err)
 	}
-	f := newFrontend(svcs, &svcs.proxy.cfg, slog.New(slog.DiscardHandler), newClientConns(8))
-	f.bodyTimeout, f.writeTimeout = short, short
+	conns := newClientConns(8)
+	conns.writeLimit.Interval = short
+	f := newFrontend(svcs, &svcs.proxy.cfg, slog.New(slog.DiscardHandler), conns)
+	f.bodyTimeout = short
 	go func() { _ = f.serve(listener) }()
 	defer func() { _ = f.server.Close() }()
 	p := &running{addr: listener.Addr().String()}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -99,9 +99,8 @@
 // call that timed out would lose it.
 var longWatchTiming = discoveryTiming{watchHold: time.Minute, slack: time.Minute, fetchTimeout: time.Minute}
 
-// startProxy runs a proxy with the initial endpoint list known and the discovery server c until the test ends. change,
-// if not nil, edits its configuration first.
-func startProxy(t *testing.T, known string, c *catalog, change func(*Config)) *running {
+// testConfig returns the configuration of a proxy with the initial endpoint list known and the discovery server c.
+func testConfig(t *testing.T, known string, c *catalog) Config {
 	t.Helper()
 	cfg, err := parseConfig(configText(known))
 	if err != nil {
@@ -109,23 +108,44 @@
 	}
 	cfg.Discovery = strings.TrimPrefix(c.URL, "http://")
 	cfg.timing = longWatchTiming
-	if change != nil {
-		change(&cfg)
-	}
+	return cfg
+}
+
+// localListener listens on a free loopback port.
+func localListener(t *testing.T) net.Listener {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatalf("listening for the proxy: %v", err)
+		t.Fatalf("listening: %v", err)
 	}
-	return serveOn(t, cfg, listener)
+	return listener
+}
+
+// startProxy runs a proxy with the initial endpoint list known and the discovery server c until the test ends. change,
+// if not nil, edits its configuration first.
+func startProxy(t *testing.T, known string, c *catalog, change func(*Config)) *running {
+	t.Helper()
+	cfg := testConfig(t, known, c)
+	if change != nil {
+		change(&cfg)
+	}
+	return serveOn(t, cfg, localListener(t))
 }
 
 // serveOn runs a proxy on a listener until the test ends, and fails the test if serve returns an error.
 func serveOn(t *testing.T, cfg Config, listener net.Listener) *running {
+	t.Helper()
+	return servePrepared(t, cfg, listener, func(*Proxy) {})
+}
+
+// servePrepared is serveOn for a proxy that prepare changes before it serves.
+func servePrepared(t *testing.T, cfg Config, listener net.Listener, prepare func(*Proxy)) *running {
 	t.Helper()
 	logs := &lockedBuffer{}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &running{addr: listener.Addr().String(), stop: stop, done: make(chan error, 1), logs: logs}
 	p.proxy = New(cfg, slog.New(slog.NewTextHandler(logs, nil)))
+	prepare(p.proxy)
 	go func() { p.done <- p.proxy.serve(ctx, listener) }()
 	t.Cleanup(func() {
 		stop()
