Go by what a backend takes of a long body, not by how long one write lasts

What callers saw: a long body to a backend that reads slowly was cut off after 10 s, and the request failed. Change: writes of streamed bodies go through internal/slowpeer, with the bound that they had (32 KiB in 10 s). An interrupted connection still ends at once. Result: TestUploadToSlowBackendIsNotCutOff failed before ("ConnectFailed, want OK") and passes; TestBackendThatReadsNothingIsLetGo and TestCancelledUploadEndsAtOnce hold the bounds.

--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -12,12 +12,13 @@
 	"time"
 
 	"lapisspread/internal/proxy/rawsocket"
+	"lapisspread/internal/slowpeer"
 )
 
 const (
 	maxResponseHeadBytes = 8 << 10          // bytes; limit for each response head, also of an interim response
 	maxPooledBuffer      = 16 << 10         // bytes; larger request buffers are not pooled
-	sendStallTimeout     = 10 * time.Second // longest wait for a backend to accept a chunk of a request's body
+	sendStallTimeout     = 10 * time.Second // in which a backend must take copyChunkBytes of a request's body
 )
 
 // conn is a connection to a backend that carries one request at a time.
@@ -30,7 +31,8 @@
 	addrEpoch int       // the backend's addrEpoch when the connection was dialed
 	idleSince time.Time // when the connection last became idle; zero before its first request has ended
 	closeOnce sync.Once
-	release   func() // removes the connection from the pool's count
+	release   func()         // removes the connection from the pool's count
+	sendLimit slowpeer.Limit // the least that the backend must take of a streamed request
 
 	mu          sync.Mutex
 	interrupted bool // set by interrupt; the deadlines must not be changed afterwards
@@ -65,20 +67,33 @@
 
 // limitWrite sets the deadline of writes, unless the connection was interrupted. The zero time is no deadline.
 func (c *conn) limitWrite(deadline time.Time) {
-	c.unlessInterrupted(func() { _ = c.SetWriteDeadline(deadline) })
+	_ = c.unlessInterrupted(func() error { return c.SetWriteDeadline(deadline) })
 }
 
 // limitRead sets the deadline of reads, unless the connection was interrupted. The zero time is no deadline.
 func (c *conn) limitRead(deadline time.Time) {
-	c.unlessInterrupted(func() { _ = c.SetReadDeadline(deadline) })
+	_ = c.unlessInterrupted(func() error { return c.SetReadDeadline(deadline) })
 }
 
-func (c *conn) unlessInterrupted(set func()) {
+// unlessInterrupted calls set and returns its error, or returns os.ErrDeadlineExceeded if the connection was interrupted.
+func (c *conn) unlessInterrupted(set func() error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.interrupted {
-		set()
+	if c.interrupted {
+		return os.ErrDeadlineExceeded
 	}
+	return set()
+}
+
+// interruptibleSocket writes to a connection until it is interrupted.
+type interruptibleSocket struct {
+	slowpeer.Socket
+	conn *conn
+}
+
+// SetWriteDeadline sets the deadline of writes, or fails if the connection was interrupted.
+func (s interruptibleSocket) SetWriteDeadline(deadline time.Time) error {
+	return s.conn.unlessInterrupted(func() error { return s.Socket.SetWriteDeadline(deadline) })
 }
 
 // requestBuffers holds buffers in which requests are formatted.
--- a/internal/proxy/backendpool.go
+++ b/internal/proxy/backendpool.go
@@ -10,6 +10,7 @@
 
 	"lapisspread/decision"
 	"lapisspread/internal/engine"
+	"lapisspread/internal/slowpeer"
 )
 
 var (
@@ -24,11 +25,12 @@
 type pool struct {
 	dialer         func(ctx context.Context, network, addr string) (net.Conn, error)
 	connectTimeout time.Duration
-	idleTimeout    time.Duration // idle connections are closed after this time
-	staleWindow    time.Duration // a reused connection that breaks within this time was stale; see staleConnWindow
-	attempts       *atomic.Int64 // counts the requests that were written completely, without health checks
-	fleetHeaders   bool          // the X-Fleet-* headers of attempts are set by the proxy; a client's own are removed
-	quota          *connQuota    // limit shared by all services' pools; nil if this pool may use all connections
+	idleTimeout    time.Duration  // idle connections are closed after this time
+	staleWindow    time.Duration  // a reused connection that breaks within this time was stale; see staleConnWindow
+	sendLimit      slowpeer.Limit // the least that a backend must take of a streamed request
+	attempts       *atomic.Int64  // counts the requests that were written completely, without health checks
+	fleetHeaders   bool           // the X-Fleet-* headers of attempts are set by the proxy; a client's own are removed
+	quota          *connQuota     // limit shared by all services' pools; nil if this pool may use all connections
 
 	mu       sync.Mutex
 	backends map[decision.BackendID]*backend
@@ -53,6 +55,7 @@
 		connectTimeout: connectTimeout,
 		idleTimeout:    idleTimeout / idleTimeoutDivisor,
 		staleWindow:    staleConnWindow,
+		sendLimit:      slowpeer.Limit{Interval: sendStallTimeout, Bytes: copyChunkBytes},
 		attempts:       new(atomic.Int64),
 		backends:       map[decision.BackendID]*backend{},
 		maxOpen:        maxOpen,
@@ -218,7 +221,9 @@
 		p.releaseReservation()
 		return nil, err
 	}
-	return newConn(nc, addrEpoch, p.releaseReservation), nil
+	c := newConn(nc, addrEpoch, p.releaseReservation)
+	c.sendLimit = p.sendLimit
+	return c, nil
 }
 
 // checkSendable returns an error if a request's first byte must not be written to a connection. It is called right
--- /dev/null
+++ b/internal/proxy/slowbackend_test.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// longUpload returns a message with an upload of the given length, which the client has sent completely.
+func longUpload(length int64) *message {
+	u := testUpload()
+	u.length = length
+	remainder := io.LimitReader(readerFunc(func(p []byte) (int, error) {
+		return copy(p, strings.Repeat("x", len(p))), nil
+	}), length-maxBufferedBody)
+	u.remainder = iotest.DataErrReader(remainder) // as net/http's bodies, it ends with its last bytes
+	u.readBytes = maxBufferedBody
+	m := testMessage("POST", nil)
+	m.upload = u
+	return m
+}
+
+// dialThrough makes a pool wrap the connections that it dials.
+func dialThrough(p *pool, wrap func(*net.TCPConn) net.Conn) {
+	dial := p.dialer
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return wrap(nc.(*net.TCPConn)), nil
+	}
+}
+
+// Guards against long bodies being cut off for backends that read slowly: writes to them last longer than any deadline,
+// although the backend takes bytes all the time.
+func TestUploadToSlowBackendIsNotCutOff(t *testing.T) {
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if readRequest(in) {
+			writeText(c, served)
+		}
+	}))
+	dialThrough(p, func(c *net.TCPConn) net.Conn { return expiringConn{c} })
+	result, body := p.exchange(t.Context(), b, longUpload(3<<20))
+	if result != decision.OK || string(body) != "fine" {
+		t.Errorf("exchange() with a slow backend = %s, body %q, want OK, body \"fine\"", resultName(result), body)
+	}
+}
+
+// A backend that reads nothing of a long body is let go, and its connection is closed.
+func TestBackendThatReadsNothingIsLetGo(t *testing.T) {
+	release := make(chan bool)
+	defer close(release)
+	p, b := testPool(t, rawBackend(t, func(int, net.Conn, *bufio.Reader) { <-release }))
+	p.sendLimit.Interval = 100 * time.Millisecond
+	ended := make(chan decision.Result, 1)
+	go func() {
+		result, _ := p.exchange(t.Context(), b, longUpload(maxBodyBytes))
+		ended <- result
+	}()
+	result := within(t, ended, "the proxy kept the connection of a backend that reads nothing")
+	if result != decision.ConnectFailed {
+		t.Errorf("exchange() with a backend that reads nothing = %s, want ConnectFailed", resultName(result))
+	}
+	if p.open != 0 {
+		t.Errorf("pool counts %d open connections after exchange(), want 0", p.open)
+	}
+}
+
+// An attempt that is cancelled while a slow backend takes its body ends at once.
+func TestCancelledUploadEndsAtOnce(t *testing.T) {
+	release := make(chan bool)
+	defer close(release)
+	ctx, cancel := context.WithCancel(t.Context())
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		_, _ = io.ReadFull(in, make([]byte, 2*maxBufferedBody))
+		cancel()
+		<-release
+	}))
+	p.sendLimit.Interval = time.Hour
+	ended := make(chan decision.Result, 1)
+	go func() {
+		result, _ := p.exchange(ctx, b, longUpload(maxBodyBytes))
+		ended <- result
+	}()
+	if result := within(t, ended, "the cancelled attempt did not end"); result != decision.Cancelled {
+		t.Errorf("exchange() cancelled while its body is sent = %s, want Cancelled", resultName(result))
+	}
+}
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lapisspread/internal/engine"
+	"lapisspread/internal/slowpeer"
 )
 
 var (
@@ -132,17 +133,17 @@
 	return r.readRemainder(p)
 }
 
-// deadlineWriter writes to a backend with sendStallTimeout for each chunk, and counts the bytes.
-type deadlineWriter struct {
-	*conn
+// uploadWriter writes a streamed request to a backend within its connection's sendLimit, and counts the bytes.
+type uploadWriter struct {
+	conn    *conn
 	written int
 }
 
 // Write sends one chunk.
-func (s *deadlineWriter) Write(p []byte) (int, error) {
-	s.limitWrite(time.Now().Add(sendStallTimeout))
-	n, err := s.conn.Write(p)
-	s.written += n
+func (w *uploadWriter) Write(p []byte) (int, error) {
+	socket := interruptibleSocket{Socket: slowpeer.Socket{Conn: w.conn.Conn}, conn: w.conn}
+	n, err := slowpeer.Write(socket, p, w.conn.sendLimit)
+	w.written += n
 	return n, err
 }
 
@@ -153,7 +154,7 @@
 		return 0, false, errBodyConsumed
 	}
 	body := &uploadReader{upload: u, conn: c}
-	to := &deadlineWriter{conn: c}
+	to := &uploadWriter{conn: c}
 	req.ContentLength = u.length
 	req.Body = io.NopCloser(body)
 	err := req.Write(to)
