Count only the wait for a client against its body, not its backend's time

What callers saw: a body of which the backend took a while was answered 408, although the client had sent its bytes: they lay unread in the socket. Change: an upload adds up the time that it waits for the client, as the reader of long answers does for backends. Result: TestSlowBackendDoesNotShortenBodyDeadline failed before (a minute at the backend left the client -55s) and passes; TestSlowBodyIsLetGo holds the bound.

--- a/internal/proxy/hookedconn_test.go
+++ b/internal/proxy/hookedconn_test.go
@@ -63,7 +63,7 @@
 
 // testUpload returns an upload whose remainder, the last 4 bytes, can be read at once.
 func testUpload() *upload {
-	return &upload{prefix: make([]byte, maxBufferedBody), length: maxBufferedBody + 4, startedAt: time.Now(),
+	return &upload{prefix: make([]byte, maxBufferedBody), length: maxBufferedBody + 4,
 		remainder:       strings.NewReader("rest"),
 		setReadDeadline: func(time.Time) error { return nil }, onComplete: func() {}, failed: make(chan error, 1)}
 }
--- a/internal/proxy/requestbody.go
+++ b/internal/proxy/requestbody.go
@@ -29,13 +29,10 @@
 }
 
 // bodyReadDeadline returns the deadline for the next byte of a body: bodyStallTimeout from now, or earlier if the mean
-// rate would fall below minBodyRate.
-func bodyReadDeadline(now, startedAt time.Time, readBytes int64) time.Time {
-	slowest := startedAt.Add(bodyGracePeriod + time.Duration(float64(readBytes)/minBodyRate*float64(time.Second)))
-	if stall := now.Add(bodyStallTimeout); stall.Before(slowest) {
-		return stall
-	}
-	return slowest
+// rate would fall below minBodyRate. waited is the time already spent waiting for the client.
+func bodyReadDeadline(now time.Time, waited time.Duration, readBytes int64) time.Time {
+	allowed := bodyGracePeriod + time.Duration(float64(readBytes)/minBodyRate*float64(time.Second))
+	return now.Add(min(bodyStallTimeout, allowed-waited))
 }
 
 // readBody reads a short body completely. Of a body longer than maxBufferedBody it reads only the first maxBufferedBody
@@ -83,7 +80,7 @@
 			return nil, false, err
 		}
 		if n > 0 {
-			deadline = bodyReadDeadline(time.Now(), startedAt, int64(len(body)))
+			deadline = bodyReadDeadline(time.Now(), time.Since(startedAt), int64(len(body)))
 		}
 	}
 	return body, r.ContentLength == int64(len(body)), nil
@@ -98,9 +95,9 @@
 	return &upload{
 		prefix:          prefix,
 		length:          r.ContentLength,
-		startedAt:       startedAt,
 		remainder:       r.Body,
 		readBytes:       int64(len(prefix)),
+		waited:          time.Since(startedAt),
 		setReadDeadline: deadlines.SetReadDeadline,
 		failed:          make(chan error, 1),
 		onComplete: func() {
--- a/internal/proxy/slowbackend_test.go
+++ b/internal/proxy/slowbackend_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"lapisspread/decision"
@@ -94,3 +96,56 @@
 		t.Errorf("exchange() cancelled while its body is sent = %s, want Cancelled", resultName(result))
 	}
 }
+
+// Guards against clients being blamed for slow backends: the time that a backend takes for a body does not shorten the
+// time in which the client has to send its next bytes.
+func TestSlowBackendDoesNotShortenBodyDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := testUpload()
+		var left time.Duration // until the deadline of the last read
+		u.setReadDeadline = func(deadline time.Time) error {
+			left = time.Until(deadline)
+			return nil
+		}
+		for range 3 {
+			time.Sleep(time.Minute) // the backend takes its time
+			if _, err := u.readRemainder(make([]byte, 1)); err != nil {
+				t.Fatalf("reading the body: %v", err)
+			}
+			if left != bodyStallTimeout {
+				t.Errorf("the client has %v for its next bytes, want %v", left, bodyStallTimeout)
+			}
+		}
+	})
+}
+
+// A client that sends less than minBodyRate in the time that the proxy waits for it is let go, however long backends
+// took before.
+func TestSlowBodyIsLetGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := testUpload()
+		u.length = maxBodyBytes
+		u.readBytes = maxBufferedBody
+		deadline := time.Time{}
+		u.setReadDeadline = func(d time.Time) error {
+			deadline = d
+			return nil
+		}
+		u.remainder = readerFunc(func(p []byte) (int, error) { // a byte a second
+			time.Sleep(time.Second)
+			if time.Now().After(deadline) {
+				return 0, os.ErrDeadlineExceeded
+			}
+			return 1, nil
+		})
+		startedAt := time.Now()
+		err := error(nil)
+		for err == nil && time.Since(startedAt) < time.Hour {
+			_, err = u.readRemainder(make([]byte, 1))
+		}
+		allowed := bodyGracePeriod + maxBufferedBody/minBodyRate*time.Second + 2*time.Second
+		if took := time.Since(startedAt); !isTimeout(err) || took > allowed {
+			t.Errorf("a body of one byte a second ended after %v with error %v, want a timeout within %v", took, err, allowed)
+		}
+	})
+}
--- a/internal/proxy/streaming_test.go
+++ b/internal/proxy/streaming_test.go
@@ -228,7 +228,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	body := strings.NewReader("all of it")
-	u := &upload{length: 9, startedAt: time.Now(), remainder: io.MultiReader(body),
+	u := &upload{length: 9, remainder: io.MultiReader(body),
 		setReadDeadline: func(time.Time) error { return nil },
 		onComplete: func() { // the response arrives before the next read of the body
 			close(last)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -25,16 +25,16 @@
 type upload struct {
 	prefix          []byte
 	length          int64 // Content-Length in bytes; -1 if there is none
-	startedAt       time.Time
 	remainder       io.Reader
 	setReadDeadline func(time.Time) error // for reads from remainder
 	onComplete      func()                // called as the last byte has been read, with the lock held
 	failed          chan error            // buffered; receives the error if reading the body from the client fails
 
-	mu        sync.Mutex // guards the fields below, and the use of remainder and setReadDeadline
-	readBytes int64      // bytes read from the client, including the prefix
-	consumed  bool       // some of the remainder has been read
-	stopped   bool       // the request has ended: remainder and setReadDeadline must no longer be used
+	mu        sync.Mutex    // guards the fields below, and the use of remainder and setReadDeadline
+	readBytes int64         // bytes read from the client, including the prefix
+	waited    time.Duration // total time spent waiting for the client, including the time for the prefix
+	consumed  bool          // some of the remainder has been read
+	stopped   bool          // the request has ended: remainder and setReadDeadline must no longer be used
 
 	complete atomic.Bool // the whole body has been read from the client
 	stopping atomic.Bool // stop was called; stopped follows once the lock is free
@@ -64,7 +64,7 @@
 }
 
 // readRemainder reads the part of the body after the prefix. It blocks until the client has sent something or its
-// deadline has passed.
+// deadline has passed. Only the time spent waiting for the client counts, not the time that backends take.
 func (u *upload) readRemainder(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -75,11 +75,13 @@
 		return 0, io.EOF
 	}
 	u.consumed = true
-	_ = u.setReadDeadline(bodyReadDeadline(time.Now(), u.startedAt, u.readBytes))
+	startedAt := time.Now()
+	_ = u.setReadDeadline(bodyReadDeadline(startedAt, u.waited, u.readBytes))
 	if u.stopping.Load() {
 		return 0, errAbandoned
 	}
 	n, err := u.remainder.Read(p)
+	u.waited += time.Since(startedAt)
 	u.readBytes += int64(n)
 	switch {
 	case u.readBytes > maxBodyBytes:
