Keep a closing connection until its slow client has taken the last answer

What callers saw: the end of an answer, up to the 4 MB in the send buffer, was lost to a reset if the client had sent more bytes before the proxy closed the connection, as pipelining clients do while the proxy drains. Cause: a connection with unread bytes lingered for 250 ms, whether or not its client was still taking the answer; closing the socket then resets it. Change: after that time it stays until the client has acknowledged all, or has taken less than the write limit (32 KiB in 10 s). The last deadline of a drain spares such connections; its end after a minute and evictions for new clients close them as before.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -239,20 +239,31 @@
 
 // Close closes the connection. Closing a socket with unread bytes resets the connection, and the part of the response
 // that has not reached the client would be lost. So if there are unread bytes, Close only closes the write side, and
-// the socket is closed after lingerTimeout. Requests in the unread bytes are not served: the client sends them again on
-// another connection.
+// the socket is closed after lingerTimeout, or later once the client has taken the response. Requests in the unread
+// bytes are not served: the client sends them again on another connection.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
 	linger := c.responseStarted && !c.closed && !c.lingering && c.hasUnread()
 	c.lingering = c.lingering || linger
 	c.mu.Unlock()
 	if linger && c.CloseWrite() == nil {
-		time.AfterFunc(c.registry.lingerTimeout, func() { _ = c.finish() })
+		time.AfterFunc(c.registry.lingerTimeout, func() {
+			_ = slowpeer.AwaitAcknowledged(slowpeer.Socket{Conn: c.Conn}, c.registry.writeLimit)
+			_ = c.finish()
+		})
 		return nil
 	}
 	return c.finish()
 }
 
+// isDelivering reports whether the connection was closed and its client still has to take part of the last response.
+func (c *clientConn) isDelivering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unacknowledged, _ := rawsocket.Unacknowledged(c.Conn)
+	return c.lingering && unacknowledged > 0
+}
+
 // hasUnread reports whether bytes have arrived that were not read. The lock must be held.
 func (c *clientConn) hasUnread() bool {
 	return len(c.buffered) > 0 || !rawsocket.Silent(c.Conn) && !rawsocket.PeerClosed(c.Conn)
--- a/internal/proxy/clientdrain.go
+++ b/internal/proxy/clientdrain.go
@@ -16,10 +16,13 @@
 	return s.count()
 }
 
-// closeWithoutRequest closes all connections except those with a whole request head or with unread bytes.
+// closeWithoutRequest closes all connections except those with a whole request head or with unread bytes, and those
+// whose client still has to take part of its last response.
 func (s *clientConns) closeWithoutRequest() {
 	for _, c := range s.snapshot() {
-		c.Evict()
+		if !c.isDelivering() {
+			c.Evict()
+		}
 	}
 }
 
--- a/internal/proxy/linger_test.go
+++ b/internal/proxy/linger_test.go
@@ -61,6 +61,33 @@
 	eventually(t, "the connection was not closed after lingerTimeout", func() bool { return len(conns.snapshot()) == 0 })
 }
 
+// Guards against the end of an answer being cut off for a client that reads slowly: its connection with unread bytes
+// outlasts lingerTimeout, and the drain's last deadline, until the client has taken the response.
+func TestLingeringConnectionWaitsForSlowClient(t *testing.T) {
+	response := strings.Repeat("0123456789abcdef", 16<<10)
+	conns := newClientConns(4)
+	conns.lingerTimeout = time.Millisecond
+	client, c := connWithUnreadBytes(t, conns, response)
+	_ = c.Close()
+	time.Sleep(100 * conns.lingerTimeout) // a connection that ends with lingerTimeout has ended then
+	conns.closeWithoutRequest()
+	_ = client.SetReadDeadline(time.Now().Add(patience))
+	if got, err := io.ReadAll(client); err != nil || string(got) != response {
+		t.Errorf("the client read %d of the response's %d bytes, error %v; want all of them", len(got), len(response), err)
+	}
+	eventually(t, "the connection stayed open after the client read the response", func() bool { return conns.count() == 0 })
+}
+
+// A client that reads nothing of its last response does not hold a lingering connection longer than the write limit.
+func TestLingeringConnectionIsBounded(t *testing.T) {
+	conns := newClientConns(4)
+	conns.lingerTimeout = time.Millisecond
+	conns.writeLimit.Interval = 100 * time.Millisecond
+	_, c := connWithUnreadBytes(t, conns, strings.Repeat("0123456789abcdef", 16<<10))
+	_ = c.Close()
+	eventually(t, "the connection of a client that reads nothing stayed open", func() bool { return conns.count() == 0 })
+}
+
 // A client has sent pipelined requests when the proxy starts to drain: the one in flight gets a complete response, and
 // then the connection ends without a partial response. The next request is not sent to a backend.
 func TestDrainCrossesPipelinedRequests(t *testing.T) {
--- a/internal/slowpeer/slowpeer.go
+++ b/internal/slowpeer/slowpeer.go
@@ -80,6 +80,23 @@
 	}
 }
 
+// AwaitAcknowledged blocks until the peer has acknowledged all that was written to the connection, or until it has taken
+// less than the limit: then the error is a StalledError. It returns at once if the system does not tell what is
+// unacknowledged, for example because the connection was closed.
+func AwaitAcknowledged(conn Conn, limit Limit) error {
+	w := window{limit: limit}
+	for {
+		unacknowledged, known := conn.Unacknowledged()
+		if !known || unacknowledged == 0 {
+			return nil
+		}
+		if !w.advance(time.Now(), -unacknowledged) {
+			return &StalledError{Limit: limit, Acknowledged: w.acknowledged}
+		}
+		time.Sleep(limit.Interval / checksPerInterval)
+	}
+}
+
 // window tracks what a peer acknowledged since it was last known to meet the limit.
 type window struct {
 	limit        Limit
