Go by what a Diameter peer takes, below TLS as well

Need: the deadline of 5 s for a batch of up to a megabyte has the cause of the cut-off answers: a partner that reads slowly, all the time, was disconnected. With TLS a deadline also breaks the connection, so it can't be renewed there. Change: connections of peers and to servers go through slowpeer.LimitedConn, below TLS; a peer must take 32 KiB in 5 s. A batch is one write. Result: TestSlowPeerStaysConnected failed before ("no connection to the peer is open") and passes; TestASlowReader holds the bound as before.

--- a/internal/diameter/node/conn.go
+++ b/internal/diameter/node/conn.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"time"
 
 	"lapisspread/internal/diameter"
 )
@@ -72,15 +71,14 @@
 			return
 		}
 		c.mu.Unlock()
-		var bytes net.Buffers
+		var bytes []byte
 		for _, o := range batch {
 			size += len(o.b)
 			if o.call == nil || o.call.begin() {
-				bytes = append(bytes, o.b)
+				bytes = append(bytes, o.b...)
 			}
 		}
-		c.nc.SetWriteDeadline(time.Now().Add(c.node.set.WriteTimeout))
-		_, err := bytes.WriteTo(c.nc)
+		_, err := c.nc.Write(bytes)
 		c.mu.Lock()
 		c.queued -= size
 		if err != nil {
@@ -103,7 +101,7 @@
 	}
 }
 
-// wait waits until it is closed; the write time-out bounds that.
+// wait waits until it is closed; the write limit bounds that.
 func (c *conn) wait() { <-c.done }
 
 func (c *conn) close() {
--- a/internal/diameter/node/node.go
+++ b/internal/diameter/node/node.go
@@ -25,6 +25,7 @@
 
 	"lapisspread/internal/diameter"
 	"lapisspread/internal/diameter/peer"
+	"lapisspread/internal/slowpeer"
 )
 
 // Settings are what a node goes by. What is left out of the times and limits is as Fill has it.
@@ -38,7 +39,7 @@
 	Dict        *diameter.Dictionary
 
 	Watchdog, Handshake, Goodbye, Reconnect, Reopen time.Duration // see peer.Settings
-	WriteTimeout                                    time.Duration // for what is written to a peer
+	WriteTimeout                                    time.Duration // in which a peer must take minTaken of what is written to it
 
 	Peers       int   // connections of peers at most, ours to them besides
 	Handshakes  int   // connections at most that have not said who they are
@@ -192,7 +193,16 @@
 	return p, nil
 }
 
-// Serve takes connections until the listener is closed. With TLS it is a TLS listener's.
+// minTaken is how many bytes a peer must take within Settings.WriteTimeout.
+const minTaken = 32 << 10
+
+// WriteLimit is the least that a peer must take of what is written to it.
+func (n *Node) WriteLimit() slowpeer.Limit {
+	return slowpeer.Limit{Interval: n.set.WriteTimeout, Bytes: minTaken}
+}
+
+// Serve takes connections until the listener is closed. A TLS listener must be one over a slowpeer.Listener with
+// WriteLimit: writes can't be limited above TLS.
 func (n *Node) Serve(l net.Listener) error {
 	for {
 		nc, err := l.Accept()
@@ -232,6 +242,9 @@
 
 // welcome reads who comes, and serves it if it may stay.
 func (n *Node) welcome(nc net.Conn) {
+	if _, isTLS := nc.(*tls.Conn); !isTLS {
+		nc = slowpeer.NewConn(nc, n.WriteLimit())
+	}
 	c := newConn(nc, n)
 	defer c.close()
 	r, cer, err := n.greet(nc)
--- a/internal/diameter/node/node_test.go
+++ b/internal/diameter/node/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -464,6 +465,46 @@
 	}
 }
 
+// expiringConn is a connection whose write deadline passes in each longer write, although the peer takes bytes: its
+// system calls the socket writable too late.
+type expiringConn struct{ net.Conn }
+
+func (c expiringConn) Write(p []byte) (int, error) {
+	if len(p) < 16 {
+		return c.Conn.Write(p)
+	}
+	n, err := c.Conn.Write(p[:len(p)/2])
+	if err == nil {
+		err = os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// Guards against connections being closed on peers that read slowly: writes to them last longer than any deadline,
+// although the peer takes bytes all the time.
+func TestSlowPeerStaysConnected(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		slow := func(dial func(context.Context, string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+			return func(ctx context.Context, to string) (net.Conn, error) {
+				nc, err := dial(ctx, to)
+				return expiringConn{nc}, err
+			}
+		}
+		w.node("server", nil)
+		client := w.node("client", func(s *Settings) { s.Dial = slow(s.Dial) })
+		p := w.connect(client, "server")
+		for i := range 10 {
+			session := fmt.Sprint(i)
+			if a, _, err := p.Send(t.Context(), ask(session)); err != nil || sessionOf(a) != session {
+				t.Fatalf("request %d over a slow connection: answer %v, error %v, want its answer", i, a, err)
+			}
+		}
+		if n := client.Counts.Connected.Load(); n != 1 {
+			t.Errorf("%d connections were made, want 1", n)
+		}
+	})
+}
+
 // A peer that does not read holds nobody else up, and is closed.
 func TestASlowReader(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
--- a/internal/diameter/node/peer.go
+++ b/internal/diameter/node/peer.go
@@ -13,6 +13,7 @@
 
 	"lapisspread/internal/diameter"
 	"lapisspread/internal/diameter/peer"
+	"lapisspread/internal/slowpeer"
 )
 
 // Why a request to a peer has no answer. All but the last two prove that it never ran.
@@ -415,6 +416,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.Handshake)
 	defer cancel()
 	nc, err := n.set.Dial(ctx, p.addr)
+	if err == nil {
+		nc = slowpeer.NewConn(nc, n.WriteLimit())
+	}
 	if err == nil && n.set.TLS != nil {
 		t := tls.Client(nc, n.set.TLS())
 		if err = t.HandshakeContext(ctx); err != nil {
--- a/internal/proxy/diameter.go
+++ b/internal/proxy/diameter.go
@@ -19,6 +19,7 @@
 	"lapisspread/internal/diameter/upstream"
 	"lapisspread/internal/engine"
 	"lapisspread/internal/idempotency/guard"
+	"lapisspread/internal/slowpeer"
 	"lapisspread/internal/tlskeys"
 )
 
@@ -239,7 +240,7 @@
 func (d *diameterService) openListener(l net.Listener) net.Listener {
 	l = &peerListener{Listener: l, conns: d.p.conns}
 	if d.keys != nil {
-		l = tls.NewListener(l, d.keys.ServerConfig())
+		l = tls.NewListener(slowpeer.Listener{Listener: l, Limit: d.node.WriteLimit()}, d.keys.ServerConfig())
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/proxy/diameterpeer.go
+++ b/internal/proxy/diameterpeer.go
@@ -4,9 +4,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"lapisspread/internal/admission"
 	"lapisspread/internal/listener"
+	"lapisspread/internal/proxy/rawsocket"
 )
 
 // peerListener accepts connections of Diameter peers under admission control, as for all other clients.
@@ -49,6 +51,9 @@
 	return n, err
 }
 
+// SyscallConn returns the connection's socket.
+func (c *peerConn) SyscallConn() (syscall.RawConn, error) { return rawsocket.Conn(c.Conn) }
+
 // Evict closes the connection to make room for another, unless it is in use, and reports whether it was closed.
 func (c *peerConn) Evict() bool {
 	if c.answered.Load() {
--- a/internal/slowpeer/slowpeer.go
+++ b/internal/slowpeer/slowpeer.go
@@ -127,3 +127,31 @@
 	w.base = total
 	w.acknowledged = 0
 }
+
+// LimitedConn is a connection whose writes are limited as by Write. Deadlines set for its writes have no effect.
+// Below a TLS connection it makes the limit hold for a TLS peer: a deadline of the TLS connection itself breaks it.
+type LimitedConn struct {
+	net.Conn
+	limit Limit
+}
+
+// NewConn returns a connection that limits the writes to conn.
+func NewConn(conn net.Conn, limit Limit) *LimitedConn { return &LimitedConn{Conn: conn, limit: limit} }
+
+// Write writes p as the function Write does.
+func (c *LimitedConn) Write(p []byte) (int, error) { return Write(Socket{c.Conn}, p, c.limit) }
+
+// Listener limits the writes to the connections that it accepts.
+type Listener struct {
+	net.Listener
+	Limit Limit
+}
+
+// Accept waits for the next connection.
+func (l Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(conn, l.Limit), nil
+}
