Let a connection rest 10 ms before each reuse, so that late copies are seen

Cause: takeIdle preferred a connection that had rested for 10 ms, but took the oldest at once if there was none. A copy still on its way was then read as the answer to the next request, and each real answer as that of the one after. Change: an attempt waits for the rest of the 10 ms on the connection that it has taken. If it ends meanwhile, the connection goes back and the backend is not blamed (NotSent).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -127,6 +127,11 @@
 		if err == nil && !reused {
 			c, err = p.dial(ctx, b)
 		}
+		if err == nil && reused {
+			if err = c.awaitSettled(ctx); err != nil {
+				p.putIdle(b, c)
+			}
+		}
 		if err != nil {
 			return connectResult(ctx, err), nil
 		}
@@ -137,13 +142,13 @@
 	}
 }
 
-// connectResult returns the result of an attempt that got no connection. A lack of sockets in this process must not
-// count against the backend, or all backends would appear to be down.
+// connectResult returns the result of an attempt that got no connection. A lack of sockets in this process, or of time to
+// reuse a connection, must not count against the backend, or all backends would appear to be down.
 func connectResult(ctx context.Context, err error) decision.Result {
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		return decision.Cancelled
-	case errors.Is(err, errNoSockets):
+	case errors.Is(err, errNoSockets), errors.Is(err, errNotSettled):
 		return decision.NotSent
 	}
 	return decision.ConnectFailed
--- a/internal/proxy/backendpool.go
+++ b/internal/proxy/backendpool.go
@@ -18,6 +18,7 @@
 	errBackendClosed = errors.New("backend is draining, was removed or has moved")
 	errStaleConn     = errors.New("bytes or a close arrived on the idle connection")
 	errSendTooLate   = errors.New("attempt no longer allowed")
+	errNotSettled    = errors.New("attempt ended before an idle connection could be reused")
 )
 
 // pool holds the connections to all backends of a service, within a limit on their number. It is the engine's upstream
--- a/internal/proxy/backendpool_test.go
+++ b/internal/proxy/backendpool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -417,3 +418,83 @@
 		})
 	}
 }
+
+// Guards against a client getting the answer to another request: a connection is reused only once it has been idle for
+// idleSettleTime, in which a second copy of its last response is noticed.
+func TestReusedConnectionHasSettled(t *testing.T) {
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for readRequest(in) {
+			writeText(c, served)
+		}
+	}))
+	idleSince := time.Time{}
+	for i := range 20 {
+		m := testMessage("GET", nil)
+		m.sendAllowed = func() (time.Time, bool) { // called right before the write
+			if idle := time.Since(idleSince); i > 0 && idle < idleSettleTime {
+				t.Errorf("request %d was written to a connection that was idle for %v, want at least %v", i, idle, idleSettleTime)
+			}
+			return time.Time{}, true
+		}
+		if result, _ := p.exchange(t.Context(), b, m); result != decision.OK {
+			t.Fatalf("exchange() number %d = %s, want OK", i, resultName(result))
+		}
+		if len(b.idle) != 1 {
+			t.Fatalf("%d idle connections after exchange() number %d, want 1: it must be reused", len(b.idle), i)
+		}
+		idleSince = b.idle[0].idleSince
+	}
+}
+
+// A second copy that comes while a connection settles is not taken for the next response: the request goes to another
+// connection.
+func TestCopyOnSettlingConnectionIsNotServed(t *testing.T) {
+	var first net.Conn
+	p, b := testPool(t, rawBackend(t, func(n int, c net.Conn, in *bufio.Reader) {
+		if n == 0 {
+			first = c
+		}
+		for readRequest(in) {
+			writeText(c, fmt.Sprintf("HTTP/1.1 200 OK\nContent-Length: 1\n\n%d", n))
+		}
+	}))
+	if result, body := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK || string(body) != "0" {
+		t.Fatalf("first exchange() = %s, body %q, want OK, body \"0\"", resultName(result), body)
+	}
+	b.idle[0].idleSince = time.Now().Add(time.Second) // leaves time for the copy on a busy machine
+	time.AfterFunc(idleSettleTime, func() { writeText(first, "HTTP/1.1 200 OK\nContent-Length: 1\n\n0") })
+	if result, body := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK || string(body) != "1" {
+		t.Errorf("exchange() after a second copy = %s, body %q, want OK, body \"1\" of another connection",
+			resultName(result), body)
+	}
+}
+
+// An attempt that ends while it waits for a connection to settle does not count against the backend, and keeps the
+// connection.
+func TestAttemptEndsWhileConnectionSettles(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause error
+		want  decision.Result
+	}{
+		"cancelled": {cause: context.Canceled, want: decision.Cancelled},
+		"timed out": {cause: context.DeadlineExceeded, want: decision.NotSent},
+	} {
+		p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+			for readRequest(in) {
+				writeText(c, served)
+			}
+		}))
+		if result, _ := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK {
+			t.Fatalf("%s: first exchange() = %s, want OK", name, resultName(result))
+		}
+		b.idle[0].idleSince = time.Now().Add(time.Hour)
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(c.cause)
+		if result, _ := p.exchange(ctx, b, testMessage("GET", nil)); result != c.want {
+			t.Errorf("%s: exchange() = %s, want %s", name, resultName(result), resultName(c.want))
+		}
+		if len(b.idle) != 1 || p.open != 1 {
+			t.Errorf("%s: %d idle of %d open connections, want 1 of 1", name, len(b.idle), p.open)
+		}
+	}
+}
--- a/internal/proxy/idleconns.go
+++ b/internal/proxy/idleconns.go
@@ -9,7 +9,7 @@
 
 const (
 	maxIdlePerBackend  = 32                    // further connections are closed after their response
-	idleSettleTime     = 10 * time.Millisecond // preferred minimum idle time before a connection is reused
+	idleSettleTime     = 10 * time.Millisecond // minimum idle time before a connection is reused
 	idleTimeoutDivisor = 2                     // connections are closed after the configured idle timeout divided by this
 
 	staleConnWindow    = 10 * time.Millisecond // a break this soon after a write means that it was closed before
@@ -58,8 +58,8 @@
 func (b *backend) dropIdle(i int) { b.idle = slices.Delete(b.idle, i, i+1) }
 
 // takeIdle returns the most recently used connection that has been idle for at least idleSettleTime, else the one idle
-// for longest, or nil. A backend may close a connection shortly after its response; checkSendable looks for that right
-// before the write. An error means that nothing may be sent to the backend.
+// for longest, or nil. The caller must call awaitSettled before it writes. An error means that nothing may be sent to
+// the backend.
 func (p *pool) takeIdle(b *backend) (*conn, error) {
 	var stale []*conn
 	defer func() { closeAll(stale) }() // after the unlock: closing a connection takes the lock
@@ -84,6 +84,26 @@
 	return nil, nil
 }
 
+// awaitSettled blocks until a connection has been idle for idleSettleTime, or returns errNotSettled if ctx ends first.
+//
+// A backend may close a connection, or send a second copy of its response, some milliseconds after the response. Bytes
+// that have arrived by the time of the write are noticed by checkSendable. A copy that arrives later would be taken for
+// the response to the next request, and so would be each response for the one after it.
+func (c *conn) awaitSettled(ctx context.Context) error {
+	wait := idleSettleTime - time.Since(c.idleSince)
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errNotSettled
+	}
+}
+
 // currentReuseLimit returns the maximum idle time of a connection that is reused. Backends may close connections sooner
 // than configured, and a request that is written to a closing connection may not be retried; a new connection is cheap
 // compared to that. The limit grows exponentially up to idleTimeout. The lock must be held.
