Send the copy of the settling test from the wait itself, without a clock

Need: TestCopyOnSettlingConnectionIsNotServed left a timer one second on a busy machine, and a test must give the same verdict there. Change: the copy is sent as the exchange first waits for its context, and has arrived before the wait goes on.

--- a/internal/proxy/backendpool_test.go
+++ b/internal/proxy/backendpool_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -446,6 +447,18 @@
 	}
 }
 
+// waitHookContext calls onWait when it is first waited for.
+type waitHookContext struct {
+	context.Context
+	once   *sync.Once
+	onWait func()
+}
+
+func (c waitHookContext) Done() <-chan struct{} {
+	c.once.Do(c.onWait)
+	return c.Context.Done()
+}
+
 // A second copy that comes while a connection settles is not taken for the next response: the request goes to another
 // connection.
 func TestCopyOnSettlingConnectionIsNotServed(t *testing.T) {
@@ -461,9 +474,13 @@
 	if result, body := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK || string(body) != "0" {
 		t.Fatalf("first exchange() = %s, body %q, want OK, body \"0\"", resultName(result), body)
 	}
-	b.idle[0].idleSince = time.Now().Add(time.Second) // leaves time for the copy on a busy machine
-	time.AfterFunc(idleSettleTime, func() { writeText(first, "HTTP/1.1 200 OK\nContent-Length: 1\n\n0") })
-	if result, body := p.exchange(t.Context(), b, testMessage("GET", nil)); result != decision.OK || string(body) != "1" {
+	idle := b.idle[0]
+	idle.idleSince = time.Now().Add(time.Second) // so that the exchange waits
+	ctx := waitHookContext{Context: t.Context(), once: &sync.Once{}, onWait: func() {
+		writeText(first, "HTTP/1.1 200 OK\nContent-Length: 1\n\n0")
+		waitForInput(t, idle.Conn)
+	}}
+	if result, body := p.exchange(ctx, b, testMessage("GET", nil)); result != decision.OK || string(body) != "1" {
 		t.Errorf("exchange() after a second copy = %s, body %q, want OK, body \"1\" of another connection",
 			resultName(result), body)
 	}
