Name only the parameters that the tests of slow backends use

Cause: the linter found two unused parameters in tests of this series. Change: they have no names now.

--- a/internal/proxy/slowbackend_test.go
+++ b/internal/proxy/slowbackend_test.go
@@ -81,7 +81,7 @@
 	release := make(chan bool)
 	defer close(release)
 	ctx, cancel := context.WithCancel(t.Context())
-	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+	p, b := testPool(t, rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) {
 		_, _ = io.ReadFull(in, make([]byte, 2*maxBufferedBody))
 		cancel()
 		<-release
@@ -131,7 +131,7 @@
 			deadline = d
 			return nil
 		}
-		u.remainder = readerFunc(func(p []byte) (int, error) { // a byte a second
+		u.remainder = readerFunc(func([]byte) (int, error) { // a byte a second
 			time.Sleep(time.Second)
 			if time.Now().After(deadline) {
 				return 0, os.ErrDeadlineExceeded
