Take no unknown repeat of a claim for new where there are other proxies

Cause: Ledger.Admit took a retransmission that it did not know for lost only within one window (4 minutes) after its own entries were lost. Later it began it as new, although proxies share nothing and the first copy may have gone to another one. Change: Settings.Shared, set where the settings name more than one proxy: such a copy is answered 5012 (may have run), however old the ledger is. A claim that is sent again after an error answer carries no T flag (RFC 6733, section 3) and is new as before. A single proxy decides as before.

--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -87,10 +87,11 @@
 	if e := l.entries[key]; e != nil {
 		return e.verdict()
 	}
-	if l.mayLackEntries(now) {
-		if retransmitted && !l.firstTransmissions[key] {
-			return MayHaveRun, nil // the earlier process may have run it
-		}
+	mayLackEntries := l.mayLackEntries(now)
+	if retransmitted && (mayLackEntries || l.settings.Shared) && !l.firstTransmissions[key] {
+		return MayHaveRun, nil // the earlier process or another one may have run it
+	}
+	if mayLackEntries {
 		l.NoteFirstTransmission(key)
 	} else if len(l.firstTransmissions) > 0 {
 		clear(l.firstTransmissions)
--- a/internal/idempotency/ledger_test.go
+++ b/internal/idempotency/ledger_test.go
@@ -90,6 +90,40 @@
 	}
 }
 
+// Guards against a claim being paid twice: a retransmission that the ledger does not know may have run at another
+// process, however old the ledger is. What came here first is decided as ever.
+func TestUnknownRetransmissionMayHaveRunElsewhere(t *testing.T) {
+	l := newLedger(t, Settings{
+		Window:          MinWindow,
+		UncertainWindow: MinWindow,
+		MaxEntries:      10,
+		MaxBytes:        100,
+		LostAt:          0,
+		Shared:          true,
+	})
+	key := Key{"a", 1}
+	for _, at := range []time.Duration{0, MinWindow - 1, MinWindow, 100 * MinWindow} {
+		if v, _ := l.Admit(at, key, true); v != MayHaveRun {
+			t.Errorf("Admit of an unknown retransmission at %v = %v, want %v", at, v, MayHaveRun)
+		}
+	}
+	now := 100 * MinWindow
+	if v, _ := l.Admit(now, key, false); v != Begin {
+		t.Errorf("Admit of a first transmission = %v, want %v", v, Begin)
+	}
+	if v, _ := l.Admit(now, key, true); v != Join {
+		t.Errorf("Admit of its retransmission = %v, want %v", v, Join)
+	}
+	l.Complete(now, key, []byte("2001"))
+	if v, answer := l.Admit(now, key, true); v != Answered || string(answer) != "2001" {
+		t.Errorf("Admit of its retransmission after the answer = %v, %q, want %v, \"2001\"", v, answer, Answered)
+	}
+	// The entry's window is over, and a sender that was cut off for long repeats the request.
+	if v, _ := l.Admit(now+2*MinWindow, key, true); v != MayHaveRun {
+		t.Errorf("Admit of a retransmission after the window = %v, want %v", v, MayHaveRun)
+	}
+}
+
 func TestRestore(t *testing.T) {
 	l := newLedger(t, Settings{Window: MinWindow, UncertainWindow: MinWindow, MaxEntries: 3, MaxBytes: 8, LostAt: -1})
 	err := l.Restore(0, []Record{
--- a/internal/idempotency/settings.go
+++ b/internal/idempotency/settings.go
@@ -25,6 +25,10 @@
 	// For one Window after it, a retransmission without an entry may have run. A negative value means that no entries
 	// were lost: the ledger is durable, or there was no earlier process.
 	LostAt time.Duration
+	// Shared is set if senders also use other processes, which have ledgers of their own. A retransmission without an
+	// entry may then have run there: RFC 6733, section 5.5.4, lets a sender fail over to another peer, and section 3 has
+	// it set the T flag then, but not after an error answer.
+	Shared bool
 }
 
 // Validate returns an error that names each invalid field, or nil.
--- a/internal/proxy/diameter.go
+++ b/internal/proxy/diameter.go
@@ -18,6 +18,7 @@
 	"lapisspread/internal/diameter/node"
 	"lapisspread/internal/diameter/upstream"
 	"lapisspread/internal/engine"
+	"lapisspread/internal/idempotency"
 	"lapisspread/internal/idempotency/guard"
 	"lapisspread/internal/slowpeer"
 	"lapisspread/internal/tlskeys"
@@ -70,7 +71,7 @@
 		ledger = filepath.Join(p.cfg.StateDir, d.file.Ledger.File)
 	}
 	d.guard, err = guard.New(guard.Options{
-		Ledger: d.file.LedgerSettings(0),
+		Ledger: ledgerSettings(d.file, &p.cfg.Decision),
 		Path:   ledger,
 		Now:    engine.NewClock().Now,
 		Log:    p.log,
@@ -131,6 +132,13 @@
 	return err
 }
 
+// ledgerSettings returns the settings of the ledger. A sender may fail over to another proxy if there are several.
+func ledgerSettings(file *claim.File, module *decision.Config) idempotency.Settings {
+	settings := file.LedgerSettings(0)
+	settings.Shared = module.Instances > 1
+	return settings
+}
+
 // settings returns the settings shared by the node for peers and the nodes for servers.
 func (d *diameterService) settings() node.Settings {
 	f := d.file
--- a/internal/proxy/diameter_test.go
+++ b/internal/proxy/diameter_test.go
@@ -12,7 +12,9 @@
 	"testing"
 	"time"
 
+	"lapisspread/decision"
 	"lapisspread/internal/diameter"
+	"lapisspread/internal/diameter/claim"
 	"lapisspread/internal/faultlab/diameterpeer"
 	"lapisspread/internal/faultlab/loopbackaddr"
 	"lapisspread/internal/tlskeys"
@@ -146,6 +148,15 @@
 	}
 }
 
+// With several proxies a sender may fail over, so the ledger does not take an unknown retransmission for new.
+func TestLedgerIsSharedBetweenProxies(t *testing.T) {
+	for instances, want := range map[int]bool{1: false, 2: true, 300: true} {
+		if got := ledgerSettings(&claim.File{}, &decision.Config{Instances: instances}).Shared; got != want {
+			t.Errorf("ledgerSettings() of %d proxies: Shared is %v, want %v", instances, got, want)
+		}
+	}
+}
+
 // After a hot restart the next process takes over the Diameter address and reads the ledger: a request that the
 // previous process has answered gets the same response and does not run again.
 func TestNextProcessReadsLedger(t *testing.T) {
