Pass an early response on when its backend reads no more of the body

What callers saw: a backend that rejects a long body early, and reads no further, blocks the write of the body. Its answer lay unread, and the client got 502 ten seconds later. Cause: only the reader of the body looks for an early response, before each chunk, and net/http hides the error of a write as it does that of the body.

--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -85,17 +85,6 @@
 	return set()
 }
 
-// interruptibleSocket writes to a connection until it is interrupted.
-type interruptibleSocket struct {
-	slowpeer.Socket
-	conn *conn
-}
-
-// SetWriteDeadline sets the deadline of writes, or fails if the connection was interrupted.
-func (s interruptibleSocket) SetWriteDeadline(deadline time.Time) error {
-	return s.conn.unlessInterrupted(func() error { return s.Socket.SetWriteDeadline(deadline) })
-}
-
 // requestBuffers holds buffers in which requests are formatted.
 var requestBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
--- a/internal/proxy/slowbackend_test.go
+++ b/internal/proxy/slowbackend_test.go
@@ -76,6 +76,41 @@
 	}
 }
 
+// blockingConn is a connection that takes no byte of a body beyond its prefix: writes block until bytes have arrived
+// from the peer, and then their deadline passes.
+type blockingConn struct {
+	*net.TCPConn
+	t       *testing.T
+	written int
+}
+
+func (c *blockingConn) Write(p []byte) (int, error) {
+	if c.written <= maxBufferedBody {
+		n, err := c.TCPConn.Write(p)
+		c.written += n
+		return n, err
+	}
+	waitForInput(c.t, c.TCPConn)
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against an early response being held back: a backend that rejects a long body and reads no further blocks the
+// write of the body, and its response is passed on all the same.
+func TestEarlyResponseEndsBlockedUpload(t *testing.T) {
+	release := make(chan bool)
+	defer close(release)
+	p, b := testPool(t, rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		_, _ = io.ReadFull(in, make([]byte, maxBufferedBody))
+		writeText(c, "HTTP/1.1 503 Full\nX-Not-Processed: 1\nContent-Length: 0\n\n")
+		<-release
+	}))
+	dialThrough(p, func(c *net.TCPConn) net.Conn { return &blockingConn{TCPConn: c, t: t} })
+	result, _ := p.exchange(t.Context(), b, longUpload(maxBodyBytes))
+	if result != decision.Rejected {
+		t.Errorf("exchange() with an early response = %s, want Rejected", resultName(result))
+	}
+}
+
 // An attempt that is cancelled while a slow backend takes its body ends at once.
 func TestCancelledUploadEndsAtOnce(t *testing.T) {
 	release := make(chan bool)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -138,17 +139,37 @@
 // uploadWriter writes a streamed request to a backend within its connection's sendLimit, and counts the bytes.
 type uploadWriter struct {
 	conn    *conn
+	upload  *upload
 	written int
+	err     error // error of the last write
 }
 
-// Write sends one chunk.
+// Write sends one chunk. Like uploadReader.Read it returns errEarlyResponse if the backend sends something before the
+// end of the body, since such a backend may read no further.
 func (w *uploadWriter) Write(p []byte) (int, error) {
-	socket := interruptibleSocket{Socket: slowpeer.Socket{Conn: w.conn.Conn}, conn: w.conn}
-	n, err := slowpeer.Write(socket, p, w.conn.sendLimit)
+	n, err := slowpeer.Write(&uploadSocket{Socket: slowpeer.Socket{Conn: w.conn.Conn}, writer: w}, p, w.conn.sendLimit)
 	w.written += n
+	w.err = err
 	return n, err
 }
 
+// uploadSocket is the socket of a backend's connection during the write of one chunk.
+type uploadSocket struct {
+	slowpeer.Socket
+	writer  *uploadWriter
+	blocked bool // the write has passed a deadline
+}
+
+// SetWriteDeadline sets the deadline of the write. It fails if the connection was interrupted, or if a blocked write
+// should not go on because of an early response.
+func (s *uploadSocket) SetWriteDeadline(deadline time.Time) error {
+	if s.blocked && !s.writer.upload.complete.Load() && !s.writer.conn.isSilent() {
+		return errEarlyResponse
+	}
+	s.blocked = true
+	return s.writer.conn.unlessInterrupted(func() error { return s.Socket.SetWriteDeadline(deadline) })
+}
+
 // writeStreamedRequest sends a request whose body is an upload. It returns how many bytes were written and whether that
 // was the whole request.
 func (c *conn) writeStreamedRequest(req *http.Request, u *upload) (int, bool, error) {
@@ -156,16 +177,14 @@
 		return 0, false, errBodyConsumed
 	}
 	body := &uploadReader{upload: u, conn: c}
-	to := &uploadWriter{conn: c}
+	to := &uploadWriter{conn: c, upload: u}
 	req.ContentLength = u.length
 	req.Body = io.NopCloser(body)
 	err := req.Write(to)
 	if err != nil {
-		// net/http wraps the body's error in a type that errors.Is can't unwrap. A client that fails to send its body
-		// must not be counted as a failure of the backend.
-		if body.err != nil {
-			err = body.err
-		}
+		// net/http wraps the errors of the body and of the write in a type that errors.Is can't unwrap. A client that
+		// fails to send its body must not be counted as a failure of the backend.
+		err = cmp.Or(body.err, to.err, err)
 		return to.written, false, fmt.Errorf("sending the request body to the backend: %w", err)
 	}
 	c.limitWrite(time.Time{})
