Show with one fixed sequence that the check of the versions' order is tested

Cause: TestRandomizedRuns wanted a violation in one of 12 runs without the order check. Change: TestOutdatedReplyIsRejected delivers an older version, complete, over a newer one, as text and as chunks. With the check there must be no violation, without it there must be one, each time; before it was one of 12 runs. The random runs keep their other checks.

--- a/internal/controlplane/client/randomized_test.go
+++ b/internal/controlplane/client/randomized_test.go
@@ -193,10 +193,10 @@
 }
 
 // A proxy installs only offered versions, never a version older than its own, and in the end the newest one. Runs
-// without the check of the tree's root or without the check of the versions' order must show violations, otherwise this
-// test would not detect a missing check.
+// without the check of the tree's root must show violations, otherwise this test would not detect a missing check. For
+// the check of the versions' order see TestOutdatedReplyIsRejected.
 func TestRandomizedRuns(t *testing.T) {
-	withoutRootCheck, withoutOrderCheck := 0, 0
+	withoutRootCheck := 0
 	for seed := range uint64(12) {
 		if violations, hasLast := runRandomized(t, seed, policyMutations{}, false); len(violations) > 0 || !hasLast {
 			t.Errorf("seed %d: violations %v, last version installed: %v; want none and true",
@@ -209,12 +209,52 @@
 		if violations, _ := runRandomized(t, seed, policyMutations{skipRootCheck: true}, true); len(violations) > 0 {
 			withoutRootCheck++
 		}
-		if violations, _ := runRandomized(t, seed, policyMutations{skipOrderCheck: true}, false); len(violations) > 0 {
-			withoutOrderCheck++
-		}
 	}
-	if withoutRootCheck == 0 || withoutOrderCheck == 0 {
-		t.Errorf("runs with violations: %d without the root check, %d without the order check; want at least 1 of each",
-			withoutRootCheck, withoutOrderCheck)
+	if withoutRootCheck == 0 {
+		t.Error("no run without the root check has violations, want at least 1")
+	}
+}
+
+// runOutdatedReply delivers replies with a first version for a minute after a second version is installed, and returns
+// the violations. The first version's content is complete: sent as text, or as chunks that the server still has.
+func runOutdatedReply(t *testing.T, m policyMutations, textOnly bool) (violations []string) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newTestServer(t)
+		server.textOnly = textOnly
+		outdated := (*api.PolicyReply)(nil) // replaces all replies to reports once it is set
+		server.alter = func(_ *http.Request, reply any) {
+			server.mu.Lock()
+			defer server.mu.Unlock()
+			if r, ok := reply.(*api.PolicyReply); ok && outdated != nil {
+				*r = *outdated
+			}
+		}
+		firstPolicy, secondPolicy := policyVersion(3, 1), policyVersion(3, 2)
+		first := server.offerPolicy(1, 1, firstPolicy)
+		text := server.text
+		proxy := server.newProxy(t.TempDir(), func(c *PolicyClient) { c.mutations = m })
+		proxy.awaitOffer(t, "the first version", first)
+		proxy.awaitOffer(t, "the second version", server.offerPolicy(1, 2, secondPolicy))
+		server.currentDistributor().Retain([]*merkle.Tree{buildTree(t, firstPolicy), buildTree(t, secondPolicy)})
+		server.withLock(func() {
+			outdated = &api.PolicyReply{Fleet: "north", Target: first, Chunked: !textOnly, Text: text}
+		})
+		time.Sleep(time.Minute)
+		proxy.stop()
+		violations = proxy.violations
+	})
+	return violations
+}
+
+// A reply with an older version is not installed over a newer one. Without the check of the versions' order it must be,
+// otherwise this test would not detect that the check is missing.
+func TestOutdatedReplyIsRejected(t *testing.T) {
+	for _, textOnly := range []bool{false, true} {
+		if violations := runOutdatedReply(t, policyMutations{}, textOnly); len(violations) > 0 {
+			t.Errorf("policies as text %v: violations %v, want none", textOnly, violations)
+		}
+		if violations := runOutdatedReply(t, policyMutations{skipOrderCheck: true}, textOnly); len(violations) == 0 {
+			t.Errorf("policies as text %v: no violations without the order check, want at least 1", textOnly)
+		}
 	}
 }
