Wait for a settling connection with the package's own sleep

Need: the wait repeated what sleep does, and a drain asked the system for the send buffer of connections that do not linger. Change: awaitSettled calls sleep; isDelivering looks at lingering first. Result: the tests of settling, lingering and drains pass; no behaviour changes.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -260,8 +260,11 @@
 func (c *clientConn) isDelivering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.lingering {
+		return false
+	}
 	unacknowledged, _ := rawsocket.Unacknowledged(c.Conn)
-	return c.lingering && unacknowledged > 0
+	return unacknowledged > 0
 }
 
 // hasUnread reports whether bytes have arrived that were not read. The lock must be held.
--- a/internal/proxy/idleconns.go
+++ b/internal/proxy/idleconns.go
@@ -94,14 +94,10 @@
 	if wait <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if sleep(ctx, wait) != nil {
 		return errNotSettled
 	}
+	return nil
 }
 
 // currentReuseLimit returns the maximum idle time of a connection that is reused. Backends may close connections sooner
