Stop a roll-out in the test of the policy commands that can't end by itself

Cause: a roll-out to a single proxy has no steps and ends with the driver's next tick, so TestPolicyCommands raced it with `fleet stop`. Change: a second proxy joins before that roll-out, both go on reporting, and a step lasts an hour: `stop` comes in the first step, however late. All texts that the test wants are as they were.

--- a/cmd/lapisspread/policy_test.go
+++ b/cmd/lapisspread/policy_test.go
@@ -36,7 +36,7 @@
 	f.file = f.write("fleet.toml", fmt.Sprintf("version = 1\nfleet = \"north\"\nlongest = \"1s\"\n"+
 		"[[stewards]]\nname = \"s1\"\nnumber = 1\naddress = %q\n"+
 		"[[budgets]]\nname = \"all\"\nof = { counts = \"attempts\" }\nwhole = 100.0\nburst = 10.0\nlease = \"1s\"\n"+
-		"[policy]\nsilent = \"200ms\"\n", f.address))
+		"[policy]\nsilent = \"2s\"\nstep = \"1h\"\n", f.address))
 	fleet, err := api.Load(f.file)
 	if err != nil {
 		t.Fatalf("api.Load: %v", err)
@@ -107,9 +107,25 @@
 	}
 }
 
-// startProxy simulates a proxy that reports its policy version every 20 ms and adopts the target version, until stop is
-// called.
-func (f *fleetFixture) startProxy() (stop func()) {
+// waitForProxies waits until the control-plane server has heard of a number of proxies.
+func (f *fleetFixture) waitForProxies(count int) {
+	f.t.Helper()
+	want := fmt.Sprintf("%d proxies are of an older release", count)
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		var out, errs strings.Builder
+		_ = execute([]string{"fleet", "policy", f.file}, &out, &errs)
+		if strings.Contains(out.String(), want) {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("fleet policy after 30s, want %q:\n%s%s", want, out.String(), errs.String())
+		}
+	}
+}
+
+// startProxy simulates a proxy that reports its policy version every 20 ms and adopts the target version, until the test
+// ends.
+func (f *fleetFixture) startProxy(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	exited := make(chan struct{})
 	go func() {
@@ -119,17 +135,17 @@
 		defer client.CloseIdleConnections()
 		for n := uint64(1); ctx.Err() == nil; n++ {
 			var reply api.PolicyReply
-			in := api.PolicyReport{Fleet: "north", Proxy: "p1", Sequence: n, Current: current.Version(), Good: 10}
+			in := api.PolicyReport{Fleet: "north", Proxy: name, Sequence: n, Current: current.Version(), Good: 10}
 			if api.CallWithTimeout(ctx, client, f.address, api.PathPolicyReport, in, &reply) == nil {
 				_ = current.AdoptText(reply.Target, reply.Text)
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
-	return func() {
+	f.t.Cleanup(func() {
 		cancel()
 		<-exited
-	}
+	})
 }
 
 // Runs all policy commands against one control-plane server, from the bootstrap to a rollback.
@@ -151,7 +167,7 @@
 	// Without reports of a proxy the rollout does not finish, and files that are submitted meanwhile are queued.
 	f.run(0, []string{"train: epoch 1", `wait for the next train: alpha/1 by "the desks", beta/1 by "the desks"`},
 		"offer", file, f.namespace("alpha", 1, "/a"), f.namespace("beta", 1, "/b"), "--by", "the desks")
-	stop := f.startProxy()
+	f.startProxy("p1") // a rollout to a single proxy has no steps
 	f.waitInForce(3)
 
 	// A malformed file does not block the others. A file that conflicts is withheld, and the output names the request
@@ -165,7 +181,8 @@
 	f.run(0, []string{"in force: epoch 1,", "roll-out: idle", "1 proxies are of an older release"}, "policy", file)
 	f.run(0, []string{"in force: epoch 1,"}, "stop", file) // no rollout is in progress, so nothing changes
 	f.run(1, []string{"is older than version 2"}, "offer", file, f.namespace("beta", 1, "/c"))
-	stop() // without reports the next rollout does not finish
+	f.startProxy("p2")
+	f.waitForProxies(2) // the next rollout has a step that takes an hour
 	f.run(0, []string{"train: epoch", "beta/3"}, "offer", file, f.namespace("beta", 3, "/c"))
 	f.run(0, []string{"in force: epoch 1,", "roll-out: idle"}, "stop", file)
 	f.run(2, []string{"wanted: offer"}, "offer", file)
