Word the comments on slow peers and the send buffer plainly

Change: only comments, names inside two packages, and texts of tests. TestStalledPeerIsLetGoWithinInterval is now TestWriteToStalledPeerFailsWithinInterval.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// connectResult returns the result of an attempt that got no connection. A lack of sockets in this process, or of time to
-// reuse a connection, must not count against the backend, or all backends would appear to be down.
+// connectResult returns the result of an attempt that got no connection. A lack of sockets in this process, or of time
+// to reuse a connection, must not count against the backend, or all backends would appear to be down.
 func connectResult(ctx context.Context, err error) decision.Result {
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
--- a/internal/proxy/backendconn.go
+++ b/internal/proxy/backendconn.go
@@ -75,7 +75,8 @@
 	_ = c.unlessInterrupted(func() error { return c.SetReadDeadline(deadline) })
 }
 
-// unlessInterrupted calls set and returns its error, or returns os.ErrDeadlineExceeded if the connection was interrupted.
+// unlessInterrupted calls set and returns its error, or returns os.ErrDeadlineExceeded if the connection was
+// interrupted.
 func (c *conn) unlessInterrupted(set func() error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/rawsocket/rawsocket.go
+++ b/internal/proxy/rawsocket/rawsocket.go
@@ -1,5 +1,5 @@
-// Package rawsocket accesses the socket below a net.Conn: it shows what has arrived without reading it and how much of
-// what was written the peer has not acknowledged, and reads without blocking. All functions may be called while another goroutine reads from the connection.
+// Package rawsocket accesses the socket below a net.Conn: it shows what has arrived without reading it, shows how much
+// of what was written the peer has not acknowledged, and reads without blocking. All functions may be called while another goroutine reads from the connection.
 package rawsocket
 
 import (
@@ -59,9 +59,10 @@
 	}
 }
 
-// Unacknowledged returns how many bytes were written to the socket and not yet acknowledged by the peer, and whether
-// the system tells. See SIOCOUTQ in tcp(7), which has the value of TIOCOUTQ.
-func Unacknowledged(nc net.Conn) (bytes int, known bool) {
+// Unacknowledged returns the number of bytes in the socket's send buffer: those that were written and that the peer has
+// not acknowledged yet. It is not supported for a connection without an open TCP socket. See SIOCOUTQ in tcp(7), which
+// has the value of TIOCOUTQ.
+func Unacknowledged(nc net.Conn) (bytes int, supported bool) {
 	raw, err := Conn(nc)
 	if err != nil {
 		return 0, false
--- a/internal/proxy/rawsocket/rawsocket_test.go
+++ b/internal/proxy/rawsocket/rawsocket_test.go
@@ -64,16 +64,17 @@
 	}
 }
 
-// What a peer's system has no room for stays unacknowledged until the peer reads.
+// Bytes that do not fit into the peer's receive buffer stay unacknowledged until the peer reads.
 func TestUnacknowledged(t *testing.T) {
 	near, far := connect(t)
-	if n, known := Unacknowledged(near); n != 0 || !known {
-		t.Fatalf("new connection: Unacknowledged() = %d, %v, want 0, true", n, known)
+	if n, supported := Unacknowledged(near); n != 0 || !supported {
+		t.Fatalf("new connection: Unacknowledged() = %d, %v, want 0, true", n, supported)
 	}
 	written := fillSendBuffer(t, near)
-	before, known := Unacknowledged(near)
-	if before == 0 || before > written || !known {
-		t.Fatalf("Unacknowledged() = %d, %v after %d bytes that nobody reads, want a part of them, true", before, known, written)
+	before, supported := Unacknowledged(near)
+	if before == 0 || before > written || !supported {
+		t.Fatalf("Unacknowledged() = %d, %v after %d bytes that are not read, want a part of them, true",
+			before, supported, written)
 	}
 	if _, err := io.ReadFull(far, make([]byte, written-before)); err != nil {
 		t.Fatalf("reading at the peer: %v", err)
--- a/internal/proxy/slowbackend_test.go
+++ b/internal/proxy/slowbackend_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// A backend that reads nothing of a long body is let go, and its connection is closed.
+// The write of a long body to a backend that reads nothing fails, and the connection is closed.
 func TestBackendThatReadsNothingIsLetGo(t *testing.T) {
 	release := make(chan bool)
 	defer close(release)
@@ -154,7 +154,7 @@
 	})
 }
 
-// A client that sends less than minBodyRate in the time that the proxy waits for it is let go, however long backends
+// A body fails if its client sends less than minBodyRate in the time that the proxy waits for it, however long backends
 // took before.
 func TestSlowBodyIsLetGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/slowclient_test.go
+++ b/internal/proxy/slowclient_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// A client that reads nothing of a long response is let go: its connection and the backend's are closed.
+// If a client reads nothing of a long response, its connection and the backend's are closed.
 func TestClientThatReadsNothingIsLetGo(t *testing.T) {
 	backendClosed := make(chan bool, 1)
 	addr := rawBackend(t, func(_ int, c net.Conn, in *bufio.Reader) {
--- a/internal/slowpeer/slowpeer.go
+++ b/internal/slowpeer/slowpeer.go
@@ -1,10 +1,10 @@
 // Package slowpeer bounds how slowly a peer may take what is written to it, without mistaking a slow peer for one that
 // has stalled.
 //
-// The duration of one write does not show whether the peer takes anything. Once the send buffer of a TCP socket is full,
-// the system calls the socket writable again only after about a third of the buffer has been acknowledged, and the
-// buffer grows to several megabytes. A write to a peer that takes 80 kB a second, all the time, can block for 18 s. So
-// Write goes by the bytes that the peer acknowledges, and not by the duration of a write.
+// The duration of one write does not show whether the peer takes anything. Once the send buffer of a TCP socket is
+// full, the system reports the socket as writable again only after about a third of the buffer has been acknowledged,
+// and the buffer grows to several megabytes. A write to a peer that reads 80 kB a second without a pause can block for
+// 18 s. Write therefore measures the bytes that the peer acknowledges, not the duration of a write.
 package slowpeer
 
 import (
@@ -30,16 +30,16 @@
 type Conn interface {
 	Write(p []byte) (int, error)
 	SetWriteDeadline(deadline time.Time) error
-	// Unacknowledged returns how many bytes were written and are not yet acknowledged by the peer, and whether that is
-	// known. Otherwise a peer counts as having taken what was written.
-	Unacknowledged() (bytes int, known bool)
+	// Unacknowledged returns the number of written bytes that the peer has not acknowledged yet. If that is not
+	// supported, written bytes count as acknowledged.
+	Unacknowledged() (bytes int, supported bool)
 }
 
-// Socket makes a Conn of a net.Conn. Unacknowledged is known if the net.Conn has a TCP socket.
+// Socket makes a Conn of a net.Conn. It supports Unacknowledged if the net.Conn has a TCP socket.
 type Socket struct{ net.Conn }
 
 // Unacknowledged returns the number of bytes in the socket's send buffer.
-func (s Socket) Unacknowledged() (bytes int, known bool) { return rawsocket.Unacknowledged(s.Conn) }
+func (s Socket) Unacknowledged() (bytes int, supported bool) { return rawsocket.Unacknowledged(s.Conn) }
 
 // StalledError is the error of a write to a peer that took less than the limit. It unwraps to os.ErrDeadlineExceeded.
 type StalledError struct {
@@ -47,6 +47,7 @@
 	Acknowledged int // bytes that the peer took in the last interval
 }
 
+// Error returns the limit and what the peer acknowledged instead.
 func (e *StalledError) Error() string {
 	return fmt.Sprintf("the peer stalled: it acknowledged %d bytes in %v, want at least %d",
 		e.Acknowledged, e.Limit.Interval, e.Limit.Bytes)
@@ -56,8 +57,8 @@
 func (e *StalledError) Unwrap() error { return os.ErrDeadlineExceeded }
 
 // Write writes p and blocks until the connection has accepted all of it, or until the peer has taken less than the
-// limit: then the error is a StalledError. It returns the number of bytes that the connection accepted, and an error if
-// that is less than len(p). It sets the connection's write deadline, which has no meaning afterwards.
+// limit: then the error is a StalledError. It returns the number of bytes that the connection accepted, and an error
+// if that is less than len(p). It sets the connection's write deadline, which has no meaning afterwards.
 func Write(conn Conn, p []byte, limit Limit) (written int, err error) {
 	interval := limit.Interval / checksPerInterval
 	w := window{limit: limit}
@@ -80,14 +81,14 @@
 	}
 }
 
-// AwaitAcknowledged blocks until the peer has acknowledged all that was written to the connection, or until it has taken
-// less than the limit: then the error is a StalledError. It returns at once if the system does not tell what is
-// unacknowledged, for example because the connection was closed.
+// AwaitAcknowledged blocks until the peer has acknowledged all that was written to the connection, or until it has
+// taken less than the limit: then the error is a StalledError. It returns at once if Unacknowledged is not supported,
+// for example because the connection was closed.
 func AwaitAcknowledged(conn Conn, limit Limit) error {
 	w := window{limit: limit}
 	for {
-		unacknowledged, known := conn.Unacknowledged()
-		if !known || unacknowledged == 0 {
+		unacknowledged, supported := conn.Unacknowledged()
+		if !supported || unacknowledged == 0 {
 			return nil
 		}
 		if !w.advance(time.Now(), -unacknowledged) {
@@ -106,8 +107,8 @@
 	acknowledged int // since the start
 }
 
-// advance takes a measurement: total is the number of written bytes less the unacknowledged ones. It reports whether the
-// peer is within the limit.
+// advance takes a measurement: total is the number of written bytes less the unacknowledged ones. It reports whether
+// the peer is within the limit.
 func (w *window) advance(now time.Time, total int) bool {
 	w.acknowledged = total - w.base
 	if w.start.IsZero() || w.acknowledged >= w.limit.Bytes {
--- a/internal/slowpeer/slowpeer_test.go
+++ b/internal/slowpeer/slowpeer_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// A peer that takes nothing more, or less than the limit, is let go within the interval after its last bytes.
-func TestStalledPeerIsLetGoWithinInterval(t *testing.T) {
+// A write to a peer that takes nothing more, or less than the limit, fails within the interval after its last bytes.
+func TestWriteToStalledPeerFailsWithinInterval(t *testing.T) {
 	for name, s := range map[string]*simulatedSocket{
 		"reads nothing":                   {},
 		"stops after 3 s":                 {rate: 300_000, readsFor: 3 * time.Second},
@@ -116,7 +116,7 @@
 					readsFor = 0
 				}
 				if silent := time.Since(s.openedAt) - readsFor; silent > testLimit.Interval {
-					t.Errorf("the peer was let go after %v of silence, want at most %v", silent, testLimit.Interval)
+					t.Errorf("the write failed after %v without progress, want at most %v", silent, testLimit.Interval)
 				}
 			})
 		})
