--- a/internal/proxy/rawsocket/rawsocket.go
+++ b/internal/proxy/rawsocket/rawsocket.go
@@ -1,5 +1,6 @@
 // Package rawsocket accesses the socket below a net.Conn: it shows what has arrived without reading it, shows how much
-// of what was written the peer has not acknowledged, and reads without blocking. All functions may be called while another goroutine reads from the connection.
+// of what was written the peer has not acknowledged, and reads without blocking. All functions may be called while
+// another goroutine reads from the connection.
 package rawsocket
 
 import (
