--- a/cmd/lapisspread/policy_test.go
+++ b/cmd/lapisspread/policy_test.go
@@ -93,32 +93,30 @@
 // waitInForce waits until a policy epoch is in force and no change is queued.
 func (f *fleetFixture) waitInForce(epoch int) {
 	f.t.Helper()
-	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		var out, errs strings.Builder
-		_ = execute([]string{"fleet", "policy", f.file}, &out, &errs)
-		inForce := strings.Contains(out.String(), fmt.Sprintf("in force: epoch %d,", epoch))
-		if inForce && !strings.Contains(out.String(), "wait for") {
-			return
-		}
-		if time.Now().After(deadline) {
-			f.t.Fatalf("fleet policy after 30s, want epoch %d in force and nothing queued:\n%s%s",
-				epoch, out.String(), errs.String())
-		}
-	}
+	f.waitForStatus(fmt.Sprintf("epoch %d in force and nothing queued", epoch), func(status string) bool {
+		return strings.Contains(status, fmt.Sprintf("in force: epoch %d,", epoch)) && !strings.Contains(status, "wait for")
+	})
 }
 
 // waitForProxies waits until the control-plane server has heard of a number of proxies.
 func (f *fleetFixture) waitForProxies(count int) {
 	f.t.Helper()
 	want := fmt.Sprintf("%d proxies are of an older release", count)
+	f.waitForStatus(want, func(status string) bool { return strings.Contains(status, want) })
+}
+
+// waitForStatus waits until the output of "lapisspread fleet policy" satisfies a condition, and fails the test after
+// 30 s. want says what the condition is.
+func (f *fleetFixture) waitForStatus(want string, satisfied func(status string) bool) {
+	f.t.Helper()
 	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(20 * time.Millisecond) {
 		var out, errs strings.Builder
 		_ = execute([]string{"fleet", "policy", f.file}, &out, &errs)
-		if strings.Contains(out.String(), want) {
+		if satisfied(out.String()) {
 			return
 		}
 		if time.Now().After(deadline) {
-			f.t.Fatalf("fleet policy after 30s, want %q:\n%s%s", want, out.String(), errs.String())
+			f.t.Fatalf("fleet policy after 30s, want %s:\n%s%s", want, out.String(), errs.String())
 		}
 	}
 }
