Show a payout that runs twice after a refusal and a proxy's death

Cause: the ledger of effects notes claims that came first without the T flag in its first window, and lets a repeat of such a claim begin even where several proxies share the claims.

--- /dev/null
+++ b/review/standin-2/node.go
@@ -0,0 +1,123 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// node is a dispatch node, as the protocol page has it.
+type node struct {
+	world *world
+	id    string
+	addr  string
+
+	mu     sync.Mutex
+	handle func(q *http.Request, id string) (status int, body string) // of one request that was read whole; 0 closes without an answer
+	ran    map[string]int                                             // executions by the request's id
+	came   map[string]int                                             // requests that were read whole, by id
+	deaf   bool                                                       // it takes work and answers nothing, probes too
+}
+
+func newNode(w *world, id string) (*node, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &node{world: w, id: id, addr: l.Addr().String(), ran: map[string]int{}, came: map[string]int{}}
+	go func() { _ = http.Serve(l, n) }()
+	return n, nil
+}
+
+func (n *node) entry(kind string) entry {
+	return entry{ID: n.id, Addr: n.addr, Zone: "nyarugenge", Kind: kind, Cell: 0, Lifecycle: "active", Weight: 1}
+}
+
+// run executes a request.
+func (n *node) run(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ran[id]++
+	return n.ran[id]
+}
+
+// ServeHTTP answers a probe or a request.
+func (n *node) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	_, err := io.Copy(io.Discard, q.Body)
+	if err != nil {
+		return
+	}
+	n.mu.Lock()
+	deaf, handle := n.deaf, n.handle
+	if q.URL.Path != "/ping" {
+		n.came[q.Header.Get("X-Request-Id")]++
+	}
+	n.mu.Unlock()
+	if deaf {
+		if q.URL.Path != "/ping" {
+			n.world.say("%s: got %s %s, answers nothing", n.id, q.Method, q.Header.Get("X-Request-Id"))
+		}
+		<-q.Context().Done()
+		return
+	}
+	if q.URL.Path == "/ping" {
+		_, _ = io.WriteString(w, "ok")
+		return
+	}
+	id := q.Header.Get("X-Request-Id")
+	if id == "" {
+		http.NotFound(w, q)
+		return
+	}
+	status, body := handle(q, id)
+	switch status {
+	case 0:
+		panic(http.ErrAbortHandler)
+	case http.StatusServiceUnavailable:
+		w.Header().Set("X-Not-Processed", "1")
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+// rest is a time in which the node waits on others; a cancelled request ends it.
+func rest(q *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-q.Context().Done():
+		return false
+	}
+}
+
+// total sums the executions of a request over all nodes.
+func total(nodes []*node, id string) int {
+	sum := 0
+	for _, n := range nodes {
+		n.mu.Lock()
+		sum += n.ran[id]
+		n.mu.Unlock()
+	}
+	return sum
+}
+
+// newNodes starts so many nodes and a register that lists them.
+func newNodes(w *world, count int, kind string) ([]*node, *register, error) {
+	var nodes []*node
+	var entries []entry
+	for i := range count {
+		n, err := newNode(w, fmt.Sprintf("s-%d", i+1))
+		if err != nil {
+			return nil, nil, err
+		}
+		nodes = append(nodes, n)
+		entries = append(entries, n.entry(kind))
+	}
+	r, err := newRegister(entries...)
+	return nodes, r, err
+}
