Show a payout that runs twice after a repeat was refused by a full proxy

Cause: a repeat of a claim is refused with 3004 by the limits before the ledger of effects sees its T flag; after 3004 the claim comes again as new.

--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -17,8 +17,8 @@
 func init() { cases["6"] = refusedThenFailedOver }
 
 const (
-	payoutWork  = 30 * time.Millisecond  // until a node has credited a payout
-	payoutRest  = 250 * time.Millisecond // that it waits on others then, before it answers
+	payoutWork  = 30 * time.Millisecond // until a node has credited a payout
+	payoutRest  = 60 * time.Millisecond // that it waits on others then, before it answers
 	firstClaim  = uint32(0x6a100001)
 	claimsTotal = 4
 )
