Show a backend out by hand that a reload of the services lets in again

Cause: DETACH notifies the engines of the current routing state; engines that a reload has started, and that wait for their first health checks, miss it.

--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -22,6 +22,7 @@
 	ran    map[string]int                                             // executions by the request's id
 	came   map[string]int                                             // requests that were read whole, by id
 	deaf   bool                                                       // it takes work and answers nothing, probes too
+	server *http.Server
 }
 
 func newNode(w *world, id string) (*node, error) {
@@ -30,10 +31,40 @@
 		return nil, err
 	}
 	n := &node{world: w, id: id, addr: l.Addr().String(), ran: map[string]int{}, came: map[string]int{}}
-	go func() { _ = http.Serve(l, n) }()
+	n.serve(l)
 	return n, nil
 }
 
+func (n *node) serve(l net.Listener) {
+	server := &http.Server{Handler: n}
+	n.mu.Lock()
+	n.server = server
+	n.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+// stop ends the node's process: its connections are reset or closed, what is in work stops, new connections are refused.
+func (n *node) stop() {
+	n.mu.Lock()
+	server := n.server
+	n.mu.Unlock()
+	_ = server.Close()
+}
+
+// again starts the node's process again, at the same address.
+func (n *node) again() error {
+	var l net.Listener
+	var err error
+	for range 100 {
+		if l, err = net.Listen("tcp", n.addr); err == nil {
+			n.serve(l)
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
 func (n *node) entry(kind string) entry {
 	return entry{ID: n.id, Addr: n.addr, Zone: "nyarugenge", Kind: kind, Cell: 0, Lifecycle: "active", Weight: 1}
 }
