Show a moved register that is not followed while the services' file is bad

Cause: a reload returns at an error of the file of services before it takes over the discovery address of a good configuration.

--- a/review/standin-2/register.go
+++ b/review/standin-2/register.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	entries    []entry
 	changed    chan struct{}
 	silent     bool // it says nothing: its calls stay open
+
+	listener net.Listener
+	server   *http.Server
 }
 
 func newRegister(entries ...entry) (*register, error) {
@@ -46,11 +50,33 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &register{addr: l.Addr().String(), generation: 41, entries: entries, changed: make(chan struct{})}
-	go func() { _ = http.Serve(l, r) }()
+	r := &register{addr: l.Addr().String(), generation: 41, entries: entries, changed: make(chan struct{}), listener: l}
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(l) }()
 	return r, nil
 }
 
+// set changes the lifecycle of a backend, and tells those that watch.
+func (r *register) set(id, lifecycle string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries = slices.Clone(r.entries)
+	for i := range r.entries {
+		if r.entries[i].ID == id {
+			r.entries[i].Lifecycle = lifecycle
+		}
+	}
+	r.generation++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// leave takes no new connections from now on, and closes the open ones after 1.5 s.
+func (r *register) leave() {
+	_ = r.listener.Close()
+	time.AfterFunc(1500*time.Millisecond, func() { _ = r.server.Close() })
+}
+
 // whole returns the whole list.
 func (r *register) whole() string {
 	r.mu.Lock()
