Show a Diameter listener that ends for good when descriptors run out

Cause: the Diameter node stops accepting at the first error of accept, as too many open files, and nothing starts it again.

--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -187,6 +187,7 @@
 	listen  string
 	console string
 	files   proxyFiles
+	before  string // in the shell, ahead of the command
 	config  map[string]any
 }
 
@@ -238,7 +239,7 @@
 		return err
 	}
 	dir := filepath.Join(p.world.tmp, p.name)
-	p.process, err = p.world.start(p.name+life, command+p.files.flags(),
+	p.process, err = p.world.start(p.name+life, p.before+command+p.files.flags(),
 		"BALANCER_CONFIG="+filepath.Join(dir, "config.json"), "BALANCER_NAME="+p.name,
 		"BALANCER_LISTEN="+p.listen, "BALANCER_CONSOLE="+p.console, "TMPDIR="+filepath.Join(dir, "state"))
 	if err != nil {
