Show a long request that a hung backend holds long past its time

Cause: while a request's body is on its way, an attempt has no time limit of its own. The limit comes with the last byte that the proxy reads, and the proxy reads on only as the backend takes what came before. A client may have written the last byte long ago; what ends the attempt is the limit of 10 s on a backend that takes nothing.

--- a/review/standin-2/case9.go
+++ b/review/standin-2/case9.go
@@ -16,12 +16,13 @@
 func init() { cases["9"] = longBodyInADrain }
 
 const (
-	bodyBytes  = 100_000 // over 64 KiB, under 32 MB
-	pieceBytes = 3_200
-	pieceEvery = 50 * time.Millisecond // 64 kB a second
-	uploads    = 8
-	beforeTerm = 100 * time.Millisecond // from the bodies' beginning to SIGTERM
-	lateAfter  = 700 * time.Millisecond // of SIGTERM: what came later and is not answered by SIGKILL is lost
+	bodyBytes     = 100_000 // over 64 KiB, under 32 MB
+	pieceBytes    = 3_200
+	pieceEvery    = 50 * time.Millisecond // 64 kB a second
+	uploads       = 8
+	beforeTerm    = 100 * time.Millisecond // from the bodies' beginning to SIGTERM
+	lateAfter     = 700 * time.Millisecond // of SIGTERM: what came later and is not answered by SIGKILL is lost
+	killAfterTerm = 2700 * time.Millisecond
 )
 
 // upload is a request with a long body and what became of it.
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -22,6 +22,7 @@
 	ran    map[string]int                                             // executions by the request's id
 	came   map[string]int                                             // requests that were read whole, by id
 	deaf   bool                                                       // it takes work and answers nothing, probes too
+	hangs  time.Time                                                  // up to then it reads and answers nothing
 	server *http.Server
 }
 
@@ -77,8 +78,21 @@
 	return n.ran[id]
 }
 
+// hang has the node take connections, and read and answer nothing, for a time. Then it goes on.
+func (n *node) hang(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hangs = time.Now().Add(d)
+}
+
 // ServeHTTP answers a probe or a request.
 func (n *node) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	n.mu.Lock()
+	left := time.Until(n.hangs)
+	n.mu.Unlock()
+	if left > 0 && !rest(q, left) {
+		return
+	}
 	_, err := io.Copy(io.Discard, q.Body)
 	if err != nil {
 		return
