Count a long body's deadline from when its client can have written it

Cause: a request got its deadline when the proxy had read the last byte. The proxy does not read on while the backend takes nothing, so the request had no deadline, and the bound on stalled backends (10 s) ended it. While a body is received the deadline stands at the time-out after the client was last known to be unfinished, and moves on while it is. At the deadline the body is cut: its last byte is not sent any more, so the request can't have run and is rejected. This also bounds a request with a long body that waits in the queue, which had up to twice its time.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -48,7 +48,10 @@
 		return
 	}
 	now := h.clock.Now()
-	until = r.attemptEnd(now, until)
+	if r.Uploading() {
+		h.setReceivedAt(r, r.Upload.IncompleteAt())
+	}
+	until = r.attemptEnd(until)
 	a := &inFlightAttempt{number: len(r.attempts), backend: to, startedAt: now}
 	a.ctx, a.stop = context.WithCancelCause(h.ctx)
 	r.attempts = append(r.attempts, a)
@@ -76,10 +79,10 @@
 }
 
 // attemptEnd returns when an attempt times out, given the time until that the decision module has set for it.
-func (r *Request) attemptEnd(now, until time.Duration) time.Duration {
+func (r *Request) attemptEnd(until time.Duration) time.Duration {
 	switch {
-	case r.Uploading(): // only the timeout sent to the backend; the engine sets its own once the body is complete
-		return now + r.Timeout
+	case r.Uploading(): // only the timeout sent to the backend: checkUpload ends the attempt
+		return r.Deadline
 	case until <= 0 || until > r.Deadline:
 		return r.Deadline
 	}
--- a/internal/engine/clock.go
+++ b/internal/engine/clock.go
@@ -19,3 +19,8 @@
 func (c Clock) Time(d time.Duration) time.Time {
 	return c.start.Add(d - time.Duration(c.start.UnixNano()))
 }
+
+// At returns what the clock shows at the time t, which is the inverse of Time.
+func (c Clock) At(t time.Time) time.Duration {
+	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
+}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -6,10 +6,6 @@
 	"lapisspread/decision"
 )
 
-// deadlineGrace is the time after a request's deadline at which the engine ends the request if the decision module has
-// not done so.
-const deadlineGrace = 5 * time.Millisecond
-
 // Outcome is how a request ended.
 type Outcome uint8
 
@@ -44,7 +40,8 @@
 	ExpectedWork time.Duration // the client's hint; 0 is none
 	MarkedRetry  bool          // the client has marked the request as a retry
 	Timeout      time.Duration // from the last byte of the request to its deadline
-	Deadline     time.Duration // on the engine's clock; 0 while the body is being uploaded
+	Deadline     time.Duration // on the engine's clock; the engine sets it if Upload is set
+	Upload       Upload        // a body that is still being received; nil if the whole request has arrived
 
 	id       decision.RequestID
 	result   chan Result // has capacity 1, so that the engine never blocks on it
@@ -55,6 +52,9 @@
 	expiry   *timer
 	stream   Stream // the response if it is streamed, else nil
 	guard    sendGuard
+
+	receivedAt   time.Duration // when the last byte can have arrived; moves on while an upload is incomplete
+	bodyComplete bool          // BodyComplete was called for the upload
 }
 
 // Init prepares a request for Submit. It must be called once, before Result.
@@ -67,12 +67,13 @@
 // Result returns the channel that delivers the request's only result.
 func (r *Request) Result() <-chan Result { return r.result }
 
-// ReceivedAt returns when the last byte of the request arrived, on the engine's clock. It is valid once the result has
-// been delivered.
-func (r *Request) ReceivedAt() time.Duration { return r.Deadline - r.Timeout }
+// ReceivedAt returns when the last byte of the request arrived, on the engine's clock; for a body that was not read to
+// its end, it is the earliest time at which the last byte can have arrived. It is valid once the result has been
+// delivered.
+func (r *Request) ReceivedAt() time.Duration { return r.receivedAt }
 
 // Uploading reports whether the body is still being received from the client.
-func (r *Request) Uploading() bool { return r.Deadline == 0 }
+func (r *Request) Uploading() bool { return r.Upload != nil && !r.bodyComplete }
 
 // mayHaveRun reports whether an attempt may have run or may still run.
 func (r *Request) mayHaveRun() bool {
@@ -90,23 +91,23 @@
 	now := e.clock.Now()
 	r.id = e.newRequestID()
 	e.requests[r.id] = r
-	deadline := r.Deadline
-	switch {
-	case r.Uploading(): // provisional, as if the last byte had just arrived; BodyComplete sets the real deadline
-		deadline = now + r.Timeout
-	case now >= r.Deadline:
+	if r.Uploading() {
+		e.setReceivedAt(r, r.Upload.IncompleteAt())
+	} else {
+		r.receivedAt = r.Deadline - r.Timeout
+	}
+	if now >= r.Deadline {
 		e.complete(r, Result{Outcome: Failed, TimedOut: true})
 		return
-	default:
-		e.scheduleExpiry(r)
 	}
+	e.scheduleExpiry(r)
 	e.decider.Request(now, decision.Request{
 		ID:           r.id,
 		Class:        r.Class,
 		Tenant:       r.Tenant,
 		Key:          r.Key,
 		ExpectedWork: r.ExpectedWork,
-		Deadline:     deadline,
+		Deadline:     r.Deadline,
 		MarkedRetry:  r.MarkedRetry,
 		StreamedBody: r.Uploading(),
 	})
@@ -123,23 +124,6 @@
 	}
 }
 
-// BodyComplete records that the last byte of a streamed body was read at the time at: the request's timeout counts from
-// then. It must be called within an event.
-func (e *Engine) BodyComplete(r *Request, at time.Duration) {
-	if r.ended || !r.Uploading() {
-		return
-	}
-	r.Deadline = at + r.Timeout
-	e.scheduleExpiry(r)
-	now := e.clock.Now()
-	for _, a := range r.attempts {
-		if a.timeout == nil {
-			a.setTimeout(r.Deadline - now)
-		}
-	}
-	e.decider.BodyComplete(now, r.id, r.Deadline)
-}
-
 // ClientGone records that the client has left. It must be called within an event. It may also be called after the
 // request has ended: it then ends a streamed response.
 func (e *Engine) ClientGone(r *Request) {
@@ -153,22 +137,6 @@
 	e.decider.ClientGone(e.clock.Now(), r.id)
 }
 
-// scheduleExpiry sets a timer that ends the request deadlineGrace after its deadline.
-func (e *Engine) scheduleExpiry(r *Request) {
-	r.expiry = e.startTimerAt(r.Deadline+deadlineGrace, func() { e.expireRequest(r) })
-}
-
-// expireRequest ends a request that is still open after its deadline, so that each request gets a result even if the
-// decision module does not end it.
-func (e *Engine) expireRequest(r *Request) {
-	if r.ended {
-		return
-	}
-	e.log.Warn("request still open at its deadline", "attempts", len(r.attempts))
-	e.complete(r, Result{Outcome: Failed, TimedOut: true})
-	e.decider.ClientGone(e.clock.Now(), r.id)
-}
-
 // complete ends a request and delivers its result. If the request has already ended, it does nothing.
 func (e *Engine) complete(r *Request, result Result) {
 	if r.ended {
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -45,7 +45,8 @@
 	requestInFlight  bool   // net/http has the last byte of a request and is not done with it
 	responseStarted  bool   // part of the response to the request in flight has been written
 	readAheadOverrun bool   // more than maxReadAheadBytes arrived after a request
-	lingering        bool   // closed, but the socket stays open for the last response; no further request is served
+	arrival          arrivalTracker
+	lingering        bool // closed, but the socket stays open for the last response; no further request is served
 }
 
 // Read returns bytes up to the end of the current request. While a request is in flight it blocks until the client
@@ -150,8 +151,10 @@
 		defer c.mu.Unlock()
 		n, err = rawsocket.Read(fd, p)
 		if errors.Is(err, syscall.EAGAIN) {
+			c.arrival.foundEmpty(time.Now())
 			return false
 		}
+		c.arrival.foundBytes(time.Now(), n, len(p))
 		switch {
 		case err != nil:
 			err = readError(os.NewSyscallError("read", err), c)
--- a/internal/proxy/rawsocket/rawsocket.go
+++ b/internal/proxy/rawsocket/rawsocket.go
@@ -60,6 +60,21 @@
 	}
 }
 
+// Unread returns the number of bytes that have arrived and were not read; 0 for a connection without an open TCP socket.
+// See SIOCINQ in tcp(7), which has the value of TIOCINQ.
+func Unread(nc net.Conn) (bytes int) {
+	raw, err := Conn(nc)
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
+
 // Unacknowledged returns the number of bytes in the socket's send buffer: those that were written and that the peer has
 // not acknowledged yet. It is not supported for a connection without an open TCP socket. See SIOCOUTQ in tcp(7), which
 // has the value of TIOCOUTQ.
--- a/internal/proxy/requestbody.go
+++ b/internal/proxy/requestbody.go
@@ -54,6 +54,7 @@
 	}
 	_ = deadlines.EnableFullDuplex() // the response may come before the body's end
 	req.message.upload = newUpload(deadlines, r, req, prefix, startedAt)
+	req.Upload = req.message.upload
 	return nil
 }
 
@@ -87,27 +88,31 @@
 }
 
 // newUpload makes the upload of a body of which prefix has been read. When the body is complete, the engine is notified
-// and sets the request's deadline.
+// and sets the request's deadline for good.
 func newUpload(
 	deadlines *http.ResponseController, r *http.Request, req *request, prefix []byte, startedAt time.Time,
 ) *upload {
 	svc := req.service
-	return &upload{
+	u := &upload{
 		prefix:          prefix,
 		length:          r.ContentLength,
 		remainder:       r.Body,
-		readBytes:       int64(len(prefix)),
 		waited:          time.Since(startedAt),
+		clock:           svc.clock,
 		setReadDeadline: deadlines.SetReadDeadline,
 		failed:          make(chan error, 1),
 		onComplete: func() {
 			_ = deadlines.SetReadDeadline(time.Time{})
-			now := svc.clock.Now()
 			svc.counters.InFlight.Add(1)
 			// In a goroutine: the upload's lock is held here, and the engine may try to take it.
-			go svc.engine.Post(func() { svc.engine.BodyComplete(&req.Request, now) })
+			go svc.engine.Post(func() { svc.engine.BodyComplete(&req.Request) })
 		},
 	}
+	u.readBytes.Store(int64(len(prefix)))
+	if c := connOf(r); c != nil {
+		u.arrival = c
+	}
+	return u
 }
 
 // bodyReadError returns the rejection for a body that could not be read.
--- a/internal/proxy/slowbackend_test.go
+++ b/internal/proxy/slowbackend_test.go
@@ -23,7 +23,7 @@
 		return copy(p, strings.Repeat("x", len(p))), nil
 	}), length-maxBufferedBody)
 	u.remainder = iotest.DataErrReader(remainder) // as net/http's bodies, it ends with its last bytes
-	u.readBytes = maxBufferedBody
+	u.readBytes.Store(maxBufferedBody)
 	m := testMessage("POST", nil)
 	m.upload = u
 	return m
@@ -160,7 +160,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		u := testUpload()
 		u.length = maxBodyBytes
-		u.readBytes = maxBufferedBody
+		u.readBytes.Store(maxBufferedBody)
 		deadline := time.Time{}
 		u.setReadDeadline = func(d time.Time) error {
 			deadline = d
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -21,6 +21,19 @@
 	errAbandoned     = engine.ErrAbandoned
 )
 
+// peerSendBuffer is the largest send buffer that a client's system is expected to have: the default limit of Linux. A
+// client has written the last byte of its body when that much of it has not arrived yet.
+const peerSendBuffer = 4 << 20
+
+// uploadState tells how far the reading of an upload's remainder has come.
+type uploadState = int32
+
+const (
+	uploadReceiving uploadState = iota
+	uploadComplete              // the last byte was read
+	uploadCut                   // the last byte was not read and will not be
+)
+
 // upload is a long request body that is streamed to a backend. The prefix is buffered and can be sent again by another
 // attempt; the remainder can't, so once some of it has been read there is no further attempt.
 type upload struct {
@@ -30,15 +43,52 @@
 	setReadDeadline func(time.Time) error // for reads from remainder
 	onComplete      func()                // called as the last byte has been read, with the lock held
 	failed          chan error            // buffered; receives the error if reading the body from the client fails
+	clock           engine.Clock
+	arrival         bodyArrival // nil if the client's connection is unknown
 
 	mu        sync.Mutex    // guards the fields below, and the use of remainder and setReadDeadline
-	readBytes int64         // bytes read from the client, including the prefix
 	waited    time.Duration // total time spent waiting for the client, including the time for the prefix
 	consumed  bool          // some of the remainder has been read
 	stopped   bool          // the request has ended: remainder and setReadDeadline must no longer be used
+	readBytes atomic.Int64  // bytes read from the client, including the prefix; written under the lock
+	arrivedAt time.Time     // incompleteAt of the complete body; set before state changes to uploadComplete
+
+	state atomic.Int32 // an uploadState
+}
 
-	complete atomic.Bool // the whole body has been read from the client
-	stopping atomic.Bool // stop was called; stopped follows once the lock is free
+// bodyArrival shows what has arrived of a body on a client's connection.
+type bodyArrival interface {
+	// incompleteAt returns the latest time at which the connection was known to hold nothing unread, while more of the
+	// body was missing.
+	incompleteAt() time.Time
+	// unread returns the number of bytes that have arrived and were not read from the socket.
+	unread() int64
+}
+
+// isComplete reports whether the whole body has been read from the client.
+func (u *upload) isComplete() bool { return u.state.Load() == uploadComplete }
+
+// IncompleteAt implements engine.Upload.
+func (u *upload) IncompleteAt() time.Duration { return u.clock.At(u.incompleteAt()) }
+
+// incompleteAt returns the latest time at which the client was known not to have written the last byte.
+func (u *upload) incompleteAt() time.Time {
+	switch {
+	case u.isComplete():
+		return u.arrivedAt
+	case u.arrival == nil, u.length-u.readBytes.Load() > u.arrival.unread()+peerSendBuffer:
+		return time.Now()
+	}
+	return u.arrival.incompleteAt()
+}
+
+// Cut ends the reading of the body from the client's connection, without waiting for a read in progress. It returns
+// true if the last byte was not read and will not be passed on.
+func (u *upload) Cut() bool {
+	if u.state.CompareAndSwap(uploadReceiving, uploadCut) {
+		_ = u.setReadDeadline(time.Unix(1, 0)) // a read in progress ends and releases the lock
+	}
+	return u.state.Load() == uploadCut
 }
 
 // isConsumed reports whether there can be no further attempt. u may be nil.
@@ -54,14 +104,11 @@
 // stop ends the reading of the body from the client's connection, and reports whether the body is complete. No deadline
 // is set if it is complete: net/http then reads from the connection, and would treat a timeout as the client's close.
 func (u *upload) stop() bool {
-	u.stopping.Store(true)
-	if !u.complete.Load() {
-		_ = u.setReadDeadline(time.Unix(1, 0)) // a read in progress ends and releases the lock
-	}
+	u.Cut()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.stopped = true
-	return u.complete.Load()
+	return u.isComplete()
 }
 
 // readRemainder reads the part of the body after the prefix. It blocks until the client has sent something or its
@@ -72,23 +119,25 @@
 	switch {
 	case u.stopped:
 		return 0, errAbandoned
-	case u.complete.Load():
+	case u.isComplete():
 		return 0, io.EOF
 	}
 	u.consumed = true
 	startedAt := time.Now()
-	_ = u.setReadDeadline(bodyReadDeadline(startedAt, u.waited, u.readBytes))
-	if u.stopping.Load() {
+	_ = u.setReadDeadline(bodyReadDeadline(startedAt, u.waited, u.readBytes.Load()))
+	if u.state.Load() == uploadCut {
 		return 0, errAbandoned
 	}
 	n, err := u.remainder.Read(p)
 	u.waited += time.Since(startedAt)
-	u.readBytes += int64(n)
 	switch {
-	case u.readBytes > maxBodyBytes:
+	case u.readBytes.Add(int64(n)) > maxBodyBytes:
 		err = bodyTooLong()
 	case errors.Is(err, io.EOF):
-		u.complete.Store(true)
+		u.arrivedAt = u.incompleteAt()
+		if !u.state.CompareAndSwap(uploadReceiving, uploadComplete) {
+			return 0, errAbandoned // the request has ended as one that can't have run
+		}
 		u.onComplete()
 		return n, io.EOF
 	}
@@ -122,7 +171,7 @@
 
 func (r *uploadReader) next(p []byte) (int, error) {
 	// Checked first: the backend may respond as soon as it has the last byte, before the sender has read io.EOF here.
-	if r.complete.Load() {
+	if r.isComplete() {
 		return 0, io.EOF
 	}
 	if !r.conn.isSilent() {
@@ -163,7 +212,7 @@
 // SetWriteDeadline sets the deadline of the write. It fails if the connection was interrupted, or if a blocked write
 // should not go on because of an early response.
 func (s *uploadSocket) SetWriteDeadline(deadline time.Time) error {
-	if s.blocked && !s.writer.upload.complete.Load() && !s.writer.conn.isSilent() {
+	if s.blocked && !s.writer.upload.isComplete() && !s.writer.conn.isSilent() {
 		return errEarlyResponse
 	}
 	s.blocked = true
