Answer long bodies by the end of a drain, whenever they were begun

Cause: the end of the drain was kept as a length. The front end cut the request's time-out to what was left when the first 64 KiB were read, and the engine counted it from the last byte. Change: the engine asks Options.AnswerBy, which holds a point in time, whenever it sets a deadline; the front end's cut goes. Bodies on their way at the drain's end are cut and rejected. The test's front end now has the proxy's own connections, and its backend reports a request at its head; what the tests of drains check is unchanged.

--- a/internal/engine/deadline.go
+++ b/internal/engine/deadline.go
@@ -28,11 +28,14 @@
 	Cut() bool
 }
 
-// setReceivedAt sets the earliest time at which the last byte of an upload can have arrived, and with it the request's
+// setReceivedAt sets the earliest time at which the last byte of a request can have arrived, and with it the request's
 // deadline.
 func (e *Engine) setReceivedAt(r *Request, at time.Duration) {
 	r.receivedAt = at
 	r.Deadline = at + r.Timeout
+	if by, limited := e.opts.AnswerBy(e.clock.Time(at)); limited {
+		r.Deadline = min(r.Deadline, e.clock.At(by))
+	}
 }
 
 // BodyComplete records that the last byte of an upload was read. It must be called within an event.
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"lapisspread/decision"
 )
@@ -19,6 +20,9 @@
 	Source           Source
 	Log              *slog.Logger // nil discards all log lines
 
+	// AnswerBy returns the time by which a request whose last byte was received at receivedAt must have its result, if
+	// that is limited apart from the request's timeout; may be nil. It may be called more than once for a request.
+	AnswerBy func(receivedAt time.Time) (by time.Time, limited bool)
 	// AllowRetry is called before each attempt except a request's first one, and reports whether the attempt may be
 	// made; nil allows all retries.
 	AllowRetry func() bool
@@ -41,6 +45,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.AnswerBy == nil {
+		o.AnswerBy = func(time.Time) (time.Time, bool) { return time.Time{}, false }
+	}
 	if o.AllowRetry == nil {
 		o.AllowRetry = func() bool { return true }
 	}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -94,7 +94,7 @@
 	if r.Uploading() {
 		e.setReceivedAt(r, r.Upload.IncompleteAt())
 	} else {
-		r.receivedAt = r.Deadline - r.Timeout
+		e.setReceivedAt(r, r.Deadline-r.Timeout)
 	}
 	if now >= r.Deadline {
 		e.complete(r, Result{Outcome: Failed, TimedOut: true})
--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -27,10 +27,10 @@
 	lingerTimeout time.Duration  // how long a closed connection with unread bytes stays open for its last response
 	writeLimit    slowpeer.Limit // the least that a client must take of what is written to it
 
-	draining           bool          // the process is ending
-	lateAfter          time.Duration // front end's clock; requests that arrive later are late
-	drainEnd           time.Duration // front end's clock; responses to late requests must be sent by then
-	operatorDrainSince time.Time     // when an operator started a drain; zero without one
+	draining           bool      // the process is ending
+	lateAfter          time.Time // requests that arrive later are late
+	drainEnd           time.Time // responses to late requests must be sent by then
+	operatorDrainSince time.Time // when an operator started a drain; zero without one
 
 	admission         *listener.ConnLimiter // if nil, a full registry evicts the connection idle for longest
 	rejectedInWindow  int                   // number of rejected connections in the second from rejectionWindow on
--- a/internal/proxy/clientdrain.go
+++ b/internal/proxy/clientdrain.go
@@ -27,29 +27,35 @@
 }
 
 // setDraining starts the drain at the end of the process: from then on responses close their connections, and responses
-// to late requests must be sent within timeout. A request is late if it arrives more than drainAcceptPeriod after now,
-// the time on the front end's clock.
-func (s *clientConns) setDraining(now, timeout time.Duration) {
+// to late requests must be sent within timeout of startedAt. A request is late if its last byte arrives more than
+// drainAcceptPeriod after startedAt.
+func (s *clientConns) setDraining(startedAt time.Time, timeout time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
-	s.lateAfter = now + drainAcceptPeriod
-	s.drainEnd = now + timeout
+	s.lateAfter = startedAt.Add(drainAcceptPeriod)
+	s.drainEnd = startedAt.Add(timeout)
 }
 
-// isLate reports whether a request received at receivedAt, on the front end's clock, arrived late in a drain.
-func (s *clientConns) isLate(receivedAt time.Duration) bool {
+// isLate reports whether a request received at receivedAt arrived late in a drain.
+func (s *clientConns) isLate(receivedAt time.Time) bool {
+	_, late := s.answerBy(receivedAt)
+	return late
+}
+
+// answerBy returns the time by which a request received at receivedAt must have its response, if it arrived late in a
+// drain: the process may be killed after that. It implements engine.Options.AnswerBy.
+func (s *clientConns) answerBy(receivedAt time.Time) (by time.Time, late bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining && receivedAt > s.lateAfter
+	return s.drainEnd, s.draining && receivedAt.After(s.lateAfter)
 }
 
-// timeLeft returns the maximum time for a request that arrives at now, on the front end's clock, and whether it is late
-// in a drain. The time has no meaning if the request is not late.
-func (s *clientConns) timeLeft(now time.Duration) (left time.Duration, late bool) {
+// drainEnded reports whether the time for responses to late requests is over at now.
+func (s *clientConns) drainEnded(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.drainEnd - now, s.draining && now > s.lateAfter
+	return s.draining && !now.Before(s.drainEnd)
 }
 
 // isDraining reports whether responses close their connections, because the process is ending or an operator drains it.
--- a/internal/proxy/clientresponse.go
+++ b/internal/proxy/clientresponse.go
@@ -64,7 +64,7 @@
 		return
 	}
 	// A long response to a late request is not started: the end of the drain could cut it off.
-	if f.conns.isLate(f.clock.Now() - req.service.clock.Now() + req.ReceivedAt()) {
+	if f.conns.isLate(req.service.clock.Time(req.ReceivedAt())) {
 		stream.End(errAbandoned)
 		req.countOutcome(metrics.Failed)
 		writeResponse(w, response{status: http.StatusBadGateway})
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -34,7 +34,6 @@
 type httpFrontend struct {
 	services *serviceSet
 	cfg      *Config
-	clock    engine.Clock
 	log      *slog.Logger
 	server   *http.Server
 	conns    *clientConns
@@ -52,7 +51,6 @@
 	f := &httpFrontend{
 		services:         s,
 		cfg:              cfg,
-		clock:            engine.NewClock(),
 		log:              log,
 		conns:            conns,
 		openIDs:          map[string]bool{},
@@ -89,7 +87,7 @@
 func (f *httpFrontend) drain(listener net.Listener, superseded bool) {
 	startedAt := time.Now()
 	timeout := min(f.services.maxClientTimeout(), maxDrainDeadline) + drainMargin
-	f.conns.setDraining(f.clock.Now(), timeout)
+	f.conns.setDraining(startedAt, timeout)
 	if superseded {
 		_ = listener.Close()
 	}
@@ -182,13 +180,10 @@
 		f.rejectRequest(w, req, err)
 		return
 	}
-	// A late request without a response at the end of the drain would be lost with the process.
-	if left, late := f.conns.timeLeft(f.clock.Now()); late {
-		if left <= 0 {
-			f.rejectRequest(w, req, unavailable("the proxy is ending"))
-			return
-		}
-		req.Timeout = min(req.Timeout, left)
+	// A late request has until the end of the drain, see clientConns.answerBy.
+	if f.conns.drainEnded(time.Now()) {
+		f.rejectRequest(w, req, unavailable("the proxy is ending"))
+		return
 	}
 	defer f.startRequest(r, req, origin.receivedAt)()
 	svc := req.service
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -242,6 +242,7 @@
 		options.Snapshot = p.snapshots.takeSnapshot(svc.name)
 	}
 	options.AllowRetry = svc.allowRetry(s.limits)
+	options.AnswerBy = p.conns.answerBy
 	options.Zones = p.cfg.Zones
 	options.Kinds = p.cfg.Kinds
 	options.Log = p.log
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -150,9 +150,9 @@
 	}
 }
 
-// newDrainingFrontend returns a front end that began to drain the time elapsed ago and must have responded to late
-// requests within timeout of that. Its backend never responds and sends the X-Timeout-Ms of each request to timeouts.
-func newDrainingFrontend(t *testing.T, elapsed, timeout time.Duration, timeouts chan<- string) *running {
+// newHangingFrontend returns a front end and its connections. Its backend never responds and sends the X-Timeout-Ms of
+// each request to timeouts, as soon as it has the request's head.
+func newHangingFrontend(t *testing.T, timeouts chan<- string) (*running, *clientConns) {
 	t.Helper()
 	addr := rawBackend(t, func(_ int, _ net.Conn, in *bufio.Reader) {
 		for {
@@ -160,8 +160,8 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, req.Body)
 			timeouts <- req.Header.Get("X-Timeout-Ms")
+			_, _ = io.Copy(io.Discard, req.Body)
 		}
 	})
 	list, err := parseList([]byte(listText(1, true, memberText("a", addr, "active"))))
@@ -177,12 +177,53 @@
 	if err != nil {
 		t.Fatalf("listening: %v", err)
 	}
-	conns := newClientConns(8)
+	conns := svcs.proxy.conns
 	f := newFrontend(svcs, &svcs.proxy.cfg, slog.New(slog.DiscardHandler), conns)
-	conns.setDraining(f.clock.Now()-elapsed, timeout)
 	go func() { _ = f.serve(listener) }()
 	t.Cleanup(func() { _ = f.server.Close(); cancel(); svcs.wait() })
-	return &running{addr: listener.Addr().String()}
+	return &running{addr: listener.Addr().String()}, conns
+}
+
+// newDrainingFrontend returns a front end of newHangingFrontend that began to drain the time elapsed ago and must have
+// responded to late requests within timeout of that.
+func newDrainingFrontend(t *testing.T, elapsed, timeout time.Duration, timeouts chan<- string) *running {
+	t.Helper()
+	p, conns := newHangingFrontend(t, timeouts)
+	conns.setDraining(time.Now().Add(-elapsed), timeout)
+	return p
+}
+
+// Guards against requests without an answer at the end of the process: a request whose long body was begun before the
+// drain and whose last byte arrives late in it is answered by the end of the drain, as are those whose bodies are still
+// on their way then. Each client's own time is 59 s.
+func TestLongBodyAcrossDrainIsAnswered(t *testing.T) {
+	const head = "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: long\r\nX-Priority-Class: hand-in\r\n" +
+		"X-Timeout-Ms: 59000\r\nContent-Length: 100000\r\n\r\n"
+	body := strings.Repeat("x", 100000)
+	for name, c := range map[string]struct {
+		late   int // bytes sent once the drain has begun
+		status int
+	}{
+		"last byte arrives late in the drain": {10, http.StatusGatewayTimeout},
+		"last byte does not arrive":           {9, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			timeouts := make(chan string, 8)
+			p, conns := newHangingFrontend(t, timeouts)
+			client, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatalf("connecting: %v", err)
+			}
+			defer func() { _ = client.Close() }()
+			_, _ = io.WriteString(client, head+body[10:])
+			within(t, timeouts, "the backend did not get the request's head")
+			elapsed := drainAcceptPeriod + time.Second
+			conns.setDraining(time.Now().Add(-elapsed), elapsed+300*time.Millisecond)
+			_, _ = io.WriteString(client, body[:c.late])
+			_ = client.SetReadDeadline(time.Now().Add(patience))
+			mustRespond(t, c.status)(readFinalResponse(bufio.NewReader(client)))
+		})
+	}
 }
 
 // A request that arrives late in a drain, with a deadline after the process's end, gets a response before that end.
