Take a rejected claim's repeat for new only where there are no other proxies

Cause: a ledger that began empty notes claims that came without the T flag, since no earlier process can have run them. The note excepted them from the rule on other proxies as well, where a claim can run any time after the note. Change: with other proxies (Shared) a repeat without an entry may have run, whatever came here before.

--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -62,7 +62,8 @@
 	uncertain list.List // of *entry, ordered by expiresAt
 	bytes     int       // total length of all answers
 	// firstTransmissions are the requests that arrived without the T flag within one window after Settings.LostAt. No
-	// earlier process can have run them, so a retransmission of one of them is admitted as new.
+	// earlier process of this ledger can have run them, so a retransmission of one of them is admitted as new. It is
+	// empty with Settings.Shared: another process can have run a request after its first copy was rejected here.
 	firstTransmissions map[Key]bool
 }
 
@@ -87,11 +88,10 @@
 	if e := l.entries[key]; e != nil {
 		return e.verdict()
 	}
-	mayLackEntries := l.mayLackEntries(now)
-	if retransmitted && (mayLackEntries || l.settings.Shared) && !l.firstTransmissions[key] {
-		return MayHaveRun, nil // the earlier process or another one may have run it
+	if retransmitted && l.mayHaveRunUnseen(now, key) {
+		return MayHaveRun, nil
 	}
-	if mayLackEntries {
+	if l.mayLackEntries(now) {
 		l.NoteFirstTransmission(key)
 	} else if len(l.firstTransmissions) > 0 {
 		clear(l.firstTransmissions)
@@ -115,6 +115,12 @@
 	}
 }
 
+// mayHaveRunUnseen reports whether a request without an entry may have run in another process: an earlier one whose
+// entries are lost, or one that senders also use.
+func (l *Ledger) mayHaveRunUnseen(now time.Duration, key Key) bool {
+	return l.settings.Shared || l.mayLackEntries(now) && !l.firstTransmissions[key]
+}
+
 // mayLackEntries reports whether requests that an earlier process ran, and whose entries are lost, may still be
 // retransmitted.
 func (l *Ledger) mayLackEntries(now time.Duration) bool {
@@ -124,7 +130,7 @@
 // NoteFirstTransmission records that a request arrived without the T flag, so that its retransmission is admitted as
 // new. Admit calls it; callers call it for requests that they rejected without Admit.
 func (l *Ledger) NoteFirstTransmission(key Key) {
-	if len(l.firstTransmissions) < l.settings.MaxEntries {
+	if !l.settings.Shared && len(l.firstTransmissions) < l.settings.MaxEntries {
 		l.firstTransmissions[key] = true
 	}
 }
--- a/internal/idempotency/ledger_test.go
+++ b/internal/idempotency/ledger_test.go
@@ -124,6 +124,36 @@
 	}
 }
 
+// Guards against a claim being paid twice: that its first copy was rejected here shows that it had not run then. It may
+// run at another process after that, so that its retransmission here is not new.
+func TestRejectedFirstCopyMayRunElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		shared bool
+		want   Verdict
+	}{
+		"senders use other processes": {true, MayHaveRun},
+		"this is the only process":    {false, Begin},
+	} {
+		l := newLedger(t, Settings{
+			Window: MinWindow, UncertainWindow: MinWindow, MaxEntries: 10, MaxBytes: 100, LostAt: 0, Shared: c.shared,
+		})
+		run, noted := Key{"a", 1}, Key{"a", 2}
+		if v, _ := l.Admit(0, run, false); v != Begin {
+			t.Fatalf("%s: Admit of a first transmission = %v, want %v", name, v, Begin)
+		}
+		l.Cancel(run)
+		l.NoteFirstTransmission(noted)
+		for _, key := range []Key{run, noted} {
+			if v, _ := l.Admit(time.Second, key, true); v != c.want {
+				t.Errorf("%s: Admit of the retransmission of %v, rejected before = %v, want %v", name, key, v, c.want)
+			}
+		}
+		if v, _ := l.Admit(2*time.Second, Key{"a", 3}, false); v != Begin {
+			t.Errorf("%s: Admit of another first transmission = %v, want %v", name, v, Begin)
+		}
+	}
+}
+
 func TestRestore(t *testing.T) {
 	l := newLedger(t, Settings{Window: MinWindow, UncertainWindow: MinWindow, MaxEntries: 3, MaxBytes: 8, LostAt: -1})
 	err := l.Restore(0, []Record{
