Say of no repeat that it has not run before the ledger has shown it

Cause: 3004 and 3002 say that a request has not run, and the node's bounds, the services' limits and the guard without its file gave them before anybody asked the ledger. Change: whoever rejects a repeat asks Ledger.MayReject; where an earlier copy may have run the answer is 5012. A repeat that comes before the ledger is loaded waits for it.

--- a/internal/diameter/frontend/front.go
+++ b/internal/diameter/frontend/front.go
@@ -50,8 +50,11 @@
 	Realm string
 	Guard *guard.Guard
 	Route func(a *claim.Ask, bytes int64) (*Service, error) // an error is a *Turned, or a failure
-	Slack time.Duration                                     // ahead of the client's giving up, for the answer's way back
-	Log   *slog.Logger
+	// Unsafe tells whether requests of a class must not run twice, at any service that has it. It must not block; nil
+	// takes all for unsafe.
+	Unsafe func(class string) bool
+	Slack  time.Duration // ahead of the client's giving up, for the answer's way back
+	Log    *slog.Logger
 }
 
 // Front takes requests of a node. It is for any goroutine.
@@ -72,6 +75,9 @@
 // New makes a front end. Serve must be given the node whose Handle it is.
 func New(s Settings) *Front {
 	f := &Front{set: s, dict: s.Rules.Dictionary()}
+	if f.set.Unsafe == nil {
+		f.set.Unsafe = func(string) bool { return true }
+	}
 	if f.set.Log == nil {
 		f.set.Log = slog.New(slog.DiscardHandler)
 	}
@@ -99,6 +105,10 @@
 		return
 	}
 	svc, err := f.set.Route(&ask, int64(len(r.Message)))
+	if err != nil && !f.mayReject(&ask) {
+		f.end(r, claim.RanBefore, 0)
+		return
+	}
 	if err != nil {
 		f.turn(r, err)
 		return
@@ -140,6 +150,20 @@
 	r.Answer(f.readdress(r, answer))
 }
 
+// MayReject tells whether a request may be answered as one that has not run; it is for node.Settings. A repeat of an
+// unsafe one may not, unless the ledger shows it: its sender would send it again as a new one.
+func (f *Front) MayReject(m diameter.Message, host, realm string) bool {
+	if m.Header().Flags&diameter.Retransmitted == 0 {
+		return true
+	}
+	ask, wrong := f.set.Rules.Classify(m, claim.From{Host: host, Realm: realm})
+	return wrong != nil || f.mayReject(&ask)
+}
+
+func (f *Front) mayReject(a *claim.Ask) bool {
+	return !f.set.Unsafe(a.Class) || f.set.Guard.MayReject(a.Name, a.Repeat)
+}
+
 // endOf is how a request has ended that was not carried out again.
 func endOf(end guard.Outcome, v idempotency.Verdict) engine.Outcome {
 	switch {
--- a/internal/diameter/frontend/front_test.go
+++ b/internal/diameter/frontend/front_test.go
@@ -65,6 +65,7 @@
 	}
 	classes := map[string]int{"safe": 0, "unsafe": 1}
 	fr := frontend.New(frontend.Settings{Rules: rules, Host: f.Host, Realm: f.Realm, Guard: g, Slack: 15 * time.Millisecond,
+		Unsafe: func(class string) bool { return class == "unsafe" },
 		Route: func(a *claim.Ask, _ int64) (*frontend.Service, error) {
 			if a.Session == "nowhere" {
 				return nil, &frontend.Turned{What: "no places", After: 1500 * time.Millisecond}
@@ -241,6 +242,32 @@
 	}
 }
 
+// Guards against a claim being paid twice: a repeat of an unsafe claim for which there is no room is not answered as one
+// that has not run where there are other proxies, as its sender would send it again as a new one. Others are.
+func TestRepeatWithoutRoomMayHaveRun(t *testing.T) {
+	e, _ := scripted(t, func(int, engine.Attempt) enginetest.Step { return enginetest.Step{} })
+	p, front, _ := stand(t, e, func(s *idempotency.Settings) { s.Shared = true })
+	const safe, unsafe = 2, 1
+	for name, c := range map[string]struct {
+		flags  diameter.Flags
+		action uint32
+		want   diameter.ResultCode
+	}{
+		"first copy, unsafe": {0, unsafe, diameter.TooBusy},
+		"repeat, unsafe":     {diameter.Retransmitted, unsafe, diameter.UnableToComply},
+		"first copy, safe":   {0, safe, diameter.TooBusy},
+		"repeat, safe":       {diameter.Retransmitted, safe, diameter.TooBusy},
+	} {
+		code, _, err := ask(t.Context(), p, lastID.Add(1)+5000, c.flags, "nowhere", c.action, time.Second)
+		if err != nil || code != c.want {
+			t.Errorf("%s: answered %d, %v, want %d", name, code, err, c.want)
+		}
+	}
+	if n := front.Counts.Failed.Load(); n != 1 {
+		t.Errorf("%d requests counted as failed, want the repeat of the unsafe one", n)
+	}
+}
+
 // A client that breaks off and comes again on another connection has the answer of what was in hand.
 func TestAClientThatComesAgain(t *testing.T) {
 	e, s := scripted(t, func(int, engine.Attempt) enginetest.Step {
--- a/internal/diameter/node/node.go
+++ b/internal/diameter/node/node.go
@@ -43,7 +43,7 @@
 
 	Peers       int   // connections of peers at most, ours to them besides
 	Handshakes  int   // connections at most that have not said who they are
-	InHand      int   // requests in hand of one peer; what is more is answered with 3004
+	InHand      int   // requests in hand of one peer; what is more is answered with 3004, or 5012 without MayReject
 	Bytes       int64 // of the requests in hand of all peers
 	Queue       int   // bytes that wait to be written to one peer
 	Outstanding int   // requests that one peer has not answered
@@ -51,6 +51,9 @@
 	// Allow tells whether a peer may connect to us, or we stay with one that we have connected to. Cert is what it has
 	// shown, nil without TLS.
 	Allow func(host, realm string, cert *x509.Certificate) error
+	// MayReject tells whether a request of the peer host in realm may be answered with 3004, which says that it has not
+	// run, without its being handled. It must not block; nil allows it always.
+	MayReject func(m diameter.Message, host, realm string) bool
 	// Handle takes a request of a peer, in a goroutine of its own. It must call Answer or Drop.
 	Handle func(*Request)
 	TLS    func() *tls.Config // for a connection that we make; nil is plain TCP. A listener brings its own
@@ -89,6 +92,9 @@
 	if s.Allow == nil {
 		s.Allow = func(string, string, *x509.Certificate) error { return nil }
 	}
+	if s.MayReject == nil {
+		s.MayReject = func(diameter.Message, string, string) bool { return true }
+	}
 	if s.Handle == nil {
 		s.Handle = func(r *Request) { r.Drop() }
 	}
--- a/internal/diameter/node/node_test.go
+++ b/internal/diameter/node/node_test.go
@@ -587,6 +587,30 @@
 	})
 }
 
+// Guards against a claim being paid twice: a request for which there is no room, and which may not be rejected, is not
+// answered with 3004.
+func TestBusyAnswerOfRequestThatMayHaveRun(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.node("server", func(s *Settings) {
+			s.Bytes = 1 // so that there is room for none
+			s.MayReject = func(m diameter.Message, host, realm string) bool {
+				return host != "client.example" || realm != "example" || sessionOf(m) != "repeat"
+			}
+		})
+		p := w.connect(w.node("client", nil), "server")
+		for session, want := range map[string]diameter.ResultCode{"new": diameter.TooBusy, "repeat": diameter.UnableToComply} {
+			answer, _, err := p.Send(t.Context(), ask(session))
+			if err != nil {
+				t.Fatalf("%s: %v", session, err)
+			}
+			avp, _ := answer.Find(0, 268)
+			if code, _ := avp.Uint32(); diameter.ResultCode(code) != want {
+				t.Errorf("request %q without room: answered %d, want %d", session, code, want)
+			}
+		}
+	})
+}
+
 // A thousand peers are quiet for four minutes: their watchdogs do not come in step, and what they cost is told.
 func TestAThousandPeers(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
--- a/internal/diameter/node/peer.go
+++ b/internal/diameter/node/peer.go
@@ -338,7 +338,7 @@
 	if busy != "" {
 		n.Counts.Busy.Add(1)
 		r.over.Store(true) // nothing of it is counted
-		answer, err := n.set.Dict.Refusal(m, h, &diameter.Error{Code: diameter.TooBusy, What: busy}, n.set.Host, n.set.Realm)
+		answer, err := n.set.Dict.Refusal(m, h, p.busyError(m, busy), n.set.Host, n.set.Realm)
 		p.send(c)(answer, err)
 		return
 	}
@@ -347,6 +347,14 @@
 	go r.handle()
 }
 
+// busyError is the answer to a request for which there is no room, for a reason. The lock is held.
+func (p *Peer) busyError(m diameter.Message, reason string) *diameter.Error {
+	if p.node.set.MayReject(m, p.host, p.realm) {
+		return &diameter.Error{Code: diameter.TooBusy, What: reason}
+	}
+	return &diameter.Error{Code: diameter.UnableToComply, What: reason + ", and an earlier copy may have run"}
+}
+
 // enter counts a request in hand, unless the node ends.
 func (n *Node) enter() bool {
 	n.mu.Lock()
--- a/internal/idempotency/guard/guard.go
+++ b/internal/idempotency/guard/guard.go
@@ -55,6 +55,7 @@
 
 	mu     sync.Mutex
 	ledger *idempotency.Ledger // nil until the store is loaded, and after Close
+	loaded chan struct{}       // closed once ledger is set
 	// firstTransmissions are the requests that arrived without the T flag before the store was loaded, and were
 	// therefore rejected.
 	firstTransmissions []idempotency.Key
@@ -70,7 +71,7 @@
 	rejected bool // the intent could not be written, so work was not called
 }
 
-// New returns a guard. With a path, Do rejects all requests until Open has loaded the store. The error names each
+// New returns a guard. With a path, no request runs until Open has loaded the store. The error names each
 // invalid setting.
 func New(o Options) (*Guard, error) {
 	if o.Log == nil {
@@ -82,17 +83,34 @@
 	if o.Ledger.LostAt >= 0 {
 		o.Ledger.LostAt = o.Now() // the clock need not start at 0
 	}
-	g := &Guard{options: o, inFlight: map[idempotency.Key]*call{}}
+	g := &Guard{options: o, loaded: make(chan struct{}), inFlight: map[idempotency.Key]*call{}}
 	ledger, err := idempotency.New(o.Ledger)
 	if err != nil {
 		return nil, err
 	}
 	if o.Path == "" {
-		g.ledger = ledger
+		g.setLedger(ledger)
 	}
 	return g, nil
 }
 
+// setLedger makes a ledger the one that decides. The lock must be held if other goroutines use the guard.
+func (g *Guard) setLedger(l *idempotency.Ledger) {
+	g.ledger = l
+	close(g.loaded)
+}
+
+// MayReject reports whether a copy of a request may be rejected, without Do, as one that has not run. retransmitted is
+// its T flag.
+func (g *Guard) MayReject(key idempotency.Key, retransmitted bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ledger == nil {
+		return !retransmitted
+	}
+	return g.ledger.MayReject(g.options.Now(), key, retransmitted)
+}
+
 // Do calls work unless a copy of the request arrived before, and returns the answer. retransmitted is the T flag of the
 // request.
 //
@@ -100,10 +118,20 @@
 // request. With both, the answer and the outcome are the results of work; with other verdicts the outcome has no
 // meaning. With Answered, the answer is that of an earlier copy. With the remaining verdicts there is no answer.
 //
-// ctx should end when the client gives up. Do then stops waiting for another caller or for the disk, but not for work.
+// Before the store is loaded, Do rejects new requests, and waits for the store with a retransmission: an earlier copy of
+// it may have run, so that it can't be rejected as one that has not.
+//
+// ctx should end when the client gives up. Do then stops waiting for another caller, the store or the disk, but not for
+// work.
 func (g *Guard) Do(
 	ctx context.Context, key idempotency.Key, retransmitted bool, work Work,
 ) (answer []byte, outcome Outcome, verdict idempotency.Verdict) {
+	if retransmitted {
+		select {
+		case <-g.loaded:
+		case <-ctx.Done():
+		}
+	}
 	a := g.admit(key, retransmitted)
 	switch a.verdict {
 	case idempotency.Begin:
@@ -137,7 +165,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.ledger == nil {
-		if !retransmitted && len(g.firstTransmissions) < g.options.Ledger.MaxEntries {
+		if retransmitted {
+			return admitResult{verdict: idempotency.MayHaveRun, outcome: Unknown}
+		}
+		if len(g.firstTransmissions) < g.options.Ledger.MaxEntries {
 			g.firstTransmissions = append(g.firstTransmissions, key)
 		}
 		return admitResult{verdict: idempotency.Full, outcome: NeverRan}
--- a/internal/idempotency/guard/guard_test.go
+++ b/internal/idempotency/guard/guard_test.go
@@ -218,6 +218,43 @@
 	close(release)
 }
 
+// Guards against a request running twice: before the store is loaded, a retransmission is not rejected as one that has not
+// run. It waits for the store, which decides; if its client gives up before that, it may have run.
+func TestRetransmissionWaitsForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "effects.db")
+		g := newGuard(t, path, -1)
+		g.Do(t.Context(), key(1), false, func() ([]byte, Outcome) { return []byte("paid"), Answered })
+		mustClose(t, g)
+		clockStart := time.Now()
+		next, err := New(Options{Ledger: testSettings(0), Path: path, Now: func() time.Duration { return time.Since(clockStart) }})
+		if err != nil {
+			t.Fatalf("New of the next process: %v", err)
+		}
+		if next.MayReject(key(1), true) || !next.MayReject(key(1), false) {
+			t.Error("before Open: MayReject of a retransmission = true, or of a first transmission = false")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, _, v := next.Do(ctx, key(1), true, mustNotRun(t)); v != idempotency.MayHaveRun {
+			t.Errorf("Do of a retransmission whose client gives up before Open = %v, want %v", v, idempotency.MayHaveRun)
+		}
+		done := make(chan idempotency.Verdict, 1)
+		go func() {
+			_, _, v := next.Do(t.Context(), key(1), true, mustNotRun(t))
+			done <- v
+		}()
+		synctest.Wait()
+		if err := next.Open(t.Context()); err != nil {
+			t.Fatalf("Open: %v", err)
+		}
+		defer mustClose(t, next)
+		if v := <-done; v != idempotency.Answered {
+			t.Errorf("Do of a retransmission before Open = %v, want %v", v, idempotency.Answered)
+		}
+	})
+}
+
 // After the ledger was deleted or restored from an older copy, a retransmission without an entry is answered as
 // MayHaveRun. This holds for one window from when the loss was found, in later processes too. A first transmission is
 // new.
--- a/internal/idempotency/guard/open.go
+++ b/internal/idempotency/guard/open.go
@@ -13,7 +13,7 @@
 // lockRetryInterval is the pause between attempts to open a store that another process has open.
 const lockRetryInterval = 100 * time.Millisecond
 
-// Open loads the store, after which Do runs requests. While another process has the store open, Open waits until ctx
+// Open loads the store, after which Do runs requests. It must be called once. While another process has the store open, Open waits until ctx
 // ends: during a hot restart the old process keeps the store open until all of its requests have ended. If the store
 // cannot be loaded, Open returns an error, and Do continues to reject all requests, because it is not known which
 // requests have run.
@@ -62,7 +62,7 @@
 		return errors.Join(err, s.Close())
 	}
 	g.mu.Lock()
-	g.ledger = ledger
+	g.setLedger(ledger)
 	g.store = s
 	for _, key := range g.firstTransmissions {
 		ledger.NoteFirstTransmission(key)
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -103,6 +103,17 @@
 	return Begin, nil
 }
 
+// MayReject reports whether a copy of a request may be rejected, without Admit, as one that has not run. Its sender sends
+// it again as a new one then, to this process or to another. retransmitted is the copy's T flag.
+func (l *Ledger) MayReject(now time.Duration, key Key, retransmitted bool) bool {
+	if !retransmitted {
+		return true
+	}
+	l.expire(now)
+	// A new copy is decided by the entry, but only here.
+	return !l.settings.Shared && (l.entries[key] != nil || !l.mayHaveRunUnseen(now, key))
+}
+
 // verdict returns the decision on a further copy of the request, and its answer if it has completed.
 func (e *entry) verdict() (Verdict, []byte) {
 	switch e.state {
--- a/internal/idempotency/ledger_test.go
+++ b/internal/idempotency/ledger_test.go
@@ -154,6 +154,35 @@
 	}
 }
 
+// Guards against a claim being paid twice: a retransmission may be rejected as one that has not run only if no other
+// process can have run an earlier copy, since it may come again as a new request then.
+func TestMayReject(t *testing.T) {
+	known, noted, unknown := Key{"a", 1}, Key{"a", 2}, Key{"a", 3}
+	for name, c := range map[string]struct {
+		shared                         bool
+		lostAt                         time.Duration
+		mayKnown, mayNoted, mayUnknown bool // reject a retransmission
+	}{
+		"only process, nothing lost": {false, -1, true, true, true},
+		"only process, entries lost": {false, 0, true, true, false},
+		"several processes":          {true, -1, false, false, false},
+	} {
+		l := newLedger(t, Settings{
+			Window: MinWindow, UncertainWindow: MinWindow, MaxEntries: 10, MaxBytes: 100, LostAt: c.lostAt, Shared: c.shared,
+		})
+		l.Admit(0, known, false)
+		l.NoteFirstTransmission(noted)
+		for key, want := range map[Key]bool{known: c.mayKnown, noted: c.mayNoted, unknown: c.mayUnknown} {
+			if got := l.MayReject(0, key, true); got != want {
+				t.Errorf("%s: MayReject of the retransmission of %v = %v, want %v", name, key, got, want)
+			}
+			if !l.MayReject(0, key, false) {
+				t.Errorf("%s: MayReject of the first transmission of %v = false, want true", name, key)
+			}
+		}
+	}
+}
+
 func TestRestore(t *testing.T) {
 	l := newLedger(t, Settings{Window: MinWindow, UncertainWindow: MinWindow, MaxEntries: 3, MaxBytes: 8, LostAt: -1})
 	err := l.Restore(0, []Record{
--- a/internal/proxy/diameter.go
+++ b/internal/proxy/diameter.go
@@ -80,16 +80,18 @@
 		return fmt.Errorf("%s: %w", p.cfg.Diameter, err)
 	}
 	d.front = frontend.New(frontend.Settings{
-		Rules: d.rules,
-		Host:  d.file.Host,
-		Realm: d.file.Realm,
-		Guard: d.guard,
-		Route: d.route,
-		Slack: responseMargin,
-		Log:   p.log,
+		Rules:  d.rules,
+		Host:   d.file.Host,
+		Realm:  d.file.Realm,
+		Guard:  d.guard,
+		Route:  d.route,
+		Unsafe: p.services.hasUnsafeClass,
+		Slack:  responseMargin,
+		Log:    p.log,
 	})
 	settings := d.settings()
 	settings.Allow = d.front.Allow
+	settings.MayReject = d.front.MayReject
 	settings.Handle = d.front.Handle
 	d.node, err = node.New(settings)
 	if err != nil {
--- a/internal/proxy/diameterrequest.go
+++ b/internal/proxy/diameterrequest.go
@@ -79,6 +79,20 @@
 	return out, nil
 }
 
+// hasUnsafeClass reports whether a service has a class of this name whose requests must not run twice. A name that no
+// service has counts as one.
+func (s *serviceSet) hasUnsafeClass(name string) bool {
+	known := false
+	for _, svc := range s.current.Load().byName {
+		class, found := svc.classes[name]
+		if found && svc.module.Classes[class].Idempotency != decision.Idempotent {
+			return true
+		}
+		known = known || found
+	}
+	return !known
+}
+
 // httpMessage converts a Diameter request to a request for an HTTP server. Its body is a JSON object of the AVPs by
 // name.
 func (d *diameterService) httpMessage(a *claim.Ask, wire diameter.Message) (engine.Message, error) {
