Keep listeners for clients and peers through errors of accept that pass

Cause: Node.Serve ends at the first error of accept, and nothing listened again. The clients' listener was wrapped against a lack of descriptors, the peers' one was not; both ended at other errors that pass. Change: listener.Listener goes on after the errors of accept(2) that concern resources or the connection, and serves peers too; a listening socket for peers that fails is replaced.

--- a/internal/listener/connlimiter_test.go
+++ b/internal/listener/connlimiter_test.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"errors"
 	"log/slog"
 	"net"
@@ -159,9 +160,10 @@
 	}
 }
 
-// failingListener is a listener whose first calls of Accept fail because no file descriptor is left.
+// failingListener is a listener whose first calls of Accept fail, because no file descriptor is left unless errno is set.
 type failingListener struct {
 	net.Listener
+	errno    syscall.Errno
 	mu       sync.Mutex
 	failures int // number of further calls that fail
 	calls    int
@@ -173,7 +175,7 @@
 	if s.failures > 0 {
 		s.failures--
 		s.mu.Unlock()
-		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", cmp.Or(s.errno, syscall.EMFILE))}
 	}
 	s.mu.Unlock()
 	return s.Listener.Accept()
@@ -233,6 +235,42 @@
 	t.Error("Accept did not return after the shortage, although 40 clients have connected")
 }
 
+// Guards against a listener that ends for good because of an error that passes: Accept goes on after errors that concern
+// resources or the connection that arrived, and returns those of the listening socket.
+func TestAcceptGoesOnAfterTransientErrors(t *testing.T) {
+	for errno, passes := range map[syscall.Errno]bool{
+		syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENOBUFS: true, syscall.ENOMEM: true,
+		syscall.ECONNABORTED: true, syscall.EPERM: true, syscall.ENETDOWN: true, syscall.EHOSTUNREACH: true,
+		syscall.EINVAL: false, syscall.EBADF: false, syscall.ENOTSOCK: false,
+	} {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatalf("net.Listen: %v", err)
+		}
+		// The spare descriptor could accept the only connection, and close it.
+		l := &Listener{
+			Listener: &failingListener{Listener: inner, errno: errno, failures: 3}, log: slog.New(slog.DiscardHandler),
+			evictIdle: func() bool { return true }, onRejected: func() {},
+		}
+		client, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatalf("connecting to the listener: %v", err)
+		}
+		c, err := l.Accept()
+		switch {
+		case passes && err != nil:
+			t.Errorf("Accept after %v = %v, want a connection", errno, err)
+		case !passes && !errors.Is(err, errno):
+			t.Errorf("Accept after %v = %v, want that error", errno, err)
+		}
+		if err == nil {
+			_ = c.Close()
+		}
+		_ = client.Close()
+		_ = l.Close()
+	}
+}
+
 // With UseHalf(true) the limit is half of the capacity, also after Reconfigure. Open connections above it stay open.
 func TestUseHalf(t *testing.T) {
 	l, _ := newConnLimiter(t, 4, "")
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -5,21 +5,23 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	// acceptRetryInterval is the pause between two calls of accept while no file descriptor is left.
+	// acceptRetryInterval is the pause between two calls of accept after one has failed.
 	acceptRetryInterval = 5 * time.Millisecond
 	// descriptorReleaseDelay is the time given to the kernel to release the descriptor of a closed connection.
 	descriptorReleaseDelay = time.Millisecond
-	// logInterval is the minimum time between two log lines about a descriptor shortage.
+	// logInterval is the minimum time between two log lines about failed calls of accept.
 	logInterval = time.Second
 )
 
-// Listener keeps accepting connections while the process, or the machine, has no file descriptor left. It evicts an
+// Listener keeps accepting connections after an accept has failed for a reason that may pass. While the process, or the
+// machine, has no file descriptor left, it evicts an
 // idle connection to free a descriptor. If no connection is idle, it releases a spare descriptor, uses it to accept one
 // connection, and closes that connection at once, so that the client does not wait in the accept queue forever. It
 // pauses between attempts to avoid a busy loop.
@@ -67,28 +69,56 @@
 	}
 }
 
-// Accept blocks until a connection arrives. It handles a descriptor shortage itself and returns all other errors.
+// Errors of accept that concern the process's or the machine's resources, or the connection that arrived, and not the
+// listening socket: see accept(2).
+var (
+	shortageErrors  = []error{syscall.EMFILE, syscall.ENFILE}
+	transientErrors = []error{
+		syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EPERM, syscall.EPROTO,
+		syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN,
+		syscall.EHOSTUNREACH, syscall.ENONET,
+	}
+)
+
+// isOneOf reports whether err is one of the given errors.
+func isOneOf(err error, errs []error) bool {
+	return slices.ContainsFunc(errs, func(target error) bool { return errors.Is(err, target) })
+}
+
+// Accept blocks until a connection arrives. It handles a descriptor shortage and other errors that may pass itself, and
+// returns those of the listening socket.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err == nil {
+		switch {
+		case err == nil:
 			return c, nil
-		}
-		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+		case isOneOf(err, shortageErrors):
+			l.logError("no descriptor is left for clients", err)
+			l.relieveShortage()
+		case isOneOf(err, transientErrors):
+			l.logError("accepting a connection failed", err)
+			time.Sleep(acceptRetryInterval)
+		default:
 			return nil, err
 		}
-		l.relieveShortage(err)
 	}
 }
 
-// relieveShortage evicts an idle connection, or rejects the oldest connection in the accept queue.
-func (l *Listener) relieveShortage(err error) {
+// logError logs an error of accept, at most once in logInterval.
+func (l *Listener) logError(message string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if time.Since(l.loggedAt) >= logInterval {
 		l.loggedAt = time.Now()
-		l.log.Error("no descriptor is left for clients", "err", err)
+		l.log.Error(message, "err", err)
 	}
+}
+
+// relieveShortage evicts an idle connection, or rejects the oldest connection in the accept queue.
+func (l *Listener) relieveShortage() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.evictIdle() {
 		time.Sleep(descriptorReleaseDelay)
 		return
--- a/internal/proxy/diameter.go
+++ b/internal/proxy/diameter.go
@@ -20,6 +20,7 @@
 	"lapisspread/internal/engine"
 	"lapisspread/internal/idempotency"
 	"lapisspread/internal/idempotency/guard"
+	"lapisspread/internal/listener"
 	"lapisspread/internal/slowpeer"
 	"lapisspread/internal/tlskeys"
 )
@@ -214,15 +215,27 @@
 		<-ctx.Done()
 		return
 	}
-	l := d.listen(ctx)
-	if l == nil {
-		return
+	if d.servePeers(ctx) {
+		<-ctx.Done()
 	}
-	log.Info("serving Diameter", "listen", l.Addr().String(), "host", d.file.Host)
-	if err := d.node.Serve(l); err != nil {
-		log.Error("Diameter listener failed", "err", err)
+}
+
+// servePeers accepts peers until drain is called (true), or until ctx ends (false). If the listening socket fails, it
+// listens anew.
+func (d *diameterService) servePeers(ctx context.Context) (drained bool) {
+	for {
+		l := d.listen(ctx)
+		if l == nil {
+			return false
+		}
+		d.p.log.Info("serving Diameter", "listen", l.Addr().String(), "host", d.file.Host)
+		err := d.node.Serve(l)
+		if err == nil {
+			return true
+		}
+		d.p.log.Error("Diameter listener failed, listening again", "err", err)
+		_ = l.Close()
 	}
-	<-ctx.Done()
 }
 
 // listen waits until the address is free: during a hot restart the previous process listens on it until it ends. It
@@ -248,7 +261,7 @@
 // openListener wraps a listener with admission control and TLS, and stores it for drain. If drain was called before,
 // it closes the listener and returns nil.
 func (d *diameterService) openListener(l net.Listener) net.Listener {
-	l = &peerListener{Listener: l, conns: d.p.conns}
+	l = &peerListener{Listener: listener.NewListener(l, d.p.log, d.evictIdleClient, func() {}), conns: d.p.conns}
 	if d.keys != nil {
 		l = tls.NewListener(slowpeer.Listener{Listener: l, Limit: d.node.WriteLimit()}, d.keys.ServerConfig())
 	}
@@ -262,6 +275,12 @@
 	return l
 }
 
+// evictIdleClient closes an idle connection of an HTTP client to free a descriptor, unless admission control decides
+// that, and reports whether there was one.
+func (d *diameterService) evictIdleClient() bool {
+	return d.p.conns.admission == nil && d.p.conns.evictIdle()
+}
+
 // drain stops the service: requests in flight are answered, peers are disconnected, and the ledger is closed for the
 // next process. It blocks for at most diameterDrainTimeout and the close of the ledger.
 func (d *diameterService) drain() {
--- a/internal/proxy/diameter_test.go
+++ b/internal/proxy/diameter_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 	"lapisspread/internal/diameter/claim"
 	"lapisspread/internal/faultlab/diameterpeer"
 	"lapisspread/internal/faultlab/loopbackaddr"
+	"lapisspread/internal/listener"
 	"lapisspread/internal/tlskeys"
 	"lapisspread/internal/tlskeys/tlstest"
 )
@@ -109,6 +112,52 @@
 	}
 }
 
+// Guards against a Diameter listener that ends for good: after an accept has failed because no descriptor was left,
+// peers are accepted as before.
+func TestDiameterListenerOutlivesShortage(t *testing.T) {
+	inner := localListener(t)
+	conns := newClientConns(4)
+	clientPair(t, conns) // is evicted, and the limit holds no more
+	d := &diameterService{p: New(testConfig(t, "null", newCatalog(t)), slog.New(slog.DiscardHandler))}
+	d.p.conns = conns
+	l := d.openListener(limitedListener{inner, conns, 1})
+	defer func() { _ = l.Close() }()
+	peer, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatalf("connecting to the listener: %v", err)
+	}
+	defer func() { _ = peer.Close() }()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatalf("Accept after a shortage of descriptors = %v, want the peer's connection", err)
+	}
+	_ = c.Close()
+}
+
+// If the listening socket for peers fails, the proxy listens anew.
+func TestDiameterListensAnewAfterFailure(t *testing.T) {
+	s, client := startDiameterProxy(t, twoServices, nil)
+	if o := client.Claim(t.Context(), 1); o.Code != diameter.Success {
+		t.Fatalf("first Claim() = %+v, want code Success", o)
+	}
+	client.Close() // a peer has one connection
+	d := s.proxy.diameter
+	d.mu.Lock()
+	failed := d.listener.(*peerListener).Listener.(*listener.Listener).Listener
+	d.mu.Unlock()
+	raw, err := failed.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatalf("SyscallConn(): %v", err)
+	}
+	if err := raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) }); err != nil {
+		t.Fatalf("shutting the listening socket down: %v", err)
+	}
+	next := diameterClient(t, failed.Addr().String(), 1)
+	eventually(t, "no claim is served after the listening socket has failed", func() bool {
+		return next.Claim(t.Context(), 1).Code == diameter.Success
+	})
+}
+
 // With servers that speak Diameter no request runs twice, and HTTP requests for them are answered with status 501.
 func TestDiameterServers(t *testing.T) {
 	server := &diameterpeer.Server{Host: "n1.pay.example", Realm: "pay.example.org",
