Count the descriptors of Diameter peers among the process's limits

Cause: clients and servers shared all descriptors but 32, and up to 64 peers were counted with nobody. TestConnectionLimitsFitIntoDescriptors and TestDiameterTakesPlacesFromClients hold the sums for 64, 256 and 1,024 descriptors.

--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -99,6 +99,13 @@
 	delete(s.open, c)
 }
 
+// setMaxOpen sets the limit on the number of open connections.
+func (s *clientConns) setMaxOpen(maxOpen int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxOpen = maxOpen
+}
+
 // idleLimit returns how many connections may be open while one of them is idle. During a hot restart two processes
 // share the descriptors, and idle clients must not use them up in both.
 func (s *clientConns) idleLimit() int {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -48,6 +48,8 @@
 	InitialEndpointsError error // why the configured list is invalid; nil if it is valid
 
 	timing discoveryTiming
+	// peerSockets is the number of descriptors that are kept for Diameter peers; Proxy.prepare sets it.
+	peerSockets int
 }
 
 // Names are the names of classes and tenants as written in the configuration, by number. The names in Config.Decision
--- a/internal/proxy/descriptors_test.go
+++ b/internal/proxy/descriptors_test.go
@@ -97,3 +97,37 @@
 		t.Errorf("%d connections with requests are open after setShared(false), want 8", n)
 	}
 }
+
+// Guards against descriptors running out because Diameter peers were counted with nobody: the connections of clients,
+// peers and backends and what is kept for all else fit into the descriptors, and clients have places for as many
+// requests as may be open.
+func TestConnectionLimitsFitIntoDescriptors(t *testing.T) {
+	for _, sockets := range []int{64, 256, 1024} {
+		cfg := testConfig(t, "null", newCatalog(t))
+		cfg.Sockets = sockets
+		for _, peers := range []int{0, 64} {
+			cfg.peerSockets = maxPeerConns(&cfg, peers)
+			clients := maxClientConns(&cfg)
+			backends := New(cfg, slog.New(slog.DiscardHandler)).services.maxBackendConns()
+			if sum := clients + backends + cfg.peerSockets + reservedSockets; sum > sockets {
+				t.Errorf("%d descriptors, %d peers: limits add up to %d, want at most the descriptors", sockets, peers, sum)
+			}
+			if sockets >= 256 && (clients < maxOpenRequests(&cfg) || cfg.peerSockets != peers || backends < 50) {
+				t.Errorf("%d descriptors, %d peers: places for %d clients, %d peers and %d backends, want at least %d, %d and 50",
+					sockets, peers, clients, cfg.peerSockets, backends, maxOpenRequests(&cfg), peers)
+			}
+		}
+	}
+}
+
+// With Diameter the peers' descriptors are taken from the clients' places.
+func TestDiameterTakesPlacesFromClients(t *testing.T) {
+	s, _ := startDiameterProxy(t, twoServices, func(c *Config) { c.Sockets = 256 })
+	withoutPeers := s.proxy.cfg
+	withoutPeers.peerSockets = 0
+	s.proxy.conns.mu.Lock()
+	defer s.proxy.conns.mu.Unlock()
+	if got, all := s.proxy.conns.maxOpen, maxClientConns(&withoutPeers); got >= all {
+		t.Errorf("%d places for clients with Diameter, want fewer than the %d without", got, all)
+	}
+}
--- a/internal/proxy/diameter.go
+++ b/internal/proxy/diameter.go
@@ -64,6 +64,10 @@
 	if err := d.checkClasses(); err != nil {
 		return err
 	}
+	if d.file.Listen != "" {
+		p.cfg.peerSockets = maxPeerConns(&p.cfg, d.file.Limits.Peers)
+		p.conns.setMaxOpen(maxClientConns(&p.cfg))
+	}
 	if err := d.loadKeys(); err != nil {
 		return fmt.Errorf("%s: tls: %w", p.cfg.Diameter, err)
 	}
@@ -154,7 +158,7 @@
 		Watchdog:   time.Duration(f.Watchdog),
 		Handshake:  time.Duration(f.Handshake),
 		Goodbye:    time.Duration(f.Goodbye),
-		Peers:      f.Limits.Peers,
+		Peers:      maxPeerConns(&d.p.cfg, f.Limits.Peers),
 		Handshakes: f.Limits.Handshakes,
 		InHand:     f.Limits.InHand,
 		Bytes:      f.Limits.Bytes,
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	reservedSockets      = 32      // descriptors for everything except client and backend connections
+	reservedSockets      = 32      // descriptors for everything except connections of clients, peers and backends
+	peerSocketFraction   = 1.0 / 3 // of the other descriptors, for Diameter peers at most
 	clientSocketFraction = 0.6     // of the other descriptors, for client connections; a client without one loses its request
 	openRequestFraction  = 1.0 / 3 // limit on open requests, as a fraction of all descriptors
 	bodyMemoryFraction   = 1.0 / 8 // memory for the bodies of requests in flight, as a fraction of all memory
@@ -22,17 +23,23 @@
 	return int64(bodyMemoryFraction * float64(c.MemoryMB) * (1 << 20))
 }
 
-// maxClientConns returns the maximum number of open client connections.
-func maxClientConns(c *Config) int {
-	return int(clientSocketFraction * float64(c.Sockets-reservedSockets))
+// maxPeerConns returns the maximum number of open connections of Diameter peers, of which the peers' file allows a number.
+func maxPeerConns(c *Config, allowed int) int {
+	return min(allowed, int(peerSocketFraction*float64(c.Sockets-reservedSockets)))
 }
 
+// connSockets returns the number of descriptors for the connections of clients and backends.
+func connSockets(c *Config) int { return c.Sockets - reservedSockets - c.peerSockets }
+
+// maxClientConns returns the maximum number of open client connections.
+func maxClientConns(c *Config) int { return int(clientSocketFraction * float64(connSockets(c))) }
+
 // maxOpenRequests returns the maximum number of open requests.
 func maxOpenRequests(c *Config) int { return int(openRequestFraction * float64(c.Sockets)) }
 
 // maxBackendConns returns the maximum number of open connections to backends.
 func (s *serviceSet) maxBackendConns() int {
-	limit := s.proxy.cfg.Sockets - reservedSockets - maxClientConns(&s.proxy.cfg)
+	limit := connSockets(&s.proxy.cfg) - maxClientConns(&s.proxy.cfg)
 	if s.halfCapacity {
 		limit /= 2
 	}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -67,6 +67,11 @@
 func (p *Proxy) prepare(accepting net.Listener) (_ net.Listener, leaveControlPlane func(), err error) {
 	leaveControlPlane = func() {}
 	p.cfg.Decision.Capabilities.MaxOpenRequests = maxOpenRequests(&p.cfg)
+	if p.cfg.Diameter != "" { // first: its peers' descriptors lower the limits of the other parts
+		if err := p.openDiameter(); err != nil {
+			return accepting, leaveControlPlane, err
+		}
+	}
 	if p.cfg.Admission != "" {
 		if err := p.openAdmission(); err != nil {
 			return accepting, leaveControlPlane, err
@@ -87,11 +92,6 @@
 	if err := p.openListGuard(); err != nil {
 		return accepting, leaveControlPlane, err
 	}
-	if p.cfg.Diameter != "" {
-		if err := p.openDiameter(); err != nil {
-			return accepting, leaveControlPlane, err
-		}
-	}
 	return accepting, leaveControlPlane, nil
 }
 
