Pass a long answer on as long as its backend writes 1 KiB a second

Callers saw answers cut off that their backend was still writing: 400,000 bytes at 8 kB a second after 155,400 bytes and 19.5 s. Cause: answers had to come at 16 KiB a second on average, the minimum that is meant for clients' bodies. Change: a minimum of their own, 1 KiB a second.

--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -33,9 +33,12 @@
 	}
 }
 
+// minResponseRate is the minimum mean rate of a response's body in bytes per second, so low that a backend below it can't
+// be told from one that keeps a connection busy without an answer.
+const minResponseRate = 1 << 10
+
 // boundedReader reads a response's body with a deadline for each chunk, a minimum mean rate and a maximum length
-// (maxBodyBytes), so that a backend that sends very slowly can't hold the request
-// forever. Only the time spent waiting for the backend counts, not the time that the client takes.
+// (maxBodyBytes), so that a backend can't hold the request forever. Only the time spent waiting for the backend counts, not the time that the client takes.
 type boundedReader struct {
 	source    io.Reader
 	conn      *conn
@@ -46,7 +49,7 @@
 // Read reads the next chunk.
 func (l *boundedReader) Read(p []byte) (int, error) {
 	startedAt := time.Now()
-	left := readStallTimeout + time.Duration(float64(l.readBytes)/minBodyRate*float64(time.Second)) - l.waited
+	left := readStallTimeout + time.Duration(float64(l.readBytes)/minResponseRate*float64(time.Second)) - l.waited
 	l.conn.limitRead(startedAt.Add(min(left, readStallTimeout)))
 	n, err := l.source.Read(p)
 	l.waited += time.Since(startedAt)
--- a/internal/proxy/streaming_test.go
+++ b/internal/proxy/streaming_test.go
@@ -392,9 +392,11 @@
 		"no pauses":                  {copyChunkBytes, 0, 0, time.Second, true},
 		"one byte per stall timeout": {1, readStallTimeout - time.Second, 0, 2 * readStallTimeout, false},
 		"many small pieces":          {16, 100 * time.Millisecond, 0, 2 * readStallTimeout, false},
-		"stalled":                    {16, time.Hour, 0, 2 * readStallTimeout, false},
-		"large pieces with pauses":   {copyChunkBytes, time.Second, 0, time.Hour, true},
-		"slow client":                {copyChunkBytes, 0, time.Second, time.Hour, true},
+		// Guards against an answer being cut off that its backend is still writing, at 8 kB a second.
+		"slow backend":             {400, 50 * time.Millisecond, 0, 2 * time.Hour, true},
+		"stalled":                  {16, time.Hour, 0, 2 * readStallTimeout, false},
+		"large pieces with pauses": {copyChunkBytes, time.Second, 0, time.Hour, true},
+		"slow client":              {copyChunkBytes, 0, time.Second, time.Hour, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
