Reject an X-Request-ID that comes again after its client has left

Callers saw a request run twice: its client left while a backend had it, and the same ID came again on another connection (6 of 6 requests in a probe with a real proxy). Cause: an ID was known only while its request was handled, and handling ends when the client leaves; the backend may run the request all the same. Change: requestIDs, parted from the front end, remembers for a minute the IDs of requests that must not run twice and may have run (4,096 at most) and answers 409 as for an open one. The other process of an upgrade does not know them; that is open.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"lapisspread/decision"
 	"lapisspread/internal/engine"
 )
 
@@ -38,10 +39,11 @@
 	server   *http.Server
 	conns    *clientConns
 
+	ids *requestIDs
+
 	mu               sync.Mutex
-	openIDs          map[string]bool // X-Request-ID of the requests in flight
-	reservedBytes    int64           // memory reserved for the bodies of the requests in flight
-	maxReservedBytes int64           // limit on reservedBytes
+	reservedBytes    int64 // memory reserved for the bodies of the requests in flight
+	maxReservedBytes int64 // limit on reservedBytes
 
 	bodyTimeout time.Duration // the constant of that name; tests set less
 }
@@ -53,7 +55,7 @@
 		cfg:              cfg,
 		log:              log,
 		conns:            conns,
-		openIDs:          map[string]bool{},
+		ids:              newRequestIDs(),
 		maxReservedBytes: bodyMemoryLimit(cfg),
 		bodyTimeout:      bodyTimeout,
 	}
@@ -227,6 +229,9 @@
 			req.servedIn = time.Since(origin.receivedAt)
 		}
 		f.writeResult(w, req, result)
+		if r.Context().Err() != nil && (result.Outcome == engine.Served || result.MayHaveRun) {
+			f.rememberAbandoned(r, req)
+		}
 	case err := <-bodyFailed:
 		req.Abandon()
 		svc.engine.Post(func() { svc.engine.ClientGone(&req.Request) })
@@ -234,7 +239,11 @@
 		f.rejectRequest(w, req, bodyReadError(err))
 	case <-r.Context().Done():
 		req.Abandon()
-		svc.engine.Post(func() { svc.engine.ClientGone(&req.Request) })
+		f.rememberAbandoned(r, req)
+		svc.engine.Post(func() {
+			svc.engine.ClientGone(&req.Request)
+			f.forgetIfNotRun(r, req)
+		})
 		// net/http sends an empty 200 for a handler that writes nothing, and a client that closed only its write side
 		// would read it.
 		w.Header().Set("Connection", "close")
@@ -242,6 +251,24 @@
 	}
 }
 
+// rememberAbandoned records that the client of a request has left, if the request must not run twice.
+func (f *httpFrontend) rememberAbandoned(r *http.Request, req *request) {
+	if req.service.module.Classes[req.Class].Idempotency != decision.Idempotent {
+		f.ids.abandon(r.Header.Get("X-Request-Id"))
+	}
+}
+
+// forgetIfNotRun undoes rememberAbandoned if the request's result shows that it has not run.
+func (f *httpFrontend) forgetIfNotRun(r *http.Request, req *request) {
+	select {
+	case result := <-req.Result():
+		if result.Outcome != engine.Served && !result.MayHaveRun {
+			f.ids.forgetAbandoned(r.Header.Get("X-Request-Id"))
+		}
+	default: // the engine has no result yet
+	}
+}
+
 // closeIfDraining reports whether the proxy is draining, and if so makes this response close its connection.
 func (f *httpFrontend) closeIfDraining(w http.ResponseWriter) bool {
 	draining := f.conns.isDraining()
@@ -251,26 +278,26 @@
 	return draining
 }
 
-// reserve registers a request's ID and reserves memory for its body. It returns a rejection if another request with the
-// ID is in flight or the memory is used up.
+// reserve registers a request's ID and reserves memory for its body. It returns a rejection if the ID must not come again
+// or the memory is used up.
 func (f *httpFrontend) reserve(id string, bytes int64) error {
+	if err := f.ids.begin(id); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.openIDs[id] {
-		return &rejection{status: http.StatusConflict, message: "a request with this X-Request-ID is open"}
-	}
 	if f.reservedBytes+bytes > f.maxReservedBytes {
+		f.ids.end(id)
 		return unavailable("too many bytes are in hand")
 	}
-	f.openIDs[id] = true
 	f.reservedBytes += bytes
 	return nil
 }
 
 // release undoes reserve.
 func (f *httpFrontend) release(id string, bytes int64) {
+	f.ids.end(id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.openIDs, id)
 	f.reservedBytes -= bytes
 }
--- /dev/null
+++ b/internal/proxy/requestids.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"hash/maphash"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	abandonedIDPeriod = time.Minute // for which the ID of a request whose client has left is remembered
+	maxAbandonedIDs   = 4096        // the oldest are forgotten first
+)
+
+// requestIDs knows the X-Request-IDs that must not come again: those of the requests in flight, and of those whose
+// client has left, because they may have run. It is safe for concurrent use.
+type requestIDs struct {
+	mu        sync.Mutex
+	open      map[string]bool
+	seed      maphash.Seed
+	abandoned map[uint64]time.Time // by hash; when the ID may come again
+	order     []abandonedID        // of abandoned, oldest first
+}
+
+// abandonedID is an entry of requestIDs.order. It is out of date if the ID may come again at another time by now.
+type abandonedID struct {
+	hash  uint64
+	until time.Time
+}
+
+func newRequestIDs() *requestIDs {
+	return &requestIDs{open: map[string]bool{}, seed: maphash.MakeSeed(), abandoned: map[uint64]time.Time{}}
+}
+
+// begin registers the ID of a request, or returns a rejection if it must not come again.
+func (s *requestIDs) begin(id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id] {
+		return &rejection{status: http.StatusConflict, message: "a request with this X-Request-ID is open"}
+	}
+	if time.Now().Before(s.abandoned[s.hash(id)]) {
+		return &rejection{
+			status: http.StatusConflict, message: "a request with this X-Request-ID was abandoned and may have run",
+		}
+	}
+	s.open[id] = true
+	return nil
+}
+
+// end undoes begin.
+func (s *requestIDs) end(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, id)
+}
+
+// abandon records that the client of an open request has left and that the request may have run.
+func (s *requestIDs) abandon(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := abandonedID{hash: s.hash(id), until: time.Now().Add(abandonedIDPeriod)}
+	s.abandoned[entry.hash] = entry.until
+	s.order = append(s.order, entry)
+	for len(s.order) > maxAbandonedIDs || s.order[0].until.Before(time.Now()) {
+		s.forgetLocked(s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// forgetAbandoned undoes abandon for a request that has not run.
+func (s *requestIDs) forgetAbandoned(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.abandoned, s.hash(id))
+}
+
+// forgetLocked removes an entry unless the ID was abandoned again later. The lock must be held.
+func (s *requestIDs) forgetLocked(entry abandonedID) {
+	if s.abandoned[entry.hash].Equal(entry.until) {
+		delete(s.abandoned, entry.hash)
+	}
+}
+
+func (s *requestIDs) hash(id string) uint64 { return maphash.String(s.seed, id) }
