Count all that is held for peers against one budget of memory

Processes went over their memory with 400 slow clients: 187 MB at a limit of 32, 232 at 64 and 233 at 192 with heads of very many short fields, and up to 54 MB at 32 with half bodies, half heads and long answers that are read slowly. Cause: only bodies of requests were counted. A field of a head costs some 130 bytes in each copy whatever its length, before the proxy sees the request; answers, buffers and connections counted with nobody; the heap's limit left no room for the program. Change: internal/membudget is one budget for heads, bodies and answers, counted where they are taken: heads while they are read from the socket, bodies of unknown length as they grow, answers where they are made. Without memory a request is answered 503 and an answer is passed on in small pieces. A head has 128 fields at most (431). The heap's limit and the places for clients go by what the program leaves. A connection without a place is answered 503.

--- a/cmd/lapisspread/serve.go
+++ b/cmd/lapisspread/serve.go
@@ -16,10 +16,6 @@
 	"lapisspread/internal/proxy"
 )
 
-// heapShare is the fraction of the memory limit, 0 to 1, to which the garbage collector limits the heap. The rest is
-// for memory that it does not count, such as the sockets' buffers and the program itself.
-const heapShare = 0.7
-
 // serveFiles are the optional files of "serve". An empty name turns the feature off.
 type serveFiles struct {
 	services  string
@@ -59,13 +55,7 @@
 	defer func() { _ = writer.Close() }()
 	log := slog.New(slog.NewTextHandler(writer, nil)).With("proxy", cfg.Name)
 	p := proxy.New(cfg, log)
-	p.Shared = func(shared bool) {
-		limit := heapShare * float64(cfg.MemoryMB) * (1 << 20)
-		if shared {
-			limit /= 2
-		}
-		debug.SetMemoryLimit(int64(limit))
-	}
+	p.Shared = func(shared bool) { debug.SetMemoryLimit(cfg.HeapLimit(shared)) }
 	ended := make(chan struct{})
 	defer close(ended)
 	go reload(p, hangup, ended)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,6 +13,7 @@
 
 	"lapisspread/decision"
 	"lapisspread/internal/engine"
+	"lapisspread/internal/membudget"
 )
 
 // message is a client's request as it is sent to backends, once for each attempt.
@@ -23,7 +24,8 @@
 	header      http.Header
 	policyEpoch string // epoch of the policy that routed the request; empty if no policy did
 	body        []byte
-	upload      *upload // a long body, streamed; body is empty then
+	upload      *upload            // a long body, streamed; body is empty then
+	memory      *membudget.Account // for the body and the responses; nil is not limited
 	healthCheck bool
 
 	// startStream starts to stream a long response to the client, and reports false if it is too late. If it is nil, a
@@ -234,7 +236,7 @@
 
 // receive reads the response to a request. A long response is streamed to the client until its end.
 func (p *pool) receive(ctx context.Context, c *conn, m *message, req *http.Request) (reception, error) {
-	resp, body, stream, err := c.readResponse(req)
+	resp, body, stream, err := c.readResponse(req, m.memory)
 	if err == nil && stream != nil {
 		err = deliverStream(ctx, resp, stream, m)
 	}
--- a/internal/proxy/backendresponse.go
+++ b/internal/proxy/backendresponse.go
@@ -9,19 +9,22 @@
 	"time"
 
 	"lapisspread/decision"
+	"lapisspread/internal/membudget"
 )
 
 const (
-	maxInterimResponses = 8                     // 1xx responses before the final one
-	readStallTimeout    = 10 * time.Second      // longest wait for the next byte of a long response
-	responseHoldback    = 25 * time.Millisecond // wait for the end of a body of unknown length before it is streamed
+	prefetchMemory      = maxBufferedBody + 2*copyChunkBytes // of a prefetcher
+	maxInterimResponses = 8                                  // 1xx responses before the final one
+	readStallTimeout    = 10 * time.Second                   // longest wait for the next byte of a long response
+	responseHoldback    = 25 * time.Millisecond              // wait for the end of a body of unknown length before it is streamed
 )
 
 // errInvalidResponse is the error of a response that is malformed or exceeds a limit.
 var errInvalidResponse = errors.New("invalid response")
 
-// readResponse reads the final response to a request. A short body is returned as bytes, a long one as a download.
-func (c *conn) readResponse(req *http.Request) (*http.Response, []byte, *download, error) {
+// readResponse reads the final response to a request. A short body is returned as bytes if there is memory for it; a long
+// one, or one without memory, is returned as a download.
+func (c *conn) readResponse(req *http.Request, memory *membudget.Account) (*http.Response, []byte, *download, error) {
 	for range maxInterimResponses + 1 {
 		if err := c.awaitHead(); err != nil {
 			return nil, nil, nil, err
@@ -37,7 +40,7 @@
 			return nil, nil, nil, fmt.Errorf("%w: %s with status %q", errInvalidResponse, resp.Proto, resp.Status)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			body, stream, err := c.readResponseBody(resp)
+			body, stream, err := c.readResponseBody(resp, memory)
 			return resp, body, stream, err
 		}
 	}
@@ -70,6 +73,9 @@
 // Content-Length beside a Transfer-Encoding, and a Transfer-Encoding in HTTP/1.0, where the chunk headers would be
 // taken for the body.
 func validateLengthHeaders(head []byte) error {
+	if bytes.Count(head, []byte("\n")) > maxHeaderFields+2 { // and the first and the last line
+		return fmt.Errorf("%w: more than %d header fields", errInvalidResponse, maxHeaderFields)
+	}
 	lengths := 0
 	encodings := 0
 	for line := range bytes.Lines(head) {
@@ -97,8 +103,9 @@
 	return nil
 }
 
-// readResponseBody returns a short body as bytes, and a long one as a download. A body of unknown length is either.
-func (c *conn) readResponseBody(resp *http.Response) ([]byte, *download, error) {
+// readResponseBody returns a short body as bytes if there is memory for it, and any other as a download. A body of unknown
+// length is either.
+func (c *conn) readResponseBody(resp *http.Response, memory *membudget.Account) ([]byte, *download, error) {
 	if resp.Request.Method == http.MethodHead {
 		return nil, nil, nil
 	}
@@ -106,7 +113,7 @@
 	switch {
 	case n > maxBodyBytes:
 		return nil, nil, fmt.Errorf("%w: body of %d bytes is too long", errInvalidResponse, n)
-	case n > maxBufferedBody:
+	case n > maxBufferedBody, n > smallBody && !memory.Take(n):
 		return nil, newDownload(n, &boundedReader{source: resp.Body, conn: c}), nil
 	case n >= 0:
 		body := make([]byte, n)
@@ -115,6 +122,9 @@
 		}
 		return body, nil, nil
 	}
+	if !memory.Take(prefetchMemory) {
+		return nil, newDownload(-1, &boundedReader{source: resp.Body, conn: c}), nil
+	}
 	return c.readUnknownLength(resp)
 }
 
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lapisspread/internal/admission"
+	"lapisspread/internal/membudget"
 	"lapisspread/internal/proxy/httpframe"
 	"lapisspread/internal/proxy/rawsocket"
 	"lapisspread/internal/slowpeer"
@@ -47,18 +48,32 @@
 	responseStarted  bool   // part of the response to the request in flight has been written
 	readAheadOverrun bool   // more than maxReadAheadBytes arrived after a request
 	arrival          arrivalTracker
-	lingering        bool // closed, but the socket stays open for the last response; no further request is served
+	headMemory       *membudget.Account // for the head of the request in flight
+	headCharged      httpframe.HeadSize // the part of the head that headMemory has taken
+	headRefusal      *rejection         // the head must not be read further; nil if it may, or once it is answered
+	refused          bool               // a head was answered by refuseHead
+	lingering        bool               // closed, but the socket stays open for the last response; no further request is served
 }
 
 // Read returns bytes up to the end of the current request. While a request is in flight it blocks until the client
-// closes the connection or net/http interrupts it with a deadline, and returns no bytes.
+// closes the connection or net/http interrupts it with a deadline, and returns no bytes. It answers a head that must not
+// be read further itself.
 func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.readRequest(p)
+	if refusal := c.takeRefusal(); refusal != nil {
+		return 0, c.refuseHead(refusal)
+	}
+	return n, err
+}
+
+// readRequest is Read without the check of the head.
+func (c *clientConn) readRequest(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.requestInFlight {
 		c.mu.Unlock()
 		return 0, c.watchForClose()
 	}
-	if c.readAheadOverrun { // the next bytes were discarded
+	if c.readAheadOverrun || c.refused { // the next bytes were discarded
 		c.mu.Unlock()
 		return 0, io.EOF
 	}
@@ -200,6 +215,9 @@
 		c.unused = false
 	}
 	n := c.scanner.Scan(b)
+	if len(b) > 0 {
+		c.chargeHead()
+	}
 	c.requestInFlight = c.requestInFlight || len(b) > 0 && c.scanner.BetweenRequests()
 	if n < len(b) {
 		c.buffered = append(slices.Clone(b[n:]), c.buffered...)
@@ -252,7 +270,8 @@
 // bytes are not served: the client sends them again on another connection.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
-	linger := c.responseStarted && !c.closed && !c.lingering && c.hasUnread()
+	// The client may still be sending a head that was refused.
+	linger := c.responseStarted && !c.closed && !c.lingering && (c.hasUnread() || c.refused)
 	c.lingering = c.lingering || linger
 	c.mu.Unlock()
 	if linger && c.CloseWrite() == nil {
@@ -293,6 +312,7 @@
 func (c *clientConn) finish() error {
 	err := c.Conn.Close()
 	c.finishOnce.Do(func() {
+		c.headMemory.Close()
 		c.registry.remove(c)
 		if c.registry.admission != nil {
 			c.registry.admission.Remove(c.admissionID)
@@ -329,6 +349,34 @@
 	return evicted
 }
 
+// evictionRank orders connections by which is evicted first to make room for another.
+type evictionRank uint8
+
+const (
+	delivered       evictionRank = iota // closed, and its client has the whole last response
+	withoutRequest                      // unused, or closed with part of the last response still under way
+	betweenRequests                     // idle
+	notEvictable                        // in the middle of a request, or closed
+)
+
+// evictionRank returns the connection's rank. The lock must be held.
+func (c *clientConn) evictionRank() evictionRank {
+	switch {
+	case c.closed:
+		return notEvictable
+	case c.lingering:
+		if unacknowledged, _ := rawsocket.Unacknowledged(c.Conn); unacknowledged == 0 {
+			return delivered
+		}
+		return withoutRequest
+	case c.unused:
+		return withoutRequest
+	case c.idle:
+		return betweenRequests
+	}
+	return notEvictable
+}
+
 // requestStart returns when the request in flight started: at its first byte, or at the start of a new connection.
 func (c *clientConn) requestStart() time.Time {
 	c.mu.Lock()
@@ -348,6 +396,8 @@
 		c.handling = false
 		c.requestInFlight = false
 		c.responseStarted = false
+		c.headMemory.Reset()
+		c.headCharged = httpframe.HeadSize{}
 	}
 }
 
--- a/internal/proxy/clientconns.go
+++ b/internal/proxy/clientconns.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lapisspread/internal/listener"
+	"lapisspread/internal/membudget"
 	"lapisspread/internal/slowpeer"
 )
 
@@ -33,6 +34,7 @@
 	drainEnd           time.Time // responses to late requests must be sent by then
 	operatorDrainSince time.Time // when an operator started a drain; zero without one
 
+	memory            *membudget.Budget     // for heads; nil is not limited
 	admission         *listener.ConnLimiter // if nil, a full registry evicts the connection idle for longest
 	rejectedInWindow  int                   // number of rejected connections in the second from rejectionWindow on
 	rejectionWindow   time.Time
@@ -53,11 +55,10 @@
 // evicts the connection that was unused for longest, else the one that was idle for longest, but none with a request in
 // flight.
 func (s *clientConns) admit(nc net.Conn) *clientConn {
-	c := &clientConn{Conn: nc, registry: s, unused: true, stateSince: time.Now()}
+	c := &clientConn{Conn: nc, registry: s, unused: true, stateSince: time.Now(), headMemory: s.memory.Open()}
 	if s.admission != nil {
 		id, _ := s.admission.Arrive(nc.RemoteAddr(), c)
 		if id == 0 {
-			s.rejectConn(nc)
 			return nil
 		}
 		c.admissionID = id
@@ -153,26 +154,26 @@
 	return false
 }
 
-// longestIdle returns the connection to evict first, or nil: unused and lingering ones come before idle ones.
+// longestIdle returns the connection to evict first, or nil: of the lowest evictionRank, that for longest.
 func (s *clientConns) longestIdle() *clientConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var victim *clientConn
-	var victimPreferred bool
+	var victimRank evictionRank
 	var victimSince time.Time
 	for c := range s.open {
 		c.mu.Lock()
-		preferred := c.unused || c.lingering
-		evictable := (c.idle || preferred) && !c.closed
-		better := victim == nil || preferred && !victimPreferred ||
-			preferred == victimPreferred && c.stateSince.Before(victimSince)
-		if evictable && better {
+		rank := c.evictionRank()
+		if victim == nil || rank < victimRank || rank == victimRank && c.stateSince.Before(victimSince) {
 			victim = c
-			victimPreferred = preferred
+			victimRank = rank
 			victimSince = c.stateSince
 		}
 		c.mu.Unlock()
 	}
+	if victimRank == notEvictable {
+		return nil
+	}
 	return victim
 }
 
@@ -257,6 +258,7 @@
 		if c := l.conns.admit(nc); c != nil {
 			return c, nil
 		}
+		l.conns.rejectConn(nc)
 		_ = nc.Close()
 	}
 }
--- a/internal/proxy/clientresponse.go
+++ b/internal/proxy/clientresponse.go
@@ -13,8 +13,10 @@
 	"lapisspread/internal/metrics"
 )
 
-// copyChunkBytes is the chunk size in which a streamed body is copied.
-const copyChunkBytes = 32 << 10
+const (
+	copyChunkBytes      = 32 << 10 // size of the chunks in which a streamed body is copied
+	smallCopyChunkBytes = 4 << 10  // the same where there is no memory for more
+)
 
 // response is the complete final response to a request.
 type response struct {
@@ -70,7 +72,11 @@
 		writeResponse(w, response{status: http.StatusBadGateway})
 		return
 	}
-	err := streamResponse(w, stream)
+	chunk := smallCopyChunkBytes
+	if req.message.memory.Take(copyChunkBytes) {
+		chunk = copyChunkBytes
+	}
+	err := streamResponse(w, stream, make([]byte, chunk))
 	stream.End(err)
 	if err != nil {
 		req.countOutcome(metrics.Failed)
@@ -134,9 +140,9 @@
 	_, _ = w.Write(resp.body)
 }
 
-// streamResponse copies a long response to the client as it arrives. An error means that the client did not get the
-// complete response.
-func streamResponse(w http.ResponseWriter, d *download) error {
+// streamResponse copies a long response to the client as it arrives, by a buffer. An error means that the client did not
+// get the complete response.
+func streamResponse(w http.ResponseWriter, d *download, chunk []byte) error {
 	h := w.Header()
 	h.Set("Content-Type", "application/octet-stream")
 	if d.length >= 0 {
@@ -144,7 +150,6 @@
 	}
 	c := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
-	chunk := make([]byte, copyChunkBytes)
 	for left := d.length; ; {
 		n, err := d.body.Read(chunk)
 		if n > 0 {
--- a/internal/proxy/diameterrequest.go
+++ b/internal/proxy/diameterrequest.go
@@ -52,6 +52,14 @@
 		svc.release()
 		return nil, &frontend.Turned{What: rejected.message, After: max(rejected.retryAfter, time.Second)}
 	}
+	memory := d.p.memory.Open()
+	if !memory.Take(requestMemory + bytes) {
+		ticket.release(0)
+		svc.counters.CountRequest(class, metrics.Rejected)
+		policy.CountRequest(false)
+		svc.release()
+		return nil, &frontend.Turned{What: "too many bytes are in hand", After: time.Second}
+	}
 	svc.counters.InFlight.Add(1)
 	var servedIn time.Duration
 	out := &frontend.Service{
@@ -66,10 +74,18 @@
 		},
 		Leave: func() {
 			svc.counters.InFlight.Add(-1)
+			memory.Close()
 			ticket.release(servedIn)
 			svc.release()
 		},
-		Message: d.httpMessage,
+		Message: func(a *claim.Ask, wire diameter.Message) (engine.Message, error) {
+			m, err := d.httpMessage(a, wire)
+			if err != nil {
+				return nil, err
+			}
+			m.memory = memory
+			return m, nil
+		},
 	}
 	if svc.diameter != nil {
 		out.Message = func(_ *claim.Ask, wire diameter.Message) (engine.Message, error) {
@@ -95,7 +111,7 @@
 
 // httpMessage converts a Diameter request to a request for an HTTP server. Its body is a JSON object of the AVPs by
 // name.
-func (d *diameterService) httpMessage(a *claim.Ask, wire diameter.Message) (engine.Message, error) {
+func (d *diameterService) httpMessage(a *claim.Ask, wire diameter.Message) (*message, error) {
 	body, err := d.rules.Dictionary().JSON(wire.AVPs())
 	if err != nil {
 		return nil, err
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -6,11 +6,11 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"lapisspread/decision"
 	"lapisspread/internal/engine"
+	"lapisspread/internal/membudget"
 )
 
 const (
@@ -41,9 +41,7 @@
 
 	ids *requestIDs
 
-	mu               sync.Mutex
-	reservedBytes    int64 // memory reserved for the bodies of the requests in flight
-	maxReservedBytes int64 // limit on reservedBytes
+	memory *membudget.Budget // for the bodies and responses of the requests in flight
 
 	bodyTimeout time.Duration // the constant of that name; tests set less
 }
@@ -51,13 +49,13 @@
 // newFrontend returns a front end for the services of s. It accepts no connections before serve.
 func newFrontend(s *serviceSet, cfg *Config, log *slog.Logger, conns *clientConns) *httpFrontend {
 	f := &httpFrontend{
-		services:         s,
-		cfg:              cfg,
-		log:              log,
-		conns:            conns,
-		ids:              newRequestIDs(),
-		maxReservedBytes: bodyMemoryLimit(cfg),
-		bodyTimeout:      bodyTimeout,
+		services:    s,
+		cfg:         cfg,
+		log:         log,
+		conns:       conns,
+		ids:         newRequestIDs(),
+		memory:      s.proxy.memory,
+		bodyTimeout: bodyTimeout,
 	}
 	// ReadTimeout and WriteTimeout are not set: they would also run while a request waits for its backend, and end it
 	// as if its client had closed the connection. ServeHTTP sets its own read deadlines, and clientConn limits writes.
@@ -163,11 +161,13 @@
 func (f *httpFrontend) serveRequest(w http.ResponseWriter, r *http.Request, req *request, origin requestOrigin) {
 	id := r.Header.Get("X-Request-Id")
 	bytes := bodyReservation(r.ContentLength)
-	if err := f.reserve(id, bytes); err != nil {
+	memory, err := f.reserve(id, requestMemory+initialBodyMemory(r.ContentLength))
+	if err != nil {
 		f.rejectRequest(w, req, err)
 		return
 	}
-	defer f.release(id, bytes)
+	defer f.release(id, memory)
+	req.message.memory = memory
 	if !origin.conn.reserveBytes(bytes) {
 		f.rejectRequest(w, req, unavailable("too many bytes of this address are in hand"))
 		return
@@ -278,26 +278,22 @@
 	return draining
 }
 
-// reserve registers a request's ID and reserves memory for its body. It returns a rejection if the ID must not come again
-// or the memory is used up.
-func (f *httpFrontend) reserve(id string, bytes int64) error {
+// reserve registers a request's ID and takes the memory for its body. It returns a rejection if the ID must not come
+// again or the memory is used up.
+func (f *httpFrontend) reserve(id string, bytes int64) (*membudget.Account, error) {
 	if err := f.ids.begin(id); err != nil {
-		return err
+		return nil, err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.reservedBytes+bytes > f.maxReservedBytes {
+	memory := f.memory.Open()
+	if !memory.Take(bytes) {
 		f.ids.end(id)
-		return unavailable("too many bytes are in hand")
+		return nil, unavailable("too many bytes are in hand")
 	}
-	f.reservedBytes += bytes
-	return nil
+	return memory, nil
 }
 
-// release undoes reserve.
-func (f *httpFrontend) release(id string, bytes int64) {
+// release undoes reserve, and gives back all memory that the request has taken since.
+func (f *httpFrontend) release(id string, memory *membudget.Account) {
 	f.ids.end(id)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reservedBytes -= bytes
+	memory.Close()
 }
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"lapisspread/internal/membudget"
 	"log/slog"
 	"net"
 	"net/http"
@@ -210,16 +211,17 @@
 func TestBodyMemoryIsLimited(t *testing.T) {
 	svcs := testServices(t, List{})
 	f := newFrontend(svcs, &svcs.proxy.cfg, slog.New(slog.DiscardHandler), newClientConns(8))
-	f.maxReservedBytes = 100
-	if err := f.reserve("a", 60); err != nil {
+	f.memory = membudget.New(100)
+	memory, err := f.reserve("a", 60)
+	if err != nil {
 		t.Fatalf("reserve(60 bytes) of 100 = %v, want nil", err)
 	}
 	rejected := (*rejection)(nil)
-	if err := f.reserve("b", 60); !errors.As(err, &rejected) || rejected.status != 503 {
+	if _, err := f.reserve("b", 60); !errors.As(err, &rejected) || rejected.status != 503 {
 		t.Errorf("reserve(60 bytes) with 40 of 100 left = %v, want a rejection with status 503", err)
 	}
-	f.release("a", 60)
-	if err := f.reserve("b", 60); err != nil {
+	f.release("a", memory)
+	if _, err := f.reserve("b", 60); err != nil {
 		t.Errorf("reserve(60 bytes) after the first reservation was released = %v, want nil", err)
 	}
 }
--- a/internal/proxy/httpframe/scanner.go
+++ b/internal/proxy/httpframe/scanner.go
@@ -17,6 +17,12 @@
 	Ambiguous bool  // the length is given more than once, in both ways, or in an invalid form
 }
 
+// HeadSize is the size of a request's head, or of the part of it that has been scanned.
+type HeadSize struct {
+	Bytes  int
+	Fields int // complete header lines
+}
+
 // Scanner follows the requests on one connection. The zero value is ready for the first byte of a connection.
 // It is not safe for concurrent use.
 type Scanner struct {
@@ -26,6 +32,8 @@
 	started   bool      // the request line has been read
 	remaining int64     // bytes left of the body or of the current chunk
 	heads     []Framing // framings of the heads scanned and not yet returned by NextFraming, in order
+	size      HeadSize  // of the head being scanned, or of the last one
+	sizeKnown bool      // size is that of a complete head
 }
 
 // scanState is the part of a request that the next byte belongs to.
@@ -63,6 +71,7 @@
 			}
 			i += len(part)
 			s.line = append(s.line, part[:min(len(part), max(0, maxLineBytes-len(s.line)))]...)
+			s.measure(len(part))
 			if end < 0 {
 				continue
 			}
@@ -78,6 +87,21 @@
 	return len(b)
 }
 
+// measure counts bytes outside the body if they belong to a head.
+func (s *Scanner) measure(n int) {
+	if s.state != stateHead {
+		return
+	}
+	if s.sizeKnown {
+		s.size = HeadSize{}
+		s.sizeKnown = false
+	}
+	s.size.Bytes += n
+}
+
+// HeadSize returns the size of the head being scanned so far, or of the last head.
+func (s *Scanner) HeadSize() HeadSize { return s.size }
+
 // skip skips n bytes of a body or chunk and reports whether the request ends with them.
 func (s *Scanner) skip(n int64) bool {
 	s.remaining -= n
@@ -160,6 +184,7 @@
 	if len(line) == 0 {
 		return s.endHead()
 	}
+	s.size.Fields++
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimSpace(value)
 	head := &s.head
@@ -178,6 +203,7 @@
 
 // endHead keeps the framing for NextFraming and reports whether the request has no body.
 func (s *Scanner) endHead() bool {
+	s.sizeKnown = true
 	s.heads = append(s.heads, s.head)
 	switch {
 	case s.head.Ambiguous:
--- a/internal/proxy/httpframe/scanner_test.go
+++ b/internal/proxy/httpframe/scanner_test.go
@@ -64,3 +64,32 @@
 		})
 	}
 }
+
+// HeadSize tells the size of the head that is being scanned, however it arrives, and of the last one after that.
+func TestHeadSize(t *testing.T) {
+	const first = "POST / HTTP/1.1\r\nA:\r\nContent-Length: 7\r\n\r\n"
+	const second = "GET / HTTP/1.1\r\nB: 1\r\n\r\n"
+	for _, pieceBytes := range []int{1, 3, len(first), 1000} {
+		s := &Scanner{}
+		feed := func(text string) {
+			for rest := []byte(text); len(rest) > 0; {
+				rest = rest[s.Scan(rest[:min(len(rest), pieceBytes)]):]
+			}
+		}
+		for _, step := range []struct {
+			text string
+			want HeadSize
+		}{
+			{first[:20], HeadSize{20, 0}},
+			{first[20:], HeadSize{len(first), 2}},
+			{"a\nb\nc\nd", HeadSize{len(first), 2}}, // the body
+			{second[:1], HeadSize{1, 0}},
+			{second[1:], HeadSize{len(second), 1}},
+		} {
+			feed(step.text)
+			if got := s.HeadSize(); got != step.want {
+				t.Errorf("pieces of %d bytes, after %q: HeadSize() = %+v, want %+v", pieceBytes, step.text, got, step.want)
+			}
+		}
+	}
+}
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lapisspread/decision"
+	"lapisspread/internal/membudget"
 	"lapisspread/internal/processquota"
 	"lapisspread/internal/processquota/limiter"
 	config "lapisspread/internal/services"
@@ -16,8 +17,31 @@
 	clientSocketFraction = 0.6     // of the other descriptors, for client connections; a client without one loses its request
 	openRequestFraction  = 1.0 / 3 // limit on open requests, as a fraction of all descriptors
 	bodyMemoryFraction   = 1.0 / 8 // memory for the bodies of requests in flight, as a fraction of all memory
+
+	programMemory      = 18 << 20                         // bytes that the process uses before it holds anything, with the program itself
+	maxHeapFraction    = 0.7                              // of all memory; the rest is for what the garbage collector doesn't count
+	minHeapFraction    = 0.35                             // of all memory, where that is little more than programMemory
+	peerMemoryFraction = 1.0 / 4                          // of the heap, for heads, bodies and responses that are held for peers
+	requestMemory      = membudget.SmallBytes - smallBody // bytes for a request beside its body: stacks and buffers
+	clientConnMemory   = 24 << 10                         // bytes for a client's connection, beside what is held for its request
 )
 
+// HeapLimit returns the limit in bytes for the garbage collector, so that the process keeps to its memory. shared is
+// whether another process of this proxy uses the same memory.
+func (c *Config) HeapLimit(shared bool) int64 {
+	memory := float64(c.MemoryMB) * (1 << 20)
+	limit := max(minHeapFraction*memory, min(maxHeapFraction*memory, memory-programMemory))
+	if shared {
+		limit /= 2
+	}
+	return int64(limit)
+}
+
+// peerMemoryLimit returns the maximum size in bytes of all heads, bodies and responses that are held for peers.
+func (c *Config) peerMemoryLimit(shared bool) int64 {
+	return int64(peerMemoryFraction * float64(c.HeapLimit(shared)))
+}
+
 // bodyMemoryLimit returns the maximum size in bytes of the bodies of all requests in flight.
 func bodyMemoryLimit(c *Config) int64 {
 	return int64(bodyMemoryFraction * float64(c.MemoryMB) * (1 << 20))
@@ -31,8 +55,13 @@
 // connSockets returns the number of descriptors for the connections of clients and backends.
 func connSockets(c *Config) int { return c.Sockets - reservedSockets - c.peerSockets }
 
-// maxClientConns returns the maximum number of open client connections.
-func maxClientConns(c *Config) int { return int(clientSocketFraction * float64(connSockets(c))) }
+// maxClientConns returns the maximum number of open client connections: as many as the descriptors and the memory allow,
+// but at least one for each open request.
+func maxClientConns(c *Config) int {
+	bySockets := int(clientSocketFraction * float64(connSockets(c)))
+	byMemory := int(c.peerMemoryLimit(false) / clientConnMemory)
+	return min(bySockets, max(byMemory, maxOpenRequests(c)))
+}
 
 // maxOpenRequests returns the maximum number of open requests.
 func maxOpenRequests(c *Config) int { return int(openRequestFraction * float64(c.Sockets)) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"lapisspread/internal/controlplane/freshness"
 	"lapisspread/internal/discovery/guardedsource"
 	"lapisspread/internal/hotrestart"
+	"lapisspread/internal/membudget"
 	"lapisspread/internal/metrics"
 )
 
@@ -28,6 +29,7 @@
 	counters *metrics.Counters // of the only service, or of the process if there are several services
 	store    *hotrestart.Store
 	conns    *clientConns
+	memory   *membudget.Budget // of what is held for clients, peers and backends
 
 	services     *serviceSet
 	diameter     *diameterService                    // nil if Diameter is disabled
@@ -52,7 +54,10 @@
 		counters: metrics.New(classNames(&cfg.Decision)),
 		store:    hotrestart.Open(cfg.StateDir, cfg.Name),
 		conns:    newClientConns(maxClientConns(&cfg)),
+		memory:   membudget.New(cfg.peerMemoryLimit(false)),
 	}
+	p.conns.memory = p.memory
+	p.conns.rejectionResponse = p.rejectionResponse()
 	p.services = newServices(p)
 	return p
 }
@@ -127,6 +132,7 @@
 func (p *Proxy) setShared(shared bool) {
 	p.services.setHalfCapacity(shared)
 	p.conns.setShared(shared)
+	p.memory.SetLimit(p.cfg.peerMemoryLimit(shared))
 	if p.conns.admission != nil {
 		if err := p.conns.admission.UseHalf(shared); err != nil {
 			p.log.Error("keeping the old admission settings", "err", err)
--- a/internal/proxy/requestbody.go
+++ b/internal/proxy/requestbody.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"lapisspread/internal/membudget"
 )
 
 const (
@@ -14,6 +16,7 @@
 	maxBufferedBody         = 64 << 10  // bytes; longer bodies are streamed instead of buffered
 	streamedBodyReservation = 128 << 10 // bytes of memory reserved for a streamed body
 	bodyGrowBytes           = 512       // minimum growth of the buffer for a body
+	smallBody               = 8 << 10   // bytes; a request or response with such a body counts as a small one
 
 	bodyStallTimeout = 2500 * time.Millisecond // maximum wait for the next byte of a request's body
 	bodyGracePeriod  = 5 * time.Second         // added to the time that a body may take at minBodyRate
@@ -28,6 +31,15 @@
 	return contentLength
 }
 
+// initialBodyMemory returns the bytes of memory to take before a body is read. For a body of unknown length, readPrefix
+// takes more as it arrives.
+func initialBodyMemory(contentLength int64) int64 {
+	if contentLength < 0 {
+		return smallBody
+	}
+	return bodyReservation(contentLength)
+}
+
 // bodyReadDeadline returns the deadline for the next byte of a body: bodyStallTimeout from now, or earlier if the mean
 // rate would fall below minBodyRate. waited is the time already spent waiting for the client.
 func bodyReadDeadline(now time.Time, waited time.Duration, readBytes int64) time.Time {
@@ -43,7 +55,7 @@
 	if c := connOf(r); c != nil {
 		startedAt = c.requestStart()
 	}
-	prefix, complete, err := f.readPrefix(deadlines, r, startedAt)
+	prefix, complete, err := f.readPrefix(deadlines, r, req.message.memory, startedAt)
 	if err != nil {
 		return bodyReadError(err)
 	}
@@ -58,10 +70,12 @@
 	return nil
 }
 
-// readPrefix reads a body up to its end or to maxBufferedBody bytes, and reports whether that was all of it.
-func (f *httpFrontend) readPrefix(deadlines *http.ResponseController, r *http.Request, startedAt time.Time) (
-	body []byte, complete bool, err error,
-) {
+// readPrefix reads a body up to its end or to maxBufferedBody bytes, and reports whether that was all of it. It fails if
+// there is no memory for a body of unknown length.
+func (f *httpFrontend) readPrefix(
+	deadlines *http.ResponseController, r *http.Request, memory *membudget.Account, startedAt time.Time,
+) (body []byte, complete bool, err error) {
+	taken := initialBodyMemory(r.ContentLength)
 	deadline := startedAt.Add(f.bodyTimeout)
 	body = make([]byte, 0, max(0, min(r.ContentLength, maxBufferedBody)))
 	for len(body) < maxBufferedBody {
@@ -71,6 +85,12 @@
 			}
 			body = slices.Grow(body, bodyGrowBytes)
 		}
+		if missing := int64(cap(body)) - taken; r.ContentLength < 0 && missing > 0 {
+			if !memory.Take(missing) {
+				return nil, false, unavailable("too many bytes are in hand")
+			}
+			taken += missing
+		}
 		_ = deadlines.SetReadDeadline(deadline)
 		n, err := r.Body.Read(body[len(body):min(cap(body), maxBufferedBody)])
 		body = body[:len(body)+n]
@@ -84,7 +104,11 @@
 			deadline = bodyReadDeadline(time.Now(), time.Since(startedAt), int64(len(body)))
 		}
 	}
-	return body, r.ContentLength == int64(len(body)), nil
+	complete = r.ContentLength == int64(len(body))
+	if !complete && taken < streamedBodyReservation && !memory.Take(streamedBodyReservation-taken) {
+		return nil, false, unavailable("too many bytes are in hand")
+	}
+	return body, complete, nil
 }
 
 // newUpload makes the upload of a body of which prefix has been read. When the body is complete, the engine is notified
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -117,7 +117,6 @@
 	p.conns.mu.Lock()
 	defer p.conns.mu.Unlock()
 	p.conns.admission = control
-	p.conns.rejectionResponse = p.rejectionResponse()
 	return nil
 }
 
