Claim request IDs among the processes of a proxy

Cause: each process knew its own IDs only. Change: internal/sharedids is a table in the state directory that both processes map; the IDs of requests that must not run twice are claimed in it while they are open, and for a minute after their client has left. A claim ends with its time, so a process that is killed leaves nothing. TestRequestIDsAreSharedBetweenProcesses and the package's tests are of code that is new. go test -race passes in internal/proxy, internal/sharedids, internal/hotrestart and cmd/lapisspread.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -53,7 +53,7 @@
 		cfg:         cfg,
 		log:         log,
 		conns:       conns,
-		ids:         newRequestIDs(),
+		ids:         newRequestIDs(s.proxy.sharedIDs),
 		memory:      s.proxy.memory,
 		bodyTimeout: bodyTimeout,
 	}
@@ -167,6 +167,10 @@
 		return
 	}
 	defer f.release(id, memory)
+	if err := f.claimID(id, req); err != nil {
+		f.rejectRequest(w, req, err)
+		return
+	}
 	req.message.memory = memory
 	if !origin.conn.reserveBytes(bytes) {
 		f.rejectRequest(w, req, unavailable("too many bytes of this address are in hand"))
@@ -251,9 +255,22 @@
 	}
 }
 
+// mustRunOnce reports whether a request must not run twice.
+func (r *request) mustRunOnce() bool {
+	return r.service.module.Classes[r.Class].Idempotency != decision.Idempotent
+}
+
+// claimID claims the ID of a request that must not run twice among the processes of this proxy.
+func (f *httpFrontend) claimID(id string, req *request) error {
+	if !req.mustRunOnce() {
+		return nil
+	}
+	return f.ids.claim(id, req.Timeout)
+}
+
 // rememberAbandoned records that the client of a request has left, if the request must not run twice.
 func (f *httpFrontend) rememberAbandoned(r *http.Request, req *request) {
-	if req.service.module.Classes[req.Class].Idempotency != decision.Idempotent {
+	if req.mustRunOnce() {
 		f.ids.abandon(r.Header.Get("X-Request-Id"))
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"lapisspread/internal/hotrestart"
 	"lapisspread/internal/membudget"
 	"lapisspread/internal/metrics"
+	"lapisspread/internal/sharedids"
 )
 
 // storePollInterval is the interval for polling the files that the processes of one proxy share.
@@ -30,6 +31,8 @@
 	store    *hotrestart.Store
 	conns    *clientConns
 	memory   *membudget.Budget // of what is held for clients, peers and backends
+	// sharedIDs are the request IDs of all processes of this proxy; nil without a state directory.
+	sharedIDs *sharedids.Table
 
 	services     *serviceSet
 	diameter     *diameterService                    // nil if Diameter is disabled
--- a/internal/proxy/requestids_test.go
+++ b/internal/proxy/requestids_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"lapisspread/internal/sharedids"
 )
 
 // Guards against a request running twice: the client of a request that must not run twice leaves while it is at a
@@ -84,10 +87,68 @@
 	})
 }
 
+// Guards against a request running twice during a hot restart: an ID that is open at one process, or whose client has left
+// there, is rejected by the other one. It may come again once its request was answered or has not run, and requests that
+// may run twice are not restricted.
+func TestRequestIDsAreSharedBetweenProcesses(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ids")
+	processes := make([]*requestIDs, 2)
+	for i := range processes {
+		table, err := sharedids.Open(path)
+		if err != nil {
+			t.Fatalf("sharedids.Open: %v", err)
+		}
+		t.Cleanup(func() { _ = table.Close() })
+		processes[i] = newRequestIDs(table)
+	}
+	begin := func(process int, id string, wantOK bool) {
+		t.Helper()
+		ids := processes[process]
+		err := ids.begin(id)
+		if err == nil {
+			if err = ids.claim(id, time.Second); err != nil {
+				ids.end(id)
+			}
+		}
+		if (err == nil) != wantOK {
+			t.Errorf("ID %q at process %d: %v, want accepted %v", id, process, err, wantOK)
+		}
+	}
+	begin(0, "answered", true)
+	begin(1, "answered", false)
+	begin(1, "answered", false) // the rejection has not released the claim
+	processes[0].end("answered")
+	begin(1, "answered", true)
+
+	begin(0, "left", true)
+	processes[0].abandon("left")
+	processes[0].end("left")
+	begin(1, "left", false)
+
+	for _, endFirst := range []bool{true, false} {
+		id := fmt.Sprint("left, has not run, end first: ", endFirst)
+		begin(0, id, true)
+		processes[0].abandon(id)
+		if endFirst {
+			processes[0].end(id)
+		}
+		processes[0].forgetAbandoned(id)
+		if !endFirst {
+			processes[0].end(id)
+		}
+		begin(1, id, true)
+	}
+	for _, ids := range processes {
+		if err := ids.begin("not claimed"); err != nil {
+			t.Errorf("begin of a request that may run twice: %v", err)
+		}
+	}
+}
+
 // The IDs of abandoned requests are bounded in number and in time.
 func TestAbandonedIDsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ids := newRequestIDs()
+		ids := newRequestIDs(nil)
 		abandon := func(id string) {
 			if err := ids.begin(id); err != nil {
 				t.Fatalf("begin(%q): %v", id, err)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -11,17 +11,20 @@
 	"lapisspread/internal/discovery/guardedsource"
 	"lapisspread/internal/engine"
 	"lapisspread/internal/listener"
+	"lapisspread/internal/sharedids"
 )
 
 // Files in the state directory.
 const (
-	blocksFile   = "blocks" // prefixes of client addresses that an operator has blocked
-	snapshotFile = "memory" // snapshot of endpoint lists and of what the engines have learned
+	blocksFile    = "blocks" // prefixes of client addresses that an operator has blocked
+	sharedIDsFile = "ids"    // request IDs that the processes have claimed
+	snapshotFile  = "memory" // snapshot of endpoint lists and of what the engines have learned
 )
 
 // serve runs the proxy on a listening socket until ctx ends, then drains it and waits for all goroutines.
 func (p *Proxy) serve(ctx context.Context, accepting net.Listener) error {
 	p.recoverState()
+	p.openSharedIDs()
 	accepting, leaveControlPlane, err := p.prepare(accepting)
 	defer leaveControlPlane() // runs last: the services use the control plane's quotas until they end
 	if err != nil {
@@ -61,6 +64,22 @@
 	}
 }
 
+// openSharedIDs opens the table of request IDs that the processes of this proxy share. Without it, an ID may come again at
+// another process during a hot restart. The table stays open until the process ends, since the end of the drain does not
+// wait for all requests.
+func (p *Proxy) openSharedIDs() {
+	path := p.store.Path(sharedIDsFile)
+	if path == "" {
+		return
+	}
+	table, err := sharedids.Open(path)
+	if err != nil {
+		p.log.Error("request IDs are not shared with other processes of this proxy", "err", err)
+		return
+	}
+	p.sharedIDs = table
+}
+
 // prepare sets up, before the services start, the parts that the configuration enables: admission control, the control
 // plane, the endpoint list guard and Diameter. It returns the wrapped listener. The caller must call
 // leaveControlPlane after the services have ended. The listener and leaveControlPlane are valid with an error too.
