--- a/cmd/faultlab/experiment.go
+++ b/cmd/faultlab/experiment.go
@@ -217,7 +217,7 @@
 		f = &calm
 	}
 	if sockets {
-		s, err = playLive(ctx, io.Discard, f, runOptions{seed: seed, policy: policy, proxy: v.Binary, args: v.Args, services: v.Services, flood: v.Flood, admission: v.Admission, comeback: v.Comeback}, v.Load)
+		s, err = playLive(ctx, io.Discard, f, runOptions{seed: seed, policy: policy, proxy: v.Binary, args: v.Args, services: v.Services, flood: v.Flood, admission: v.Admission, comeback: v.Comeback, sample: o.sample}, v.Load)
 	} else {
 		spec := f.Spec(seed, v.Load)
 		var memory time.Duration
--- a/cmd/faultlab/flood.go
+++ b/cmd/faultlab/flood.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,7 +42,8 @@
 		Use:   "flood [FILE|NAME]",
 		Short: "Flood proxies with connections of which nothing good comes, and tell how honest clients fare",
 		Long: `flood plays an experiment whose variants name floods, on sockets, in turn, and holds each against the first, which has
-none. Variants without an admission file, or of a plain policy, are for comparison: only the others can fail the command.`,
+none. Variants without an admission file, or of a plain policy, are for comparison: only the others can fail the command,
+and any of the proxy itself that takes more memory than it was told.`,
 		Args: usage(cobra.MaximumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			name := "flood"
@@ -93,7 +95,9 @@
 		if i > 0 && !strings.Contains(v.Name, only) {
 			continue
 		}
-		s, err := runVariant(ctx, io.Discard, f, v, o.seed, runOptions{}, true)
+		peak := 0.0
+		sample := func(s liverun.Sample) { peak = max(peak, s.PeakRSSMB) }
+		s, err := runVariant(ctx, io.Discard, f, v, o.seed, runOptions{sample: sample}, true)
 		if err != nil {
 			return all, fmt.Errorf("variant %s: %w", v.Name, err)
 		}
@@ -101,13 +105,10 @@
 			return all, errors.New("broken off; what was seen is told")
 		}
 		r := floodOutcome{Variant: v.Name, Sockets: f.World.Sockets, Whole: s.Worth.Whole, Ratio: 1, NoAnswer: s.ByRule[checker.Lost], Refused: s.Refused,
-			Failed: s.Failed, Broken: s.RulesBroken, Crashes: len(s.Problems)}
+			Failed: s.Failed, Broken: s.RulesBroken, Crashes: len(s.Problems), RSS: peak}
 		for _, c := range s.Classes {
 			r.P99 = max(r.P99, c.P99)
 		}
-		for _, u := range s.Usage {
-			r.RSS = max(r.RSS, u.RSSMB)
-		}
 		if len(all) > 0 {
 			r.Ratio = r.Whole / all[0].Whole
 		}
@@ -126,6 +127,9 @@
 				fmt.Fprintf(w, "    %.200s\n", p)
 			}
 		}
+		if told := cmp.Or(f.World.Memory, liverun.DefaultMemoryMB); cmp.Or(v.Policy, "module") == "module" && r.RSS > float64(told) {
+			errs = append(errs, fmt.Errorf("%w: %s at %d descriptors: %.0f MB of memory, %d are the most", errBroken, r.Variant, r.Sockets, r.RSS, told))
+		}
 		if v.Admission != "" && s.Scored && (r.Broken > 0 || r.Crashes > 0) {
 			errs = append(errs, fmt.Errorf("%w: %s at %d descriptors: %d times a rule was broken, %d crashes", errBroken, r.Variant, r.Sockets, r.Broken, r.Crashes))
 		}
--- a/cmd/faultlab/run.go
+++ b/cmd/faultlab/run.go
@@ -137,7 +137,7 @@
 	}
 	defer os.RemoveAll(tmp)
 	opts := liverun.Options{Binary: o.proxy, OtherBinary: o.other, HalfOpen: f.World.HalfOpen, Slow: f.World.Slow, Progress: shower(out), Services: o.services,
-		Sockets: f.World.Sockets, Clients: f.World.Clients, Crowd: f.World.Crowd, Admission: o.admission, Comeback: o.comeback, Sample: o.sample}
+		MemoryMB: f.World.Memory, Sockets: f.World.Sockets, Clients: f.World.Clients, Crowd: f.World.Crowd, Admission: o.admission, Comeback: o.comeback, Sample: o.sample}
 	if fl := f.FloodNamed(o.flood); fl != nil {
 		opts.Flood = &liverun.Flood{Kind: fl.Kind, Connections: fl.Connections, Addresses: fl.Addresses, Shared: fl.Shared, At: time.Duration(fl.At),
 			For: time.Duration(fl.For)}
--- a/internal/faultlab/experiment/file.go
+++ b/internal/faultlab/experiment/file.go
@@ -84,7 +84,9 @@
 	// a connection that it keeps), "shared" (likewise, all behind one address). On sockets only.
 	Sockets int    `toml:"sockets"`
 	Clients string `toml:"clients"`
-	Crowd   int    `toml:"crowd"` // clients that are "own" or "shared"; 500 if left out
+	// Memory is how many MiB each proxy is told it has; 64 if left out. On sockets only.
+	Memory int `toml:"memory"`
+	Crowd  int `toml:"crowd"` // clients that are "own" or "shared"; 500 if left out
 }
 
 // Point is a place on the load curve.
@@ -234,6 +236,9 @@
 	default:
 		return fmt.Errorf("world: clients: %q is none of pool, own, shared", f.World.Clients)
 	}
+	if m := f.World.Memory; m != 0 && (m < 16 || m > 4096) {
+		return errors.New("world: memory must be within 16 and 4096")
+	}
 	if w := &f.World; w.Sockets != 0 && (w.Sockets < 64 || w.Sockets > 1<<16) || w.Crowd < 0 || w.Crowd > 5000 {
 		return errors.New("world: sockets must be within 64 and 65536, crowd within 0 and 5000")
 	}
@@ -267,8 +272,11 @@
 
 // FloodKinds are what a flood's connections do: say nothing; send half a head and then nothing; send a head a byte at a
 // time; ask for the proxy's health again and again and never read; name a tenant and a class that there is not; connect and
-// go at once.
-var FloodKinds = []string{"silent", "half-head", "slow-head", "slow-read", "tenants", "churn"}
+// go at once; send very many short fields and no end of the head; send a body of 64 KiB but for its last byte; send half of
+// a body of 10 MB.
+var FloodKinds = []string{
+	"silent", "half-head", "slow-head", "slow-read", "tenants", "churn", "many-fields", "half-body", "half-upload",
+}
 
 // mostFlood bounds a flood's connections.
 const mostFlood = 200_000
--- a/internal/faultlab/liverun/child.go
+++ b/internal/faultlab/liverun/child.go
@@ -213,6 +213,23 @@
 	return files, float64(pages) * float64(os.Getpagesize()) / (1 << 20)
 }
 
+// peakRSS is the most resident memory that the newest process has had, in MB; 0 where it has ended. Unlike what the system
+// tells at a process's end, it leaves out the program that has started it.
+func (c *child) peakRSS() float64 {
+	p := c.newest()
+	if p == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "\nVmHWM:")
+	var kb float64
+	_, _ = fmt.Sscan(rest, &kb)
+	return kb / (1 << 10)
+}
+
 // count counts the newest process's descriptors and, where it tells them, goroutines.
 func (c *child) count(files, goroutines *int) {
 	p := c.newest()
--- a/internal/faultlab/liverun/flood.go
+++ b/internal/faultlab/liverun/flood.go
@@ -166,6 +166,12 @@
 		}()
 	case "tenants":
 		io.WriteString(c, "GET /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: "+c.LocalAddr().String()+"\r\nX-Tenant-Id: a\r\nX-Priority-Class: none\r\nX-Timeout-Ms: 900\r\n\r\n")
+	case "many-fields":
+		io.WriteString(c, "GET /api HTTP/1.1\r\nHost: x\r\n"+shortFields)
+	case "half-body":
+		io.WriteString(c, floodRequest(c, halfBodyBytes)+strings.Repeat("x", halfBodyBytes-1))
+	case "half-upload":
+		io.WriteString(c, floodRequest(c, halfUploadBytes)+strings.Repeat("x", halfUploadBytes/2))
 	case "slow-read":
 		for range 20 {
 			if _, err := io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
@@ -184,5 +190,26 @@
 	return ctx.Err() == nil
 }
 
+const (
+	halfBodyBytes   = 64 << 10   // length of a body whose last byte is missing
+	halfUploadBytes = 10_000_000 // length of a body of which half is sent
+	manyFields      = 2000       // short header lines, which fit into the longest head that a proxy reads
+)
+
+// shortFields are manyFields header lines without a value.
+var shortFields = func() string {
+	var lines strings.Builder
+	for i := range manyFields {
+		fmt.Fprintf(&lines, "%x:\r\n", 0x1000+i)
+	}
+	return lines.String()
+}()
+
+// floodRequest returns the head of a sound request with a body of so many bytes.
+func floodRequest(c net.Conn, bodyBytes int) string {
+	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: trip-close\r\n"+
+		"X-Timeout-Ms: 1000\r\nContent-Length: %d\r\n\r\n", c.LocalAddr(), bodyBytes)
+}
+
 // sharedAddr is the one address of clients that share one.
 var sharedAddr = net.IPv4(127, 99, 0, 1)
--- a/internal/faultlab/liverun/run.go
+++ b/internal/faultlab/liverun/run.go
@@ -29,6 +29,9 @@
 // On sockets every limit of the rules is longer by this.
 const socketSlack = 50 * time.Millisecond
 
+// DefaultMemoryMB is how many MiB a proxy is told it has if the options say nothing.
+const DefaultMemoryMB = 64
+
 // Options is how a run is carried out.
 type Options struct {
 	Binary   string        // the proxy's program
@@ -88,7 +91,9 @@
 type Sample struct {
 	At    time.Duration
 	RSSMB float64
-	Files int
+	// PeakRSSMB is the most that a process has had up to then.
+	PeakRSSMB float64
+	Files     int
 }
 
 // sample tells what the proxies hold.
@@ -97,6 +102,7 @@
 	for _, c := range r.proxies {
 		files, rss := c.held()
 		s.Files, s.RSSMB = max(s.Files, files), max(s.RSSMB, rss)
+		s.PeakRSSMB = max(s.PeakRSSMB, c.peakRSS())
 	}
 	r.opts.Sample(s)
 }
@@ -243,7 +249,7 @@
 		opts.Args = []string{"serve"}
 	}
 	if opts.MemoryMB == 0 {
-		opts.MemoryMB = 64
+		opts.MemoryMB = DefaultMemoryMB
 	}
 	if opts.Sockets == 0 {
 		opts.Sockets = 1024
