Play peers that misbehave at each point of a request in the laboratory

The laboratory had no play of a server that stops after its answer's head, nor of a client that leaves while its connection to a server comes up late, so neither fault could be reproduced.

Change: "faultlab peers" starts a proxy process for each case, serving or in a drain, beside a server and a client of which one falls silent, closes, half-closes, resets or dribbles at a point of the message, by framing. A late connection comes up through a real accept queue that was full.

--- a/cmd/faultlab/main.go
+++ b/cmd/faultlab/main.go
@@ -48,7 +48,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(runCommand(), simulateCommand(), listCommand(), selfCheckCommand(), plainProxyCommand(), experimentCommand(), compareCommand(), loadCommand(), scaleCommand(), overloadCommand(), floodCommand(), floodClientCommand(),
-		soakCommand(), addressesCommand(), diameterCommand(), payoutsCommand(), comebackCommand(), killsCommand(), grantsCommand(), capacityCommand(), hollowsCommand(), slopesCommand())
+		soakCommand(), addressesCommand(), diameterCommand(), payoutsCommand(), comebackCommand(), killsCommand(), grantsCommand(), capacityCommand(), hollowsCommand(), slopesCommand(), peersCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
