Take a long answer for begun with its first byte, not with its head

What callers saw: no byte of an answer where a server stopped after the head of an answer over 64 KiB or of no length: the connection's end after 10 s, or at once where the server closed. Where a server wrote chunks slowly, the first byte came when 32 KiB were there, 4.0 s late at 8 kB/s.

Cause: readResponse made a stream of such an answer as soon as its head had come, and the engine completed the request and ended its deadline. The front end wrote the head to a buffer and waited for the body, for readStallTimeout. Besides, net/http's decoder of chunks waits until the caller's buffer or the chunk is full, so what had come of a large chunk was not passed on, and its 10 s counted for 32 KiB instead of for the next byte.

Change: a stream starts with the first byte of its body (deliverStream); until then the attempt and the request keep their deadlines, a server that closes or resets gives 502, one that is silent 504, and a class that allows it is retried. httpframe.ChunkReader returns what has arrived. A long 200 before the end of the request's body is no answer any more, as a short one.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -173,7 +173,7 @@
 		if err != nil { // no read deadline is set yet, since the request's body was not sent completely
 			c.limitRead(time.Now().Add(p.connectTimeout))
 		}
-		received, receiveErr := p.receive(ctx, c, m, req)
+		received, receiveErr := p.receive(ctx, c, m, req, sent.complete)
 		if receiveErr == nil && (sent.complete || received.status != http.StatusOK) {
 			reusable := stopInterrupt() && received.reusable && sent.complete
 			if !reusable {
@@ -234,11 +234,15 @@
 	reusable bool // the connection may carry another request
 }
 
-// receive reads the response to a request. A long response is streamed to the client until its end.
-func (p *pool) receive(ctx context.Context, c *conn, m *message, req *http.Request) (reception, error) {
+// receive reads the response to a request. A long response is streamed to the client until its end, but not if the
+// request was not sent completely.
+func (p *pool) receive(ctx context.Context, c *conn, m *message, req *http.Request, sent bool) (reception, error) {
 	resp, body, stream, err := c.readResponse(req, m.memory)
 	if err == nil && stream != nil {
-		err = deliverStream(ctx, resp, stream, m)
+		defer stream.closeBody()
+		if sent && resp.StatusCode == http.StatusOK {
+			err = deliverStream(ctx, stream, m)
+		}
 	}
 	if err != nil {
 		return reception{}, err
@@ -254,15 +258,20 @@
 }
 
 // deliverStream streams a long response to the request's client, and blocks until the client has read it or ctx ends.
-// The body of a response that is not a success is discarded.
-func deliverStream(ctx context.Context, resp *http.Response, d *download, m *message) error {
-	defer d.closeBody()
-	if resp.StatusCode != http.StatusOK {
-		return nil
-	}
+//
+// It starts with the first byte of the body. A backend may fall silent after its response's head: until there is something
+// to write to the client, the request is not answered and has its deadline.
+func deliverStream(ctx context.Context, d *download, m *message) error {
 	if m.startStream == nil {
 		return fmt.Errorf("%w: more than %d bytes", errInvalidResponse, maxBufferedBody)
 	}
+	err := d.awaitFirstByte()
+	if errors.Is(err, io.EOF) { // an empty body, which needs no stream
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	if !m.startStream(d) {
 		return errAbandoned
 	}
--- a/internal/proxy/backendresponse.go
+++ b/internal/proxy/backendresponse.go
@@ -10,6 +10,7 @@
 
 	"lapisspread/decision"
 	"lapisspread/internal/membudget"
+	"lapisspread/internal/proxy/httpframe"
 )
 
 const (
@@ -110,11 +111,12 @@
 		return nil, nil, nil
 	}
 	n := resp.ContentLength
+	source := &boundedReader{source: c.bodyReader(resp), conn: c}
 	switch {
 	case n > maxBodyBytes:
 		return nil, nil, fmt.Errorf("%w: body of %d bytes is too long", errInvalidResponse, n)
 	case n > maxBufferedBody, n > smallBody && !memory.Take(n):
-		return nil, newDownload(n, &boundedReader{source: resp.Body, conn: c}), nil
+		return nil, newDownload(n, source), nil
 	case n >= 0:
 		body := make([]byte, n)
 		if _, err := io.ReadFull(resp.Body, body); err != nil && (n != 0 || !errors.Is(err, io.EOF)) {
@@ -123,31 +125,40 @@
 		return body, nil, nil
 	}
 	if !memory.Take(prefetchMemory) {
-		return nil, newDownload(-1, &boundedReader{source: resp.Body, conn: c}), nil
+		return nil, newDownload(-1, source), nil
 	}
-	return c.readUnknownLength(resp)
+	return c.readUnknownLength(resp, source)
+}
+
+// bodyReader returns the reader of a response's body. For chunks it is not that of net/http, which waits until a chunk or
+// the buffer is complete: the first bytes of a large chunk would reach the client late.
+func (c *conn) bodyReader(resp *http.Response) io.Reader {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) > 0 {
+		return httpframe.NewChunkReader(c.reader)
+	}
+	return resp.Body
 }
 
 // readUnknownLength waits up to responseHoldback for the end of the body, and streams the body if it has not ended by
 // then. For a rejection it waits up to readStallTimeout: a rejection is never streamed, and only a complete one proves
 // that the request did not run.
-func (c *conn) readUnknownLength(resp *http.Response) ([]byte, *download, error) {
+func (c *conn) readUnknownLength(resp *http.Response, source io.Reader) ([]byte, *download, error) {
 	holdback := time.Duration(responseHoldback)
 	if responseResult(resp) == decision.Rejected {
 		holdback = readStallTimeout
 	}
-	source := startPrefetch(&boundedReader{source: resp.Body, conn: c})
-	body, complete, err := source.waitForEnd(holdback)
+	prefetched := startPrefetch(source)
+	body, complete, err := prefetched.waitForEnd(holdback)
 	switch {
 	case err != nil:
-		source.close()
+		prefetched.close()
 		return nil, nil, fmt.Errorf("reading the response's body: %w", err)
 	case complete:
 		c.limitRead(time.Time{})
 		return body, nil, nil
 	}
-	stream := newDownload(-1, source)
-	stream.closeBody = source.close
+	stream := newDownload(-1, prefetched)
+	stream.closeBody = prefetched.close
 	return nil, stream, nil
 }
 
--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -8,18 +9,40 @@
 	"time"
 )
 
+// firstReadBytes is the size of the buffer for the first bytes of a streamed response.
+const firstReadBytes = 512
+
 // download is a long response that is streamed to the client. The goroutine that receives it must read it and then call
 // End.
 type download struct {
 	length    int64 // Content-Length in bytes; -1 if there is none
-	body      io.Reader
+	body      *bufio.Reader
 	closeBody func()
 	result    chan error // buffered; receives the argument of End
 }
 
 // newDownload returns a download of length bytes, or of unknown length if length is -1.
 func newDownload(length int64, body io.Reader) *download {
-	return &download{length: length, body: body, closeBody: func() {}, result: make(chan error, 1)}
+	return &download{
+		length:    length,
+		body:      bufio.NewReaderSize(body, firstReadBytes),
+		closeBody: func() {},
+		result:    make(chan error, 1),
+	}
+}
+
+// awaitFirstByte blocks until the first byte of the body has arrived. It returns io.EOF for a complete body without one.
+func (d *download) awaitFirstByte() error {
+	_, err := d.body.Peek(1)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF) && d.length < 0:
+		return io.EOF
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("reading the first byte of the response's body: %w", err)
 }
 
 // Read reads the response.
@@ -37,8 +60,9 @@
 // be told from one that keeps a connection busy without an answer.
 const minResponseRate = 1 << 10
 
-// boundedReader reads a response's body with a deadline for each chunk, a minimum mean rate and a maximum length
-// (maxBodyBytes), so that a backend can't hold the request forever. Only the time spent waiting for the backend counts, not the time that the client takes.
+// boundedReader reads a response's body with a deadline for each read, a minimum mean rate and a maximum length
+// (maxBodyBytes), so that a backend can't hold the request forever. Only the time spent waiting for the backend counts,
+// not the time that the client takes. A read from source must return what has arrived.
 type boundedReader struct {
 	source    io.Reader
 	conn      *conn
--- a/internal/proxy/streaming_test.go
+++ b/internal/proxy/streaming_test.go
@@ -297,6 +297,7 @@
 		"error":              {"HTTP/1.1 500 Oh\nContent-Length: 2\n\nno", decision.Error},
 		"chunked error":      {"HTTP/1.1 413 Long\nTransfer-Encoding: chunked\n\n2\nno\n0\n\n", decision.Error},
 		"OK":                 {served, decision.ConnectFailed}, // no success is accepted before the request's end
+		"long OK":            {"HTTP/1.1 200 OK\nContent-Length: 100000\n\nabc", decision.ConnectFailed},
 		"garbage":            {"\x00\x01\n\n", decision.ConnectFailed},
 		"half a status line": {"HTTP/1.1 5", decision.ConnectFailed},
 		"close":              {"", decision.ConnectFailed},
@@ -322,6 +323,11 @@
 			}
 			m := testMessage("POST", nil)
 			m.upload = u
+			m.startStream = func(d *download) bool {
+				t.Error("the response was passed on before the request's end")
+				d.End(nil)
+				return true
+			}
 			if result, _ := p.exchange(t.Context(), b, m); result != c.want {
 				t.Errorf("exchange() with a response before the request's end = %s, want %s",
 					resultName(result), resultName(c.want))
