Ask the client's connection whether it has left before an attempt's first byte

What callers saw: a request whose client had left was begun at a server 0.92 s later, once the connection to the server had come up.

Cause: a client's close was seen only by a read. net/http watches a connection once the body was read to its end; while the rest of a body over 64 KiB waits for the connection to a backend, nobody reads, and the close lies behind unread bytes.

A request whose client has left ends as one of a client that has gone; no attempt follows. Nothing more is read of a body whose client has left, so that its request can't run.

Bodies that do not fit into the two systems' buffers (200,000 bytes and more here) still break: their client's close has not arrived.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -118,7 +118,15 @@
 
 // maySend implements Attempt.MaySend for one attempt of a request. It reports whether the first byte may be sent now,
 // and the time by which the last byte must be sent; a zero time means no limit. Any goroutine may call it.
+//
+// It asks the client's connection once more: ClientGone comes only when the front end has read as far as the client's
+// close, and nobody reads while a part of a long body waits for its backend.
 func (e *Engine) maySend(r *Request, number int) (by time.Time, ok bool) {
+	if r.hasClientLeft() {
+		r.clientLeft.Store(true)
+		r.guard.close()
+		return time.Time{}, false
+	}
 	classes := e.opts.Decision.Classes
 	// The decision module clamps a class that is out of range in the same way.
 	class := min(max(r.Class, 0), len(classes)-1)
@@ -200,6 +208,9 @@
 	if result == decision.OK {
 		e.complete(r, Result{Outcome: Served, Response: response})
 	}
+	if r.clientLeft.Load() {
+		e.ClientGone(r)
+	}
 	e.release(r)
 	e.decider.Outcome(now, decision.Outcome{
 		ID:           r.id,
--- /dev/null
+++ b/internal/engine/clientleft_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lapisspread/decision"
+)
+
+// scriptedClient is a Client that has left once the test says so.
+type scriptedClient struct{ left atomic.Bool }
+
+func (c *scriptedClient) Left() bool { return c.left.Load() }
+
+// leave makes the client of a request leave, without a call of ClientGone.
+func leave(r *Request) { r.Client.(*scriptedClient).left.Store(true) }
+
+// Guards against an attempt being begun whose client has left while the connection came up, where nothing but the client's
+// connection shows that. The request ends, and no further attempt starts.
+func TestAttemptIsNotSentForAClientThatLeft(t *testing.T) {
+	idempotent := decision.Class{Idempotency: decision.Idempotent}
+	for _, retry := range []bool{false, true} {
+		runLateConnectionTest(t, idempotent, false, func(t *testing.T, _ *Engine, r *Request, dialed <-chan *dialedAttempt) {
+			attempt := <-dialed
+			if retry {
+				if !attempt.connect(decision.Reset) {
+					t.Fatal("first attempt was not sent")
+				}
+				attempt = <-dialed
+			}
+			leave(r)
+			if attempt.connect(decision.OK) {
+				t.Errorf("retry %v: the attempt was sent after its client had left", retry)
+			}
+			if result := <-r.Result(); !result.ClientGone || result.MayHaveRun != retry {
+				t.Errorf("retry %v: result %+v, want ClientGone, and MayHaveRun only if there was an attempt before", retry, result)
+			}
+			synctest.Wait()
+			select {
+			case <-dialed:
+				t.Errorf("retry %v: a further attempt was started after the client had left", retry)
+			default:
+			}
+		})
+	}
+}
+
+// A request whose body is on its way ends if its client leaves, also while no attempt can be sent.
+func TestUploadEndsWhenItsClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := deafUpstream{release: make(chan struct{})}
+		e, err := New(Options{
+			Decision: testConfig(), Seed: 1, Upstream: upstream, Source: stuckUpstream{}, InitialEndpoints: testEndpoints(),
+		})
+		if err != nil {
+			t.Fatalf("New failed: %v", err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { e.Run(ctx); close(ended) }()
+		u := &scriptedUpload{clock: e.Clock(), writtenAt: time.Now().Add(time.Hour)}
+		r := &Request{Class: 1, Timeout: time.Minute, Upload: u, Message: message{}, Client: &scriptedClient{}}
+		r.Init()
+		e.Post(func() { e.Submit(r) })
+		synctest.Wait()
+		leave(r)
+		if result := <-r.Result(); !result.ClientGone {
+			t.Errorf("result %+v, want ClientGone", result)
+		}
+		cancel()
+		close(upstream.release)
+		<-ended
+	})
+}
--- a/internal/engine/deadline.go
+++ b/internal/engine/deadline.go
@@ -67,12 +67,17 @@
 	r.expiry = e.startTimerAt(r.Deadline+deadlineGrace, func() { e.expireRequest(r) })
 }
 
-// checkUpload moves the deadline of an upload if its client has not finished. If the deadline has passed, it ends the
-// attempts in flight; the decision module has deadlineGrace to end the request then.
+// checkUpload moves the deadline of an upload if its client has not finished, and ends the request if its client has left.
+// If the deadline has passed, it ends the attempts in flight; the decision module has deadlineGrace to end the request
+// then.
 func (e *Engine) checkUpload(r *Request) {
 	if r.ended {
 		return
 	}
+	if r.hasClientLeft() {
+		e.ClientGone(r)
+		return
+	}
 	e.setReceivedAt(r, r.Upload.IncompleteAt())
 	if e.clock.Now() < r.Deadline {
 		e.scheduleExpiry(r)
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"sync/atomic"
 	"time"
 
 	"lapisspread/decision"
@@ -30,6 +31,13 @@
 	Stream     Stream        // Served: a response whose body is still being received
 }
 
+// Client is the peer that waits for a request's result.
+type Client interface {
+	// Left reports whether the client has left, as far as its connection shows now. It must not block; any goroutine may
+	// call it.
+	Left() bool
+}
+
 // Request is a request between a front end and the engine. A front end fills in the exported fields, calls Init, hands
 // the request to Submit by Post and reads Result once.
 type Request struct {
@@ -42,6 +50,7 @@
 	Timeout      time.Duration // from the last byte of the request to its deadline
 	Deadline     time.Duration // on the engine's clock; the engine sets it if Upload is set
 	Upload       Upload        // a body that is still being received; nil if the whole request has arrived
+	Client       Client        // shows whether the client has left; nil if only ClientGone tells
 
 	id       decision.RequestID
 	result   chan Result // has capacity 1, so that the engine never blocks on it
@@ -55,6 +64,7 @@
 
 	receivedAt   time.Duration // when the last byte can have arrived; moves on while an upload is incomplete
 	bodyComplete bool          // BodyComplete was called for the upload
+	clientLeft   atomic.Bool   // an attempt was not sent because the client had left
 }
 
 // Init prepares a request for Submit. It must be called once, before Result.
@@ -64,6 +74,9 @@
 // posts a call of ClientGone.
 func (r *Request) Abandon() { r.guard.close() }
 
+// hasClientLeft asks the client's connection whether the client has left.
+func (r *Request) hasClientLeft() bool { return r.Client != nil && r.Client.Left() }
+
 // Result returns the channel that delivers the request's only result.
 func (r *Request) Result() <-chan Result { return r.result }
 
--- a/internal/engine/sendguard_test.go
+++ b/internal/engine/sendguard_test.go
@@ -84,7 +84,7 @@
 			e.Run(ctx)
 			close(ended)
 		}()
-		r := &Request{Message: message{}, Timeout: 2 * time.Second, Deadline: e.Clock().Now() + 2*time.Second}
+		r := &Request{Message: message{}, Timeout: 2 * time.Second, Deadline: e.Clock().Now() + 2*time.Second, Client: &scriptedClient{}}
 		r.Init()
 		e.Post(func() { e.Submit(r) })
 		test(t, e, r, upstream.dialed)
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -46,7 +46,8 @@
 	StartStream func(Stream) bool
 	// MaySend is called on each connection that is tried, just before the first byte is sent. It reports whether the
 	// attempt may still be sent and, unless by is zero, the time until which its last byte may be sent. It prevents a
-	// send on a connection that is established after the request or the retry window has ended. nil allows all sends.
+	// send on a connection that is established after the request or the retry window has ended, or after its client has
+	// left. nil allows all sends.
 	MaySend func() (by time.Time, ok bool)
 }
 
--- a/internal/proxy/clientarrival.go
+++ b/internal/proxy/clientarrival.go
@@ -50,7 +50,7 @@
 	return a.incompleteAt
 }
 
-// incompleteAt implements bodyArrival.
+// incompleteAt implements clientState.
 func (c *clientConn) incompleteAt() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -62,5 +62,9 @@
 	return at
 }
 
-// unread implements bodyArrival.
+// unread implements clientState.
 func (c *clientConn) unread() int64 { return int64(rawsocket.Unread(c.Conn)) }
+
+// Left implements engine.Client: it reports whether the client has closed or reset the connection, also behind bytes that
+// were not read. A client that has closed only its write side counts as one that has left.
+func (c *clientConn) Left() bool { return rawsocket.HungUp(c.Conn) }
--- a/internal/proxy/clientarrival_test.go
+++ b/internal/proxy/clientarrival_test.go
@@ -43,14 +43,16 @@
 	a.foundBytes(at(50), 9, 9)
 }
 
-// scriptedArrival is a bodyArrival with fixed values.
+// scriptedArrival is a clientState with fixed values.
 type scriptedArrival struct {
 	emptyUntil  time.Time
 	unreadBytes int64
+	left        bool
 }
 
 func (s scriptedArrival) incompleteAt() time.Time { return s.emptyUntil }
 func (s scriptedArrival) unread() int64           { return s.unreadBytes }
+func (s scriptedArrival) Left() bool              { return s.left }
 
 // While more of a body is missing than two systems hold, its client has not finished, whatever the socket shows.
 func TestUploadIsIncompleteWhileMuchIsMissing(t *testing.T) {
@@ -67,13 +69,34 @@
 		u.clock = engine.NewClock()
 		u.length = c.length
 		u.readBytes.Store(maxBufferedBody)
-		u.arrival = scriptedArrival{hourAgo, 1000}
+		u.arrival = scriptedArrival{hourAgo, 1000, false}
 		if moved := u.IncompleteAt() > u.clock.At(hourAgo); moved != c.moves {
 			t.Errorf("%s: known to be incomplete now: %v, want %v", name, moved, c.moves)
 		}
 	}
 }
 
+// Nothing more is read of a body whose client has left, so that its request can't have run. A body that was read to its
+// end stays complete.
+func TestUploadOfAClientThatLeftIsCut(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		u := testUpload()
+		u.arrival = scriptedArrival{left: true}
+		u.remainder = readerFunc(func([]byte) (int, error) {
+			t.Error("the rest of the body was read after the client had left")
+			return 0, io.EOF
+		})
+		want := errClientLeft
+		if complete {
+			u.state.Store(uploadComplete)
+			want = io.EOF
+		}
+		if _, err := u.readRemainder(make([]byte, 10)); !errors.Is(err, want) || u.isComplete() != complete {
+			t.Errorf("readRemainder() = %v, complete %v; want %v, %v", err, u.isComplete(), want, complete)
+		}
+	}
+}
+
 // An upload that was cut never passes its last bytes on, so that its request can't have run; one whose last bytes were
 // read can't be cut.
 func TestCutUploadStaysIncomplete(t *testing.T) {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -172,6 +172,9 @@
 		return
 	}
 	req.message.memory = memory
+	if c := connOf(r); c != nil {
+		req.Client = c
+	}
 	if !origin.conn.reserveBytes(bytes) {
 		f.rejectRequest(w, req, unavailable("too many bytes of this address are in hand"))
 		return
@@ -217,8 +220,8 @@
 	return func() { svc.counters.InFlight.Add(-1) }
 }
 
-// awaitResult waits for a request's result and writes it. If reading the body fails or the client closes its
-// connection first, it abandons the request.
+// awaitResult waits for a request's result and writes it. If reading the body fails or the client leaves first, it
+// abandons the request.
 func (f *httpFrontend) awaitResult(w http.ResponseWriter, r *http.Request, req *request, origin requestOrigin) {
 	svc := req.service
 	upload := req.message.upload
@@ -228,6 +231,10 @@
 	}
 	select {
 	case result := <-req.Result():
+		if result.ClientGone {
+			f.clientLeft(w, r, req, result.MayHaveRun)
+			return
+		}
 		if result.Outcome == engine.Served {
 			origin.conn.markServed()
 			req.servedIn = time.Since(origin.receivedAt)
@@ -240,6 +247,10 @@
 		req.Abandon()
 		svc.engine.Post(func() { svc.engine.ClientGone(&req.Request) })
 		upload.stop()
+		if errors.Is(err, errClientLeft) { // the body's last byte was not sent
+			f.clientLeft(w, r, req, false)
+			return
+		}
 		f.rejectRequest(w, req, bodyReadError(err))
 	case <-r.Context().Done():
 		req.Abandon()
@@ -248,11 +259,23 @@
 			svc.engine.ClientGone(&req.Request)
 			f.forgetIfNotRun(r, req)
 		})
-		// net/http sends an empty 200 for a handler that writes nothing, and a client that closed only its write side
-		// would read it.
-		w.Header().Set("Connection", "close")
-		writeResponse(w, response{status: http.StatusBadGateway})
+		f.answerClientThatLeft(w)
+	}
+}
+
+// clientLeft ends the handling of a request whose client has left.
+func (f *httpFrontend) clientLeft(w http.ResponseWriter, r *http.Request, req *request, mayHaveRun bool) {
+	if mayHaveRun {
+		f.rememberAbandoned(r, req)
 	}
+	f.answerClientThatLeft(w)
+}
+
+// answerClientThatLeft writes a final response and closes the connection. net/http sends an empty 200 for a handler that
+// writes nothing, and a client that closed only its write side would read it.
+func (f *httpFrontend) answerClientThatLeft(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	writeResponse(w, response{status: http.StatusBadGateway})
 }
 
 // mustRunOnce reports whether a request must not run twice.
--- a/internal/proxy/rawsocket/rawsocket.go
+++ b/internal/proxy/rawsocket/rawsocket.go
@@ -35,6 +35,30 @@
 	return closed
 }
 
+// HungUp reports whether the peer has closed its side of the connection or has reset it, whatever lies unread. Unlike
+// PeerClosed it shows a close behind unread bytes. It is false for a connection without an open socket. See POLLRDHUP in
+// poll(2).
+func HungUp(nc net.Conn) bool {
+	raw, err := Conn(nc)
+	if err != nil {
+		return false
+	}
+	hungUp := false
+	_ = raw.Control(func(fd uintptr) { hungUp = pollHungUp(int32(fd)) })
+	return hungUp
+}
+
+// pollHungUp asks the state of a socket without waiting.
+func pollHungUp(fd int32) bool {
+	state := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(state, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return err == nil && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	}
+}
+
 // peek reports whether the socket has nothing to read, and whether the peer has closed it, without reading any bytes.
 func peek(nc net.Conn) (empty, closed bool) {
 	raw, err := Conn(nc)
--- a/internal/proxy/rawsocket/rawsocket_test.go
+++ b/internal/proxy/rawsocket/rawsocket_test.go
@@ -64,6 +64,39 @@
 	}
 }
 
+// HungUp shows a peer's close or reset also behind unread bytes, and takes no bytes for one.
+func TestHungUp(t *testing.T) {
+	for name, hangUp := range map[string]func(far *net.TCPConn) error{
+		"close":      (*net.TCPConn).Close,
+		"half close": (*net.TCPConn).CloseWrite,
+		"reset": func(far *net.TCPConn) error {
+			return errors.Join(far.SetLinger(0), far.Close())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := connect(t)
+			if HungUp(near) {
+				t.Fatal("new connection: HungUp() = true, want false")
+			}
+			if _, err := io.WriteString(far, "unread"); err != nil {
+				t.Fatalf("sending: %v", err)
+			}
+			eventually(t, "the bytes did not arrive", func() bool { return !Silent(near) })
+			if HungUp(near) {
+				t.Fatal("HungUp() = true with unread bytes of an open connection, want false")
+			}
+			if err := hangUp(far.(*net.TCPConn)); err != nil {
+				t.Fatalf("hanging up: %v", err)
+			}
+			eventually(t, "HungUp() = false after the peer hung up behind unread bytes, want true", func() bool { return HungUp(near) })
+		})
+	}
+	near, _ := net.Pipe()
+	if HungUp(near) {
+		t.Error("HungUp() = true for a connection without a socket, want false")
+	}
+}
+
 // Bytes that do not fit into the peer's receive buffer stay unacknowledged until the peer reads.
 func TestUnacknowledged(t *testing.T) {
 	near, far := connect(t)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -17,6 +17,7 @@
 var (
 	errEarlyResponse = errors.New("the backend responded before the end of the request body")
 	errClientBody    = errors.New("reading the request body from the client")
+	errClientLeft    = errors.New("the client has left")
 	errBodyConsumed  = errors.New("the request body was partly consumed by an earlier attempt")
 	errAbandoned     = engine.ErrAbandoned
 )
@@ -44,7 +45,7 @@
 	onComplete      func()                // called as the last byte has been read, with the lock held
 	failed          chan error            // buffered; receives the error if reading the body from the client fails
 	clock           engine.Clock
-	arrival         bodyArrival // nil if the client's connection is unknown
+	arrival         clientState // nil if the client's connection is unknown
 
 	mu        sync.Mutex    // guards the fields below, and the use of remainder and setReadDeadline
 	waited    time.Duration // total time spent waiting for the client, including the time for the prefix
@@ -56,8 +57,9 @@
 	state atomic.Int32 // an uploadState
 }
 
-// bodyArrival shows what has arrived of a body on a client's connection.
-type bodyArrival interface {
+// clientState shows what has arrived on a client's connection, read or not.
+type clientState interface {
+	engine.Client
 	// incompleteAt returns the latest time at which the connection was known to hold nothing unread, while more of the
 	// body was missing.
 	incompleteAt() time.Time
@@ -112,7 +114,8 @@
 }
 
 // readRemainder reads the part of the body after the prefix. It blocks until the client has sent something or its
-// deadline has passed. Only the time spent waiting for the client counts, not the time that backends take.
+// deadline has passed. Only the time spent waiting for the client counts, not the time that backends take. It reads
+// nothing more once the client has left: without its last byte the request does not run.
 func (u *upload) readRemainder(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -121,6 +124,8 @@
 		return 0, errAbandoned
 	case u.isComplete():
 		return 0, io.EOF
+	case u.arrival != nil && u.arrival.Left() && u.Cut():
+		return 0, u.fail(errClientLeft)
 	}
 	u.consumed = true
 	startedAt := time.Now()
@@ -142,15 +147,20 @@
 		return n, io.EOF
 	}
 	if err != nil {
-		select {
-		case u.failed <- err:
-		default:
-		}
-		err = fmt.Errorf("%w: %w", errClientBody, err)
+		err = u.fail(err)
 	}
 	return n, err
 }
 
+// fail reports that the client does not send its body, and returns the error for the attempt that reads it.
+func (u *upload) fail(err error) error {
+	select {
+	case u.failed <- err:
+	default:
+	}
+	return fmt.Errorf("%w: %w", errClientBody, err)
+}
+
 // uploadReader reads an upload for one attempt, from the first byte on.
 type uploadReader struct {
 	*upload
