Tell a backend the time that is left once its connection is up

Cause: X-Timeout-Ms was set at the start of the attempt, before its connection came up, which may take the settings' ConnectTimeout.

Change: engine.Attempt.TimeLeft tells what is left when it is asked, and the pool asks right before the request is written. For a body that is on its way the time counts from what its client has sent by then.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -67,6 +67,7 @@
 	attempt := Attempt{
 		Message:     r.Message,
 		Timeout:     until - now,
+		Remaining:   h.remaining(r, until),
 		LeaseToken:  a.permit.Token,
 		MaySend:     func() (time.Time, bool) { return h.maySend(r, a.number) },
 		StartStream: func(s Stream) bool { return h.startStream(r, a, s) },
@@ -89,6 +90,16 @@
 	return until
 }
 
+// remaining returns the implementation of Attempt.Remaining for an attempt that times out at until. For an upload, whose
+// deadline can move, the time is counted from what its client has sent by then.
+func (e *Engine) remaining(r *Request, until time.Duration) func() time.Duration {
+	if !r.Uploading() {
+		return func() time.Duration { return until - e.clock.Now() }
+	}
+	upload, timeout := r.Upload, r.Timeout
+	return func() time.Duration { return e.deadline(upload.IncompleteAt(), timeout) - e.clock.Now() }
+}
+
 // admitAttempt reports whether an attempt may be made. It consumes a retry from AllowRetry and a unit from Quota, where
 // they are needed. The request's inFlight count must already include the attempt.
 func (e *Engine) admitAttempt(r *Request, a *inFlightAttempt) bool {
--- a/internal/engine/clientleft_test.go
+++ b/internal/engine/clientleft_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// An attempt tells what is left of its time when it asks, and not what was left at its start.
+func TestTimeLeftOfAnAttempt(t *testing.T) {
+	runLateConnectionTest(t, decision.Class{}, false, func(t *testing.T, _ *Engine, r *Request, dialed <-chan *dialedAttempt) {
+		attempt := <-dialed
+		atStart := attempt.attempt.TimeLeft()
+		time.Sleep(time.Second)
+		if later := attempt.attempt.TimeLeft(); atStart-later != time.Second {
+			t.Errorf("TimeLeft() = %v at first and %v a second later, want a difference of a second", atStart, later)
+		}
+		attempt.connect(decision.OK)
+		<-r.Result()
+	})
+}
+
 // A request whose body is on its way ends if its client leaves, also while no attempt can be sent.
 func TestUploadEndsWhenItsClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/engine/deadline.go
+++ b/internal/engine/deadline.go
@@ -32,10 +32,16 @@
 // deadline.
 func (e *Engine) setReceivedAt(r *Request, at time.Duration) {
 	r.receivedAt = at
-	r.Deadline = at + r.Timeout
-	if by, limited := e.opts.AnswerBy(e.clock.Time(at)); limited {
-		r.Deadline = min(r.Deadline, e.clock.At(by))
+	r.Deadline = e.deadline(at, r.Timeout)
+}
+
+// deadline returns the deadline of a request whose last byte has arrived at a time. Any goroutine may call it.
+func (e *Engine) deadline(receivedAt, timeout time.Duration) time.Duration {
+	deadline := receivedAt + timeout
+	if by, limited := e.opts.AnswerBy(e.clock.Time(receivedAt)); limited {
+		deadline = min(deadline, e.clock.At(by))
 	}
+	return deadline
 }
 
 // BodyComplete records that the last byte of an upload was read. It must be called within an event.
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -37,8 +37,10 @@
 // Attempt is one attempt to send a request's message.
 type Attempt struct {
 	Message Message
-	// Timeout is the time within which the response must arrive; it is passed to the backend.
+	// Timeout is the time within which the response must arrive, from the start of the attempt.
 	Timeout time.Duration
+	// Remaining returns the time within which the response must arrive, from now on. nil means Timeout.
+	Remaining func() time.Duration
 	// LeaseToken is the token of the attempt's Permit, which is sent to the backend; empty means none.
 	LeaseToken string
 	// StartStream takes over a streamed response whose first byte has arrived. It returns false if the attempt has
@@ -51,6 +53,15 @@
 	MaySend func() (by time.Time, ok bool)
 }
 
+// TimeLeft returns the time within which the response must arrive, from now on. Backends call it right before they write
+// the request, and pass it to the server: a connection may have taken long to come up.
+func (a Attempt) TimeLeft() time.Duration {
+	if a.Remaining == nil {
+		return a.Timeout
+	}
+	return a.Remaining()
+}
+
 // SendAllowed calls MaySend, or allows the send without a limit if MaySend is nil. Backends call it right before they
 // write the request.
 func (a Attempt) SendAllowed() (by time.Time, ok bool) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -33,6 +33,8 @@
 	startStream func(*download) bool
 	// sendAllowed is engine.Attempt.SendAllowed; nil always allows the send, without a deadline.
 	sendAllowed func() (deadline time.Time, allowed bool)
+	// timeLeft is engine.Attempt.TimeLeft; nil sends no X-Timeout-Ms.
+	timeLeft func() time.Duration
 }
 
 // sendDeadline returns the time by which the message's last byte must be sent; the zero time is no deadline. It returns
@@ -83,8 +85,8 @@
 	m := *a.Message.(*message)
 	m.startStream = func(d *download) bool { return a.StartStream(d) }
 	m.sendAllowed = a.SendAllowed
+	m.timeLeft = a.TimeLeft
 	m.header = m.header.Clone()
-	m.header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, a.Timeout.Milliseconds()), 10))
 	if p.pool.fleetHeaders { // a client's own headers must not be taken for the proxy's
 		setOrDelete(m.header, "X-Fleet-Token", a.LeaseToken)
 		setOrDelete(m.header, "X-Fleet-Epoch", m.policyEpoch)
@@ -212,6 +214,9 @@
 	if err != nil {
 		return transmission{}, err
 	}
+	if m.timeLeft != nil {
+		req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, m.timeLeft().Milliseconds()), 10))
+	}
 	var sent transmission
 	switch {
 	case m.upload != nil:
