Read a long body ahead while it waits for its connection

Cause: a close comes behind all that was written. Where that does not fit into the two systems' buffers, the close has not arrived, and the socket's state can't show it while nobody reads. Shown by the size: 150,000 bytes held and 200,000 to 8,000,000 broke, with the check of the socket's state in place.

--- a/internal/faultlab/peerfaults/case.go
+++ b/internal/faultlab/peerfaults/case.go
@@ -22,6 +22,7 @@
 	NoBody      Framing = "no body"
 	ShortLength Framing = "short length" // a body that the proxy buffers
 	LongLength  Framing = "long length"  // a body that the proxy streams
+	HugeLength  Framing = "huge length"  // a body that does not fit into the buffers of the two systems
 	OneChunk    Framing = "one chunk"
 	ManyChunks  Framing = "many chunks"
 	Unframed    Framing = "no length" // the end of the connection ends the body; answers only
@@ -139,10 +140,13 @@
 // clientCases returns the cases of clients that misbehave.
 func clientCases() []Case {
 	var all []Case
-	for _, framing := range []Framing{NoBody, ShortLength, LongLength, OneChunk, ManyChunks} {
+	for _, framing := range []Framing{NoBody, ShortLength, LongLength, HugeLength, OneChunk, ManyChunks} {
 		points := []Point{InHead, AfterHead, AfterFirstByte, Middle, BeforeEnd, Whole}
-		if framing == NoBody {
+		switch framing {
+		case NoBody:
 			points = []Point{InHead, Whole}
+		case HugeLength:
+			points = []Point{Whole}
 		}
 		for _, point := range points {
 			for _, fault := range []Fault{Silent, Closes, HalfCloses, Resets, Dribbles} {
--- a/internal/faultlab/peerfaults/client.go
+++ b/internal/faultlab/peerfaults/client.go
@@ -61,11 +61,16 @@
 		return r
 	}
 	point := m.points[testCase.Point]
-	if _, err := io.WriteString(c, m.text[:point]); err != nil {
+	leaves := testCase.Fault == Closes || testCase.Fault == Resets || testCase.Fault == HalfCloses
+	if leaves { // also in the middle of a body that is not taken
+		_ = c.SetWriteDeadline(time.Now().Add(leaveAfter))
+	}
+	_, err := io.WriteString(c, m.text[:point])
+	if err != nil && !(leaves && isTimeout(err)) {
 		r.readAnswer(c)
 		return r
 	}
-	if point == len(m.text) {
+	if err == nil && point == len(m.text) {
 		r.whole = time.Now()
 	}
 	switch testCase.Fault {
--- a/internal/faultlab/peerfaults/message.go
+++ b/internal/faultlab/peerfaults/message.go
@@ -10,6 +10,7 @@
 const (
 	shortBodyBytes = 40_000
 	longBodyBytes  = 100_000
+	hugeBodyBytes  = 8_000_000
 	chunkBytes     = 1000 // of each of many chunks
 
 	dribbleInterval        = 100 * time.Millisecond
@@ -30,7 +31,7 @@
 	body := bodyText(framing)
 	chunkSize := 0
 	switch framing {
-	case ShortLength, LongLength:
+	case ShortLength, LongLength, HugeLength:
 		lines += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	case OneChunk:
 		lines += "Transfer-Encoding: chunked\r\n"
@@ -65,6 +66,8 @@
 		return ""
 	case ShortLength:
 		return strings.Repeat("0123456789abcde\n", shortBodyBytes/16)
+	case HugeLength:
+		return strings.Repeat("0123456789abcde\n", hugeBodyBytes/16)
 	}
 	return strings.Repeat("0123456789abcde\n", longBodyBytes/16)
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -10,9 +10,11 @@
 const (
 	// SmallBytes is the most that an account may hold to count as a small one. Small accounts may use the whole budget.
 	SmallBytes = 32 << 10
-	// largeShareNumerator and largeShareDenominator are the part of the budget that larger accounts may use: the rest is kept for small ones, so that peers
-	// with much to hold do not keep out those with little.
+	// largeShareNumerator and largeShareDenominator are the part of the budget that larger accounts may use: the rest is
+	// kept for small ones, so that peers with much to hold do not keep out those with little.
 	largeShareNumerator, largeShareDenominator = 3, 4
+	// spareDivisor gives the part of the budget that may be used for what is useful but not needed.
+	spareDivisor = 2
 )
 
 // Budget is a limit on the bytes that all its accounts hold together. It is safe for concurrent use.
@@ -40,6 +42,11 @@
 	if held+n > SmallBytes {
 		limit = limit / largeShareDenominator * largeShareNumerator
 	}
+	return b.takeUpTo(limit, n)
+}
+
+// takeUpTo adds n bytes if no more than limit are used then, and reports whether it did.
+func (b *Budget) takeUpTo(limit, n int64) bool {
 	if b.used.Add(n) > limit {
 		b.used.Add(-n)
 		return false
@@ -62,12 +69,22 @@
 
 // Take reports whether n more bytes may be held, and counts them if so. It returns false after Close.
 func (a *Account) Take(n int64) bool {
+	return a.count(n, func() bool { return a.budget.take(a.held, n) })
+}
+
+// TakeSpare is Take for what is useful but not needed: it keeps half of the budget free for what is.
+func (a *Account) TakeSpare(n int64) bool {
+	return a.count(n, func() bool { return a.budget.takeUpTo(a.budget.limit.Load()/spareDivisor, n) })
+}
+
+// count adds n bytes to the account if it is open and take allows it.
+func (a *Account) count(n int64, take func() bool) bool {
 	if a == nil || a.budget == nil {
 		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed || !a.budget.take(a.held, n) {
+	if a.closed || !take() {
 		return false
 	}
 	a.held += n
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -37,6 +37,26 @@
 	}
 }
 
+// What is useful but not needed gets only a half of the budget, whoever uses that.
+func TestTakeSpareLeavesHalf(t *testing.T) {
+	b := New(8 * SmallBytes)
+	first, second := b.Open(), b.Open()
+	if !first.Take(3*SmallBytes) || !second.TakeSpare(SmallBytes) {
+		t.Fatal("Take or TakeSpare within half of the budget = false")
+	}
+	if second.TakeSpare(1) {
+		t.Error("TakeSpare beyond half of the budget = true")
+	}
+	if !second.Take(SmallBytes) {
+		t.Error("Take beyond half of the budget = false")
+	}
+	first.Close()
+	second.Close()
+	if b.Used() != 0 || first.TakeSpare(1) {
+		t.Errorf("Used() = %d after the accounts were closed, or TakeSpare() = true; want 0, false", b.Used())
+	}
+}
+
 // A closed account holds nothing, however its calls interleave; a nil account and one without a budget are not limited.
 func TestClosedAccountsHoldNothing(t *testing.T) {
 	b := New(1 << 30)
--- a/internal/proxy/clientarrival.go
+++ b/internal/proxy/clientarrival.go
@@ -65,6 +65,20 @@
 // unread implements clientState.
 func (c *clientConn) unread() int64 { return int64(rawsocket.Unread(c.Conn)) }
 
+// hasWholeRequest implements clientState.
+func (c *clientConn) hasWholeRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requestInFlight
+}
+
+// foundNothing implements clientState.
+func (c *clientConn) foundNothing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrival.advance(time.Now())
+}
+
 // Left implements engine.Client: it reports whether the client has closed or reset the connection, also behind bytes that
 // were not read. A client that has closed only its write side counts as one that has left.
 func (c *clientConn) Left() bool { return rawsocket.HungUp(c.Conn) }
--- a/internal/proxy/clientarrival_test.go
+++ b/internal/proxy/clientarrival_test.go
@@ -53,6 +53,8 @@
 func (s scriptedArrival) incompleteAt() time.Time { return s.emptyUntil }
 func (s scriptedArrival) unread() int64           { return s.unreadBytes }
 func (s scriptedArrival) Left() bool              { return s.left }
+func (s scriptedArrival) foundNothing()           {}
+func (s scriptedArrival) hasWholeRequest() bool   { return false }
 
 // While more of a body is missing than two systems hold, its client has not finished, whatever the socket shows.
 func TestUploadIsIncompleteWhileMuchIsMissing(t *testing.T) {
@@ -91,8 +93,8 @@
 			u.state.Store(uploadComplete)
 			want = io.EOF
 		}
-		if _, err := u.readRemainder(make([]byte, 10)); !errors.Is(err, want) || u.isComplete() != complete {
-			t.Errorf("readRemainder() = %v, complete %v; want %v, %v", err, u.isComplete(), want, complete)
+		if _, err := u.readFrom(maxBufferedBody, make([]byte, 10)); !errors.Is(err, want) || u.isComplete() != complete {
+			t.Errorf("readFrom() = %v, complete %v; want %v, %v", err, u.isComplete(), want, complete)
 		}
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -206,6 +206,7 @@
 	svc := req.service
 	upload := req.message.upload
 	if upload != nil {
+		upload.startReadAhead(req.message.memory)
 		return func() {
 			if upload.stop() {
 				svc.counters.InFlight.Add(-1)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -36,7 +36,8 @@
 )
 
 // upload is a long request body that is streamed to a backend. The prefix is buffered and can be sent again by another
-// attempt; the remainder can't, so once some of it has been read there is no further attempt.
+// attempt, and so can what is read ahead; the remainder can't, so once some of it has been read by an attempt there is no
+// further attempt.
 type upload struct {
 	prefix          []byte
 	length          int64 // Content-Length in bytes; -1 if there is none
@@ -46,10 +47,12 @@
 	failed          chan error            // buffered; receives the error if reading the body from the client fails
 	clock           engine.Clock
 	arrival         clientState // nil if the client's connection is unknown
+	consumed        atomic.Bool // an attempt has read some of the remainder
+	sending         atomic.Bool // an attempt has begun and has not failed
 
 	mu        sync.Mutex    // guards the fields below, and the use of remainder and setReadDeadline
 	waited    time.Duration // total time spent waiting for the client, including the time for the prefix
-	consumed  bool          // some of the remainder has been read
+	ahead     readAhead     // what follows the prefix
 	stopped   bool          // the request has ended: remainder and setReadDeadline must no longer be used
 	readBytes atomic.Int64  // bytes read from the client, including the prefix; written under the lock
 	arrivedAt time.Time     // incompleteAt of the complete body; set before state changes to uploadComplete
@@ -65,6 +68,10 @@
 	incompleteAt() time.Time
 	// unread returns the number of bytes that have arrived and were not read from the socket.
 	unread() int64
+	// hasWholeRequest reports whether the last byte of the request was read from the socket.
+	hasWholeRequest() bool
+	// foundNothing records that the socket holds nothing unread, while more of the body is missing.
+	foundNothing()
 }
 
 // isComplete reports whether the whole body has been read from the client.
@@ -94,14 +101,7 @@
 }
 
 // isConsumed reports whether there can be no further attempt. u may be nil.
-func (u *upload) isConsumed() bool {
-	if u == nil {
-		return false
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.consumed
-}
+func (u *upload) isConsumed() bool { return u != nil && u.consumed.Load() }
 
 // stop ends the reading of the body from the client's connection, and reports whether the body is complete. No deadline
 // is set if it is complete: net/http then reads from the connection, and would treat a timeout as the client's close.
@@ -113,21 +113,45 @@
 	return u.isComplete()
 }
 
-// readRemainder reads the part of the body after the prefix. It blocks until the client has sent something or its
-// deadline has passed. Only the time spent waiting for the client counts, not the time that backends take. It reads
-// nothing more once the client has left: without its last byte the request does not run.
-func (u *upload) readRemainder(p []byte) (int, error) {
+// readFrom reads the body from an offset on, for an attempt. It blocks until the client has sent something or its deadline
+// has passed. Only the time spent waiting for the client counts, not the time that backends take.
+func (u *upload) readFrom(offset int64, p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if buffered := u.bufferedFrom(offset); len(buffered) > 0 {
+		return copy(p, buffered), nil
+	}
+	if err := u.checkReadable(); err != nil {
+		return 0, err
+	}
+	u.consumed.Store(true)
+	return u.readRemainder(p)
+}
+
+// bufferedFrom returns a part of the buffered bytes from an offset on; none at their end. The lock must be held.
+func (u *upload) bufferedFrom(offset int64) []byte {
+	if offset < int64(len(u.prefix)) {
+		return u.prefix[offset:]
+	}
+	return u.ahead.from(offset - int64(len(u.prefix)))
+}
+
+// checkReadable returns an error if nothing more must be read from the client. Nothing more is read once the client has
+// left: without its last byte the request does not run. The lock must be held.
+func (u *upload) checkReadable() error {
 	switch {
 	case u.stopped:
-		return 0, errAbandoned
+		return errAbandoned
 	case u.isComplete():
-		return 0, io.EOF
+		return io.EOF
 	case u.arrival != nil && u.arrival.Left() && u.Cut():
-		return 0, u.fail(errClientLeft)
+		return u.fail(errClientLeft)
 	}
-	u.consumed = true
+	return nil
+}
+
+// readRemainder reads the next part of the body from the client. The lock must be held.
+func (u *upload) readRemainder(p []byte) (int, error) {
 	startedAt := time.Now()
 	_ = u.setReadDeadline(bodyReadDeadline(startedAt, u.waited, u.readBytes.Load()))
 	if u.state.Load() == uploadCut {
@@ -165,7 +189,7 @@
 type uploadReader struct {
 	*upload
 	conn   *conn
-	offset int   // number of bytes of the prefix that were read
+	offset int64 // number of bytes that were read
 	err    error // error that stopped the reading before the body's end; nil if none
 }
 
@@ -181,24 +205,31 @@
 
 func (r *uploadReader) next(p []byte) (int, error) {
 	// Checked first: the backend may respond as soon as it has the last byte, before the sender has read io.EOF here.
-	if r.isComplete() {
+	if r.atEnd() {
 		return 0, io.EOF
 	}
 	if !r.conn.isSilent() {
 		return 0, errEarlyResponse
 	}
-	if r.offset < len(r.prefix) {
-		n := copy(p, r.prefix[r.offset:])
-		r.offset += n
-		return n, nil
+	n, err := r.readFrom(r.offset, p)
+	r.offset += int64(n)
+	return n, err
+}
+
+// atEnd reports whether the attempt has read the whole body.
+func (r *uploadReader) atEnd() bool {
+	if !r.isComplete() {
+		return false
 	}
-	return r.readRemainder(p)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.bufferedFrom(r.offset)) == 0
 }
 
 // uploadWriter writes a streamed request to a backend within its connection's sendLimit, and counts the bytes.
 type uploadWriter struct {
 	conn    *conn
-	upload  *upload
+	body    *uploadReader
 	written int
 	err     error // error of the last write
 }
@@ -222,7 +253,7 @@
 // SetWriteDeadline sets the deadline of the write. It fails if the connection was interrupted, or if a blocked write
 // should not go on because of an early response.
 func (s *uploadSocket) SetWriteDeadline(deadline time.Time) error {
-	if s.blocked && !s.writer.upload.isComplete() && !s.writer.conn.isSilent() {
+	if s.blocked && !s.writer.body.atEnd() && !s.writer.conn.isSilent() {
 		return errEarlyResponse
 	}
 	s.blocked = true
@@ -235,8 +266,10 @@
 	if u.isConsumed() {
 		return 0, false, errBodyConsumed
 	}
+	u.sending.Store(true)
+	defer u.sending.Store(false)
 	body := &uploadReader{upload: u, conn: c}
-	to := &uploadWriter{conn: c, upload: u}
+	to := &uploadWriter{conn: c, body: body}
 	req.ContentLength = u.length
 	req.Body = io.NopCloser(body)
 	err := req.Write(to)
