Show in log and counters which requests failed, broke off or were left

Change: log lines "request failed" (status, may_have_run) and "client left", and the ID and class in "request rejected" and "streamed response broke off". Counters clients_left and answers_broken in INFO, left out while they are 0: the kept replies stay byte for byte the same.

--- a/internal/faultlab/peerfaults/client.go
+++ b/internal/faultlab/peerfaults/client.go
@@ -66,7 +66,7 @@
 		_ = c.SetWriteDeadline(time.Now().Add(leaveAfter))
 	}
 	_, err := io.WriteString(c, m.text[:point])
-	if err != nil && !(leaves && isTimeout(err)) {
+	if err != nil && (!leaves || !isTimeout(err)) {
 		r.readAnswer(c)
 		return r
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,6 +33,8 @@
 	ReloadsOK        atomic.Int64 // successful reloads of the configuration
 	ReloadsFailed    atomic.Int64
 	InvalidLists     atomic.Int64 // responses of discovery that were not a valid endpoint list
+	ClientsLeft      atomic.Int64 // requests whose client left before it had an answer
+	BrokenResponses  atomic.Int64 // streamed responses that broke off after their first byte
 }
 
 // New returns counters, all 0, for requests of the given classes.
@@ -75,6 +77,8 @@
 		ReloadsOK        int64            `json:"reloads_ok"`
 		ReloadsFailed    int64            `json:"reloads_failed"`
 		InvalidLists     int64            `json:"lists_bad"`
+		ClientsLeft      int64            `json:"clients_left,omitempty"`
+		BrokenResponses  int64            `json:"answers_broken,omitempty"`
 	}{
 		Served:           c.byClass(Served),
 		Rejected:         c.byClass(Rejected),
@@ -86,6 +90,8 @@
 		ReloadsOK:        c.ReloadsOK.Load(),
 		ReloadsFailed:    c.ReloadsFailed.Load(),
 		InvalidLists:     c.InvalidLists.Load(),
+		ClientsLeft:      c.ClientsLeft.Load(),
+		BrokenResponses:  c.BrokenResponses.Load(),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
@@ -95,9 +101,11 @@
 
 // totals is the object that MarshalTotals encodes. Its fields are in the order of their JSON keys.
 type totals struct {
+	BrokenResponses  int64                `json:"answers_broken,omitempty"`
 	Attempts         int64                `json:"attempts"`
 	BackendsExcluded int64                `json:"backends_excluded"`
 	BackendsKnown    int64                `json:"backends_known"`
+	ClientsLeft      int64                `json:"clients_left,omitempty"`
 	Failed           map[string]int64     `json:"failed"`
 	Goroutines       int                  `json:"goroutines"`
 	InFlight         int64                `json:"in_flight"`
@@ -128,6 +136,8 @@
 	for _, c := range services {
 		t.Attempts += c.Attempts.Load()
 		t.InFlight += c.InFlight.Load()
+		t.ClientsLeft += c.ClientsLeft.Load()
+		t.BrokenResponses += c.BrokenResponses.Load()
 		t.BackendsKnown += c.BackendsKnown.Load()
 		t.BackendsExcluded += c.BackendsExcluded.Load()
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -6,6 +6,28 @@
 	"testing"
 )
 
+// The counters of clients that left and of broken responses are shown once they count something, and summed.
+func TestRareCountersAreShownOnceTheyCount(t *testing.T) {
+	c := New(nil)
+	c.ClientsLeft.Store(3)
+	c.BrokenResponses.Store(4)
+	text, err := MarshalTotals(New(nil), map[string]*Counters{"a": c, "b": c}, nil)
+	if err != nil {
+		t.Fatalf("MarshalTotals(): %v", err)
+	}
+	var got struct {
+		ClientsLeft     int64 `json:"clients_left"`
+		BrokenResponses int64 `json:"answers_broken"`
+		Services        map[string]map[string]any
+	}
+	if err := json.Unmarshal(text, &got); err != nil {
+		t.Fatalf("decoding the totals: %v", err)
+	}
+	if a := got.Services["a"]; got.ClientsLeft != 6 || got.BrokenResponses != 8 || a["clients_left"] != 3.0 || a["answers_broken"] != 4.0 {
+		t.Errorf("totals %s, want the sums 6 and 8, and 3 and 4 for each service", text)
+	}
+}
+
 // Concurrent counts are all included in the JSON encoding, and counts of unknown classes are ignored.
 func TestCountsFromManyGoroutines(t *testing.T) {
 	c := New([]string{"ride", "payout"})
--- a/internal/proxy/clientrequest.go
+++ b/internal/proxy/clientrequest.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -40,6 +41,12 @@
 	r.policy.CountRequest(o == metrics.Served)
 }
 
+// identity returns what the log shows of a request.
+func (r *request) identity() slog.Attr {
+	class := r.service.module.Classes[r.Class].Name
+	return slog.Group("", "id", r.message.header.Get("X-Request-Id"), "class", class)
+}
+
 // rejection is an error that is sent to the client as a response. The message becomes the response's body; existing
 // messages stay unchanged, since clients may match them.
 type rejection struct {
--- a/internal/proxy/clientresponse.go
+++ b/internal/proxy/clientresponse.go
@@ -62,6 +62,9 @@
 	if !streamed {
 		resp := responseFor(result)
 		req.countOutcome(outcomeForStatus(resp.status))
+		if result.Outcome == engine.Failed {
+			f.log.Warn("request failed", req.identity(), "status", resp.status, "may_have_run", result.MayHaveRun)
+		}
 		writeResponse(w, resp)
 		return
 	}
@@ -80,7 +83,8 @@
 	stream.End(err)
 	if err != nil {
 		req.countOutcome(metrics.Failed)
-		f.log.Warn("streamed response broke off", "err", err)
+		req.service.counters.BrokenResponses.Add(1)
+		f.log.Warn("streamed response broke off", "err", err, req.identity())
 		if req.http10 && stream.length < 0 {
 			resetClientConn(w)
 		}
@@ -91,21 +95,21 @@
 
 // rejectRequest rejects a request whose class is known, and counts it.
 func (f *httpFrontend) rejectRequest(w http.ResponseWriter, req *request, err error) {
-	req.countOutcome(outcomeForStatus(f.reject(w, err)))
+	req.countOutcome(outcomeForStatus(f.reject(w, err, req.identity())))
 }
 
 // reject sends an error response at once and closes the connection, since the bytes
 // after the request's head can't be trusted to start another request.
 // It returns the status. By default net/http reads the body to its end before it sends the response; full duplex
-// prevents that.
-func (f *httpFrontend) reject(w http.ResponseWriter, err error) int {
+// prevents that. The log shows the attributes.
+func (f *httpFrontend) reject(w http.ResponseWriter, err error, attributes ...any) int {
 	status := http.StatusBadRequest
 	retryAfter := time.Second
 	if r := (*rejection)(nil); errors.As(err, &r) {
 		status = r.status
 		retryAfter = max(retryAfter, r.retryAfter)
 	}
-	f.log.Warn("request rejected", "status", status, "err", err)
+	f.log.Warn("request rejected", append([]any{"status", status, "err", err}, attributes...)...)
 	c := http.NewResponseController(w)
 	_ = c.EnableFullDuplex()
 	_ = c.SetReadDeadline(time.Now().Add(rejectReadTimeout))
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -260,7 +260,7 @@
 			svc.engine.ClientGone(&req.Request)
 			f.forgetIfNotRun(r, req)
 		})
-		f.answerClientThatLeft(w)
+		f.answerClientThatLeft(w, req)
 	}
 }
 
@@ -269,12 +269,14 @@
 	if mayHaveRun {
 		f.rememberAbandoned(r, req)
 	}
-	f.answerClientThatLeft(w)
+	f.answerClientThatLeft(w, req)
 }
 
 // answerClientThatLeft writes a final response and closes the connection. net/http sends an empty 200 for a handler that
 // writes nothing, and a client that closed only its write side would read it.
-func (f *httpFrontend) answerClientThatLeft(w http.ResponseWriter) {
+func (f *httpFrontend) answerClientThatLeft(w http.ResponseWriter, req *request) {
+	req.service.counters.ClientsLeft.Add(1)
+	f.log.Info("client left", req.identity())
 	w.Header().Set("Connection", "close")
 	writeResponse(w, response{status: http.StatusBadGateway})
 }
