Answer a body cut at its deadline with its result, not with that of a leave

What callers saw: 502, or by reading 408, in place of 503 for a request whose long body was cut at its deadline and that can't have run.

Cause: Upload.Cut ends a read of the body by a deadline. net/http cancels the request's context at each error of the body, and the error went to the channel of failed bodies too, so the select of awaitResult had up to three ways to go, and took one by chance.

Change: while a body is not complete, a cancelled context says nothing of the client; a read that was ended by Cut fails no body. awaitResult has its two longer branches in functions of their own.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -224,46 +224,70 @@
 // awaitResult waits for a request's result and writes it. If reading the body fails or the client leaves first, it
 // abandons the request.
 func (f *httpFrontend) awaitResult(w http.ResponseWriter, r *http.Request, req *request, origin requestOrigin) {
-	svc := req.service
 	upload := req.message.upload
 	var bodyFailed chan error
 	if upload != nil {
 		bodyFailed = upload.failed
 	}
-	select {
-	case result := <-req.Result():
-		if result.ClientGone {
-			f.clientLeft(w, r, req, result.MayHaveRun)
+	left := r.Context().Done()
+	for {
+		select {
+		case result := <-req.Result():
+			f.resultReceived(w, r, req, origin, result)
 			return
-		}
-		if result.Outcome == engine.Served {
-			origin.conn.markServed()
-			req.servedIn = time.Since(origin.receivedAt)
-		}
-		f.writeResult(w, req, result)
-		if r.Context().Err() != nil && (result.Outcome == engine.Served || result.MayHaveRun) {
+		case err := <-bodyFailed:
+			f.bodyFailed(w, r, req, err)
+			return
+		case <-left:
+			// net/http also cancels the context at an error of the body, which comes by one of the other channels.
+			if upload != nil && !upload.isComplete() {
+				left = nil
+				continue
+			}
+			req.Abandon()
 			f.rememberAbandoned(r, req)
-		}
-	case err := <-bodyFailed:
-		req.Abandon()
-		svc.engine.Post(func() { svc.engine.ClientGone(&req.Request) })
-		upload.stop()
-		if errors.Is(err, errClientLeft) { // the body's last byte was not sent
-			f.clientLeft(w, r, req, false)
+			engine := req.service.engine
+			engine.Post(func() {
+				engine.ClientGone(&req.Request)
+				f.forgetIfNotRun(r, req)
+			})
+			f.answerClientThatLeft(w, req)
 			return
 		}
-		f.rejectRequest(w, req, bodyReadError(err))
-	case <-r.Context().Done():
-		req.Abandon()
+	}
+}
+
+// resultReceived writes the result of a request.
+func (f *httpFrontend) resultReceived(
+	w http.ResponseWriter, r *http.Request, req *request, origin requestOrigin, result engine.Result,
+) {
+	if result.ClientGone {
+		f.clientLeft(w, r, req, result.MayHaveRun)
+		return
+	}
+	if result.Outcome == engine.Served {
+		origin.conn.markServed()
+		req.servedIn = time.Since(origin.receivedAt)
+	}
+	f.writeResult(w, req, result)
+	if r.Context().Err() != nil && (result.Outcome == engine.Served || result.MayHaveRun) {
 		f.rememberAbandoned(r, req)
-		svc.engine.Post(func() {
-			svc.engine.ClientGone(&req.Request)
-			f.forgetIfNotRun(r, req)
-		})
-		f.answerClientThatLeft(w, req)
 	}
 }
 
+// bodyFailed ends a request whose streamed body could not be read to its end. No backend has its last byte.
+func (f *httpFrontend) bodyFailed(w http.ResponseWriter, r *http.Request, req *request, err error) {
+	req.Abandon()
+	engine := req.service.engine
+	engine.Post(func() { engine.ClientGone(&req.Request) })
+	req.message.upload.stop()
+	if errors.Is(err, errClientLeft) {
+		f.clientLeft(w, r, req, false)
+		return
+	}
+	f.rejectRequest(w, req, bodyReadError(err))
+}
+
 // clientLeft ends the handling of a request whose client has left.
 func (f *httpFrontend) clientLeft(w http.ResponseWriter, r *http.Request, req *request, mayHaveRun bool) {
 	if mayHaveRun {
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -170,10 +170,13 @@
 		u.onComplete()
 		return n, io.EOF
 	}
-	if err != nil {
-		err = u.fail(err)
+	switch {
+	case err == nil:
+		return n, nil
+	case u.state.Load() == uploadCut: // the read was ended, and the request has a result
+		return 0, errAbandoned
 	}
-	return n, err
+	return n, u.fail(err)
 }
 
 // fail reports that the client does not send its body, and returns the error for the attempt that reads it.
