Close no connection because accept failed for a moment

What callers saw: a request on a new connection that was closed unanswered, 1 ms after it was written.

Cause: EMFILE and ENFILE of accept counted as a shortage at their first occurrence: an idle connection was evicted, also one that was accepted a millisecond before and whose request was on its way.

Change: a shortage is one where no descriptor can be opened either, or where accept has failed for 25 ms; before that the listener pauses and tries again.

Measured, arm64: TestMomentaryFailureOfAcceptClosesNothing fails without the check and passes.

--- a/internal/listener/connlimiter_test.go
+++ b/internal/listener/connlimiter_test.go
@@ -235,6 +235,30 @@
 	t.Error("Accept did not return after the shortage, although 40 clients have connected")
 }
 
+// Guards against connections being closed because accept failed once although there are descriptors: the requests on their
+// way were lost. Neither an idle connection is evicted nor the waiting one rejected.
+func TestMomentaryFailureOfAcceptClosesNothing(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE} {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatalf("net.Listen: %v", err)
+		}
+		l := NewListener(&failingListener{Listener: inner, errno: errno, failures: 1}, slog.New(slog.DiscardHandler),
+			func() bool { t.Errorf("%v: an idle connection was evicted", errno); return true },
+			func() { t.Errorf("%v: the waiting connection was rejected", errno) })
+		client, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatalf("connecting to the listener: %v", err)
+		}
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatalf("Accept after %v = %v, want a connection", errno, err)
+		}
+		_, _ = c.Close(), client.Close()
+		_ = l.Close()
+	}
+}
+
 // Guards against a listener that ends for good because of an error that passes: Accept goes on after errors that concern
 // resources or the connection that arrived, and returns those of the listening socket.
 func TestAcceptGoesOnAfterTransientErrors(t *testing.T) {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -14,6 +14,8 @@
 const (
 	// acceptRetryInterval is the pause between two calls of accept after one has failed.
 	acceptRetryInterval = 5 * time.Millisecond
+	// shortageGrace is how long accept must fail before that counts as a shortage although a descriptor can be opened.
+	shortageGrace = 25 * time.Millisecond
 	// descriptorReleaseDelay is the time given to the kernel to release the descriptor of a closed connection.
 	descriptorReleaseDelay = time.Millisecond
 	// logInterval is the minimum time between two log lines about failed calls of accept.
@@ -21,10 +23,12 @@
 )
 
 // Listener keeps accepting connections after an accept has failed for a reason that may pass. While the process, or the
-// machine, has no file descriptor left, it evicts an
-// idle connection to free a descriptor. If no connection is idle, it releases a spare descriptor, uses it to accept one
-// connection, and closes that connection at once, so that the client does not wait in the accept queue forever. It
-// pauses between attempts to avoid a busy loop.
+// machine, has no file descriptor left, it evicts an idle connection to free a descriptor. If no connection is idle, it
+// releases a spare descriptor, uses it to accept one connection, and closes that connection at once, so that the client
+// does not wait in the accept queue forever. It pauses between attempts to avoid a busy loop.
+//
+// An accept may also fail for a moment although there are descriptors. A connection that was closed then could lose the
+// request that is on its way.
 type Listener struct {
 	net.Listener
 	log        *slog.Logger
@@ -34,6 +38,8 @@
 	mu       sync.Mutex
 	spare    *os.File // a descriptor to accept with during a shortage; nil if it could not be opened
 	loggedAt time.Time
+
+	failingSince time.Time // when accept began to fail for lack of a descriptor; zero after a success
 }
 
 // NewListener wraps a listener for client connections. Connections that it closes because of a descriptor
@@ -92,6 +98,7 @@
 		c, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			l.accepted()
 			return c, nil
 		case isOneOf(err, shortageErrors):
 			l.logError("no descriptor is left for clients", err)
@@ -115,10 +122,37 @@
 	}
 }
 
-// relieveShortage evicts an idle connection, or rejects the oldest connection in the accept queue.
+// accepted records that accept does not fail.
+func (l *Listener) accepted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failingSince = time.Time{}
+}
+
+// isShort reports whether a failed accept shows a shortage: no descriptor can be opened either, or accept has failed for
+// shortageGrace. The lock must be held.
+func (l *Listener) isShort() bool {
+	now := time.Now()
+	if l.failingSince.IsZero() {
+		l.failingSince = now
+	}
+	probe, err := os.Open(os.DevNull)
+	if err != nil {
+		return true
+	}
+	_ = probe.Close() // nothing was written to it
+	return now.Sub(l.failingSince) >= shortageGrace
+}
+
+// relieveShortage evicts an idle connection, or rejects the oldest connection in the accept queue. If there is no shortage,
+// it only pauses.
 func (l *Listener) relieveShortage() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.isShort() {
+		time.Sleep(acceptRetryInterval)
+		return
+	}
 	if l.evictIdle() {
 		time.Sleep(descriptorReleaseDelay)
 		return
