--- a/internal/idempotency/guard/guard.go
+++ b/internal/idempotency/guard/guard.go
@@ -51,7 +51,8 @@
 	// Counts holds the number of events of each kind. Do updates it.
 	Counts Counts
 
-	options Options
+	options   Options
+	openStore storeOpener
 
 	mu     sync.Mutex
 	ledger *idempotency.Ledger // nil until the store is loaded, and after Close
@@ -83,7 +84,7 @@
 	if o.Ledger.LostAt >= 0 {
 		o.Ledger.LostAt = o.Now() // the clock need not start at 0
 	}
-	g := &Guard{options: o, loaded: make(chan struct{}), inFlight: map[idempotency.Key]*call{}}
+	g := &Guard{options: o, openStore: store.Open, loaded: make(chan struct{}), inFlight: map[idempotency.Key]*call{}}
 	ledger, err := idempotency.New(o.Ledger)
 	if err != nil {
 		return nil, err
--- a/internal/idempotency/guard/guard_test.go
+++ b/internal/idempotency/guard/guard_test.go
@@ -8,11 +8,13 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lapisspread/internal/idempotency"
+	"lapisspread/internal/idempotency/store"
 )
 
 func testSettings(lostAt time.Duration) idempotency.Settings {
@@ -362,3 +364,39 @@
 			err, broken.Report().Ready)
 	}
 }
+
+// Guards against a ledger that stays closed for the life of a process because the disk was full, or failed, for a moment at
+// its start: all requests that must not run twice were rejected until the next restart.
+func TestOpenTriesAgainAfterErrorsThatPass(t *testing.T) {
+	for name, failure := range map[string]error{
+		"full disk":         fmt.Errorf("write: %w", syscall.ENOSPC),
+		"full disk as text": errors.New("file resize error: truncate x: " + syscall.ENOSPC.Error()),
+		"disk error":        fmt.Errorf("fsync: %w", syscall.EIO),
+		"no descriptor":     fmt.Errorf("open: %w", syscall.ENFILE),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g, err := New(Options{Ledger: testSettings(-1), Path: filepath.Join(t.TempDir(), "ledger"),
+				Now: func() time.Duration { return time.Hour }})
+			if err != nil {
+				t.Fatalf("New: %v", err)
+			}
+			failures := 2
+			g.openStore = func(path string, o store.Options) (*store.Store, []idempotency.Record, error) {
+				if failures > 0 {
+					failures--
+					return nil, nil, failure
+				}
+				return store.Open(path, o)
+			}
+			if err := g.Open(t.Context()); err != nil || !g.Report().Ready {
+				t.Fatalf("Open after two failures = %v, ready %t; want nil, true", err, g.Report().Ready)
+			}
+			_, _, verdict := g.Do(t.Context(), key(1), false, func() ([]byte, Outcome) { return []byte("paid"), Answered })
+			if verdict != idempotency.Begin {
+				t.Errorf("Do after Open = %v, want %v", verdict, idempotency.Begin)
+			}
+			mustClose(t, g)
+		})
+	}
+}
