Keep the ledger's windows in real time when the wall clock is stepped

What callers saw: nothing yet; found by reading what goes by the wall clock. After a step forward by an hour and a restart, or a kill, a repeat of a claim that had been paid minutes before ran again.

Cause: entries expire in the file by the wall clock: at a step forward the next write deleted them, and the next process did not load them. A step back kept them an hour longer.

Change: the store has a clock that starts with the wall clock and goes on with the system's monotonic clock, also from one process to the next: each transaction stores a reading ("clock" in the bucket "meta", left alone by older builds) with the identifier of the boot. After a boot it is the wall clock again, but does not go back.

No process was played with a stepped clock: the machine's must not be stepped.

--- a/internal/idempotency/guard/guard.go
+++ b/internal/idempotency/guard/guard.go
@@ -40,6 +40,8 @@
 	Path string
 	// Now returns the time of a monotonic clock.
 	Now func() time.Duration
+	// Uptime is that of store.Options; nil means the system's.
+	Uptime func() store.Uptime
 	// Log receives the log lines; nil discards them.
 	Log *slog.Logger
 	// WriteTimeout is the maximum duration of a write to disk; a slower write counts as failed. 0 means 2 s.
--- a/internal/idempotency/guard/guard_test.go
+++ b/internal/idempotency/guard/guard_test.go
@@ -35,6 +35,7 @@
 		Ledger:       testSettings(lostAt),
 		Path:         path,
 		Now:          func() time.Duration { return time.Since(clockStart) },
+		Uptime:       bubbleUptime,
 		WriteTimeout: 500 * time.Millisecond,
 	})
 	if err != nil {
@@ -46,6 +47,11 @@
 	return g
 }
 
+// bubbleUptime is an uptime that runs with the clock of a synctest bubble, as that of the system does not.
+func bubbleUptime() store.Uptime {
+	return store.Uptime{Boot: "test", Since: time.Duration(time.Now().UnixNano())}
+}
+
 func mustClose(t *testing.T, g *Guard) {
 	t.Helper()
 	if err := g.Close(); err != nil {
--- a/internal/idempotency/guard/open.go
+++ b/internal/idempotency/guard/open.go
@@ -51,6 +51,7 @@
 			Window:          settings.Window,
 			UncertainWindow: settings.UncertainWindow,
 			FirstProcess:    settings.LostAt < 0,
+			Uptime:          g.options.Uptime,
 		})
 		if err == nil {
 			return g.restore(s, records)
@@ -79,7 +80,7 @@
 	settings := g.options.Ledger
 	settings.LostAt = -1 // the store has all entries, unless s.LostAt says otherwise
 	if lostAt := s.LostAt(); !lostAt.IsZero() {
-		settings.LostAt = max(0, g.options.Now()-time.Since(lostAt))
+		settings.LostAt = max(0, g.options.Now()-s.Now().Sub(lostAt))
 		if g.options.Now()-settings.LostAt < settings.Window {
 			g.options.Log.Warn("idempotency ledger lacks entries of an earlier process: "+
 				"for one window, clients that retransmit a request without an entry "+
--- a/internal/idempotency/store/committer.go
+++ b/internal/idempotency/store/committer.go
@@ -101,7 +101,7 @@
 // apply writes a batch within a transaction, and deletes entries that have expired.
 func (s *Store) apply(tx *bbolt.Tx, batch []*pendingWrite) error {
 	entries := tx.Bucket(entriesBucket)
-	now := s.now()
+	now := s.clock.now()
 	for _, w := range batch {
 		key := encodeKey(w.record.Key)
 		var err error
--- a/internal/idempotency/store/layout.go
+++ b/internal/idempotency/store/layout.go
@@ -156,7 +156,7 @@
 // rewrites each intent as uncertain, because the process that wrote it ended before the outcome was persisted.
 func (s *Store) load() ([]idempotency.Record, error) {
 	var all []datedRecord
-	now := s.now()
+	now := s.clock.now()
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{entriesBucket, expiryBucket} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
--- a/internal/idempotency/store/store.go
+++ b/internal/idempotency/store/store.go
@@ -36,7 +36,7 @@
 	db              *bbolt.DB
 	window          time.Duration
 	uncertainWindow time.Duration
-	now             func() time.Time
+	clock           clock
 	witness         *os.File  // holds the number of the last committed transaction
 	lostAt          time.Time // see LostAt
 	sequence        uint64    // number of the last transaction; written only by Open and the committer
@@ -58,6 +58,9 @@
 	UncertainWindow time.Duration
 	// Now returns the wall-clock time; nil means time.Now.
 	Now func() time.Time
+	// Uptime tells how much time has passed, whatever Now shows. nil means the system's uptime, or with Now that Now is
+	// not stepped.
+	Uptime func() Uptime
 	// FirstProcess says that no earlier process can have had a ledger, so that a new file does not count as a loss of
 	// entries.
 	FirstProcess bool
@@ -67,9 +70,6 @@
 // uncertain ones by expiry, intents by when they were written. While another process has the file open, it waits up to
 // 3 s and then returns ErrLocked. It returns an error if the file is not a ledger. The caller must call Close.
 func Open(path string, o Options) (*Store, []idempotency.Record, error) {
-	if o.Now == nil {
-		o.Now = time.Now
-	}
 	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType})
 	if errors.Is(err, berrors.ErrTimeout) {
 		return nil, nil, fmt.Errorf("%s: %w", path, ErrLocked)
@@ -81,12 +81,14 @@
 		db:              db,
 		window:          o.Window,
 		uncertainWindow: max(o.Window, o.UncertainWindow),
-		now:             o.Now,
 		queue:           make(chan *pendingWrite, maxBatch),
 		stop:            make(chan struct{}),
 		done:            make(chan struct{}),
 	}
-	records, err := s.load()
+	var records []idempotency.Record
+	if err = s.startClock(o); err == nil {
+		records, err = s.load()
+	}
 	if err == nil {
 		err = s.openWitness(path+witnessSuffix, o.FirstProcess)
 	}
@@ -97,10 +99,13 @@
 	return s, records, nil
 }
 
-// LostAt returns the time at which this or an earlier Open last found that the ledger lacks entries of an earlier
-// process, or the zero time if that never happened.
+// LostAt returns the time, as Now shows it, at which this or an earlier Open last found that the ledger lacks entries of an
+// earlier process, or the zero time if that never happened.
 func (s *Store) LostAt() time.Time { return s.lostAt }
 
+// Now returns the time of the store's clock, which is close to the wall clock and does not follow its steps.
+func (s *Store) Now() time.Time { return s.clock.now() }
+
 // Write writes a record, and returns nil once it is on disk. Concurrent calls share a transaction, and all of them get
 // its error, for example of a full disk. Write returns ErrClosed after Close, and the cause of ctx if ctx ends first.
 // After an error the record may or may not be on disk: a request whose intent was to be written must not run, and the
--- a/internal/idempotency/store/witness.go
+++ b/internal/idempotency/store/witness.go
@@ -36,7 +36,7 @@
 			s.lostAt = time.Unix(0, int64(at))
 		}
 		if lacksEntries && !firstProcess {
-			s.lostAt = s.now()
+			s.lostAt = s.clock.now()
 			err = putNumber(meta, lostAtKey, uint64(s.lostAt.UnixNano()))
 		}
 		return errors.Join(err, s.advanceSequence(tx))
@@ -50,12 +50,13 @@
 	return nil
 }
 
-// advanceSequence assigns the next number to a transaction. Numbers of transactions that failed are not used again.
+// advanceSequence assigns the next number to a transaction, and stores a reading of the clock with it. Numbers of
+// transactions that failed are not used again.
 func (s *Store) advanceSequence(tx *bbolt.Tx) error {
 	meta := tx.Bucket(metaBucket)
 	committed, _ := getNumber(meta, sequenceKey)
 	s.sequence = max(committed, s.sequence) + 1
-	return putNumber(meta, sequenceKey, s.sequence)
+	return errors.Join(putNumber(meta, sequenceKey, s.sequence), s.clock.save(meta))
 }
 
 // writeWitness writes the number of the last committed transaction to the witness. It must be called after the commit:
