Keep claims on request IDs in monotonic time

What callers saw: nothing yet; found by reading what goes by the wall clock. After a step of it, an ID that one process of an upgrade had claimed could run again at the other one, or stay rejected for as long as the step.

Cause: the shared table has the ends of claims in seconds of the wall clock.

Change: they are seconds of the system's monotonic clock, which the processes of a machine read alike. The file has a new name, claimed-ids, since older builds read other times in it: in an upgrade from one of those an ID that comes again at the other process is not noticed, once.

No process was played with a stepped clock.

--- a/internal/hotrestart/doc.go
+++ b/internal/hotrestart/doc.go
@@ -7,6 +7,6 @@
 //   - "out" is a sorted JSON array of the IDs of the backends that an operator has detached.
 //   - "serving" contains the ID of the process that serves.
 //   - "lock" is empty. It is locked while a process changes "out".
-//   - "ids" is a table of the request IDs that the processes have claimed; see package sharedids.
+//   - "claimed-ids" is a table of the request IDs that the processes have claimed; see package sharedids.
 //   - "life" is empty. It is locked for as long as a process lives.
 package hotrestart
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -16,9 +16,9 @@
 
 // Files in the state directory.
 const (
-	blocksFile    = "blocks" // prefixes of client addresses that an operator has blocked
-	sharedIDsFile = "ids"    // request IDs that the processes have claimed
-	snapshotFile  = "memory" // snapshot of endpoint lists and of what the engines have learned
+	blocksFile    = "blocks"      // prefixes of client addresses that an operator has blocked
+	sharedIDsFile = "claimed-ids" // request IDs that the processes have claimed; "ids" of older builds has times of the wall clock
+	snapshotFile  = "memory"      // snapshot of endpoint lists and of what the engines have learned
 )
 
 // serve runs the proxy on a listening socket until ctx ends, then drains it and waits for all goroutines.
--- a/internal/sharedids/sharedids.go
+++ b/internal/sharedids/sharedids.go
@@ -6,6 +6,7 @@
 package sharedids
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"sync/atomic"
@@ -32,6 +33,9 @@
 type Table struct {
 	data  []byte
 	words []uint64 // data as slots
+
+	openedAt time.Time
+	uptime   time.Duration // the system's monotonic clock at openedAt, which all processes read alike
 }
 
 // Open maps the file at path, and creates it if there is none. The space is allocated, so that no later write can fail.
@@ -49,8 +53,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("shared request IDs: mapping %s: %w", path, err)
 	}
+	var uptime unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &uptime); err != nil {
+		return nil, errors.Join(fmt.Errorf("shared request IDs: reading the clock: %w", err), unix.Munmap(data))
+	}
 	// A mapping begins at a page's start, so the words are aligned.
-	return &Table{data: data, words: unsafe.Slice((*uint64)(unsafe.Pointer(&data[0])), slots)}, nil
+	words := unsafe.Slice((*uint64)(unsafe.Pointer(&data[0])), slots)
+	return &Table{data: data, words: words, openedAt: time.Now(), uptime: time.Duration(uptime.Nano())}, nil
+}
+
+// seconds returns what the system's monotonic clock shows at a time. The wall clock may be stepped.
+func (t *Table) seconds(at time.Time) uint64 {
+	return uint64((t.uptime + at.Sub(t.openedAt)) / time.Second)
 }
 
 // Close unmaps the file. Claims stay. The table must not be used any more.
@@ -79,7 +93,7 @@
 			return true
 		}
 		old := atomic.LoadUint64(slot)
-		if isLive(old) || !atomic.CompareAndSwapUint64(slot, old, word(hash, until)) {
+		if t.isLive(old) || !atomic.CompareAndSwapUint64(slot, old, t.word(hash, until)) {
 			continue // another process was faster
 		}
 		// Another process may have claimed the ID in a slot that was in use when this one passed it: the first slot counts.
@@ -92,7 +106,11 @@
 }
 
 // Extend makes a claim of this process last until another time.
-func (t *Table) Extend(hash uint64, until time.Time) { t.replace(hash, word(hash, until)) }
+func (t *Table) Extend(hash uint64, until time.Time) {
+	if t != nil {
+		t.replace(hash, t.word(hash, until))
+	}
+}
 
 // Release ends a claim of this process.
 func (t *Table) Release(hash uint64) { t.replace(hash, 0) }
@@ -112,7 +130,7 @@
 		candidate := &t.words[(hash+i)%slots]
 		current := atomic.LoadUint64(candidate)
 		switch {
-		case !isLive(current):
+		case !t.isLive(current):
 			if slot == nil {
 				slot = candidate
 			}
@@ -124,16 +142,16 @@
 }
 
 // word returns the content of a slot.
-func word(hash uint64, until time.Time) uint64 {
+func (t *Table) word(hash uint64, until time.Time) uint64 {
 	// A second more, since the claim must not end early.
-	return hash&^uint64(secondsMask) | uint64(until.Unix()+1)&secondsMask
+	return hash&^uint64(secondsMask) | (t.seconds(until)+1)&secondsMask
 }
 
 // isLive reports whether a slot holds a claim whose time is not over.
-func isLive(word uint64) bool {
+func (t *Table) isLive(word uint64) bool {
 	if word == 0 {
 		return false
 	}
-	left := (word - uint64(time.Now().Unix())) & secondsMask
+	left := (word - t.seconds(time.Now())) & secondsMask
 	return left != 0 && left <= secondsMask/2
 }
--- a/internal/sharedids/sharedids_test.go
+++ b/internal/sharedids/sharedids_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // open opens the table at path until the test ends.
@@ -123,3 +125,24 @@
 		t.Errorf("the file is %v, %v, want %d bytes and mode %o", info, err, fileBytes, fileMode)
 	}
 }
+
+// Guards against claims that end early or last too long at a step of the wall clock: their times are those of the system's
+// monotonic clock, which all processes read alike.
+func TestTimesAreMonotonic(t *testing.T) {
+	monotonic := func() uint64 {
+		var now unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
+			t.Fatalf("reading the monotonic clock: %v", err)
+		}
+		return uint64(now.Sec)
+	}
+	before := monotonic()
+	table := open(t, filepath.Join(t.TempDir(), "ids"))
+	got := table.seconds(time.Now())
+	if after := monotonic(); got < before || got > after {
+		t.Errorf("seconds(now) = %d, want %d to %d, as the monotonic clock shows", got, before, after)
+	}
+	if later := table.seconds(time.Now().Add(time.Hour)); later < before+3600 {
+		t.Errorf("seconds(in an hour) = %d, want at least %d", later, before+3600)
+	}
+}
