Count a node's answer in the laboratory as given when it was written

Cause: the laboratory's. A node was noted as one that has answered before it wrote its answer. If Doubt forgot all answers between the two, the proxy got an answer after it that the judge took for one before it, and the proxy was convicted for trusting it.

Change: the note is made ahead of the write, as before, and behind it: the time of an answer is that of its last byte. What the test asks of the proxy is the same; an answer of a process that was replaced proves nothing, as before.

--- a/internal/faultlab/liverun/node.go
+++ b/internal/faultlab/liverun/node.go
@@ -341,11 +341,11 @@
 		}
 	}
 	r.mu.Lock()
-	cut := n.w.Cut
+	cut, startedAt := n.w.Cut, n.w.StartedAt
+	r.mu.Unlock()
 	if !cut && got == model.OK { // ahead of the answer: what follows it may come at once
-		r.proved[c.proxy][n.no] = n.w.StartedAt
+		n.answered(c.proxy, startedAt)
 	}
-	r.mu.Unlock()
 	if cut || got == model.Silence {
 		<-gone
 		return false
@@ -356,7 +356,11 @@
 		if job.Kind == model.Request {
 			body = r.mark(account, n.no, attempt)
 		}
-		return c.write("200 OK", "", body)
+		written := c.write("200 OK", "", body)
+		if written {
+			n.answered(c.proxy, startedAt)
+		}
+		return written
 	case model.Failed:
 		return c.write("500 Internal Server Error", "", "")
 	case model.TurnedAway:
@@ -367,6 +371,14 @@
 	}
 }
 
+// answered records that the node's process that started at a time has answered a proxy. It is called ahead of the answer
+// and once more behind it: a call of Doubt between the two does not make an answer one of before it.
+func (n *node) answered(proxy int, startedAt time.Duration) {
+	n.r.mu.Lock()
+	defer n.r.mu.Unlock()
+	n.r.proved[proxy][n.no] = startedAt
+}
+
 func (c *nodeConn) write(status, headers, body string) bool {
 	c.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
