--- a/internal/engine/clientleft_test.go
+++ b/internal/engine/clientleft_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -65,16 +64,7 @@
 // A request whose body is on its way ends if its client leaves, also while no attempt can be sent.
 func TestUploadEndsWhenItsClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		upstream := deafUpstream{release: make(chan struct{})}
-		e, err := New(Options{
-			Decision: testConfig(), Seed: 1, Upstream: upstream, Source: stuckUpstream{}, InitialEndpoints: testEndpoints(),
-		})
-		if err != nil {
-			t.Fatalf("New failed: %v", err)
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() { e.Run(ctx); close(ended) }()
+		e, stop := startDeafEngine(t)
 		u := &scriptedUpload{clock: e.Clock(), writtenAt: time.Now().Add(time.Hour)}
 		r := &Request{Class: 1, Timeout: time.Minute, Upload: u, Message: message{}, Client: &scriptedClient{}}
 		r.Init()
@@ -84,8 +74,6 @@
 		if result := <-r.Result(); !result.ClientGone {
 			t.Errorf("result %+v, want ClientGone", result)
 		}
-		cancel()
-		close(upstream.release)
-		<-ended
+		stop()
 	})
 }
--- a/internal/engine/deadline_test.go
+++ b/internal/engine/deadline_test.go
@@ -41,9 +41,8 @@
 	return decision.Cancelled, nil
 }
 
-// uploadResult submits a request whose client writes for a time and whose backend then never takes the rest, and
-// returns its result and the time from the client's last byte to it. finished says that the proxy reads the last byte.
-func uploadResult(t *testing.T, writing, timeout time.Duration, finished bool) (Result, time.Duration) {
+// startDeafEngine runs an engine whose attempts do not end, until the returned function is called.
+func startDeafEngine(t *testing.T) (e *Engine, stop func()) {
 	t.Helper()
 	upstream := deafUpstream{release: make(chan struct{})}
 	e, err := New(Options{
@@ -55,6 +54,18 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { e.Run(ctx); close(ended) }()
+	return e, func() {
+		cancel()
+		close(upstream.release)
+		<-ended
+	}
+}
+
+// uploadResult submits a request whose client writes for a time and whose backend then never takes the rest, and
+// returns its result and the time from the client's last byte to it. finished says that the proxy reads the last byte.
+func uploadResult(t *testing.T, writing, timeout time.Duration, finished bool) (Result, time.Duration) {
+	t.Helper()
+	e, stop := startDeafEngine(t)
 	u := &scriptedUpload{clock: e.Clock(), writtenAt: time.Now().Add(writing)}
 	r := &Request{Class: 1, Timeout: timeout, Upload: u, Message: message{}}
 	r.Init()
@@ -67,9 +78,7 @@
 	}
 	result := <-r.Result()
 	after := time.Since(u.writtenAt)
-	cancel()
-	close(upstream.release)
-	<-ended
+	stop()
 	return result, after
 }
 
