Reset the relay's connections that are just coming up too

Cause: the laboratory's relay. A connection whose target had been asked and that was not registered yet outlived Reset: the proxy kept it alive, and with it the real steward.

Evidence: TestResetEndsWhatIsComingUp fails without the mend.

Change: a connection that comes up across a reset is reset.

--- a/internal/faultlab/linkfault/fabric_test.go
+++ b/internal/faultlab/linkfault/fabric_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -277,3 +278,29 @@
 		t.Error("a way that is none")
 	}
 }
+
+// Guards against a connection that outlives a reset because it was just coming up, to a target from before the reset.
+func TestResetEndsWhatIsComingUp(t *testing.T) {
+	f := New()
+	t.Cleanup(f.Close)
+	l := echo(t)
+	link, err := f.Link("a", "echo", net.IPv4(127, 0, 0, 1), func() string {
+		f.Reset("a", "echo") // after the target was asked, before the connection to it is up
+		return l.Addr().String()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.DialTimeout("tcp4", link.Addr(), patience)
+	if errors.Is(err, syscall.ECONNRESET) { // it has ended before Dial saw it come up
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	if n, err := c.Read(make([]byte, 1)); n > 0 || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("Read on a connection that came up across a reset = %d, %v; want the connection's end", n, err)
+	}
+}
--- a/internal/faultlab/linkfault/link.go
+++ b/internal/faultlab/linkfault/link.go
@@ -26,6 +26,7 @@
 	down    bool // the target's process is dead
 	closed  bool
 	pairs   map[*pair]bool
+	resets  int           // times that all connections were reset
 	changed chan struct{} // closes at the next change of ways
 }
 
@@ -137,6 +138,9 @@
 const dialWait = 5 * time.Second
 
 func (l *Link) carry(near *net.TCPConn) {
+	l.mu.Lock()
+	resets := l.resets
+	l.mu.Unlock()
 	nc, err := net.DialTimeout("tcp4", l.target(), dialWait)
 	if err != nil {
 		near.SetLinger(0)
@@ -145,7 +149,7 @@
 	}
 	p := &pair{near: near, far: nc.(*net.TCPConn), ended: make(chan struct{})}
 	l.mu.Lock()
-	if l.closed || l.down {
+	if l.closed || l.down || l.resets != resets { // a reset means the connections that are coming up too
 		l.mu.Unlock()
 		p.end(true)
 		return
@@ -268,6 +272,7 @@
 
 // reset does so; the lock is held.
 func (l *Link) reset() {
+	l.resets++
 	for p := range l.pairs {
 		p.end(true)
 	}
